--- /dev/null
+++ b/adapters/src/main/java/org/pollenrock/adapters/package-info.java
@@ -0,0 +1,2 @@
+/** Clients of outside systems. */
+package org.pollenrock.adapters;
--- /dev/null
+++ b/bench/src/main/java/org/pollenrock/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Demo, experiment tool and benchmarks. */
+package org.pollenrock.bench;
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/model/BlockKey.java
@@ -0,0 +1,46 @@
+package org.pollenrock.core.model;
+
+import java.nio.ByteBuffer;
+import java.util.HexFormat;
+
+/**
+ * Key of one cached block: the first 128 bits of a SHA-256 digest.
+ *
+ * @param high the first 64 bits
+ * @param low the next 64 bits
+ */
+public record BlockKey(long high, long low) implements Comparable<BlockKey> {
+  /** Length of a key in bytes. */
+  public static final int BYTES = 16;
+
+  /**
+   * Reads a key from the first 16 bytes of a digest.
+   *
+   * @param digest at least 16 bytes
+   * @return the key
+   */
+  public static BlockKey of(byte[] digest) {
+    ByteBuffer buffer = ByteBuffer.wrap(digest);
+    return new BlockKey(buffer.getLong(), buffer.getLong());
+  }
+
+  /**
+   * Writes the key as 16 bytes, big-endian.
+   *
+   * @return a new array
+   */
+  public byte[] toBytes() {
+    return ByteBuffer.allocate(BYTES).putLong(high).putLong(low).array();
+  }
+
+  @Override
+  public int compareTo(BlockKey other) {
+    int order = Long.compareUnsigned(high, other.high);
+    return order != 0 ? order : Long.compareUnsigned(low, other.low);
+  }
+
+  @Override
+  public String toString() {
+    return HexFormat.of().formatHex(toBytes());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/model/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers and small values that every decision shares. */
+package org.pollenrock.core.model;
--- /dev/null
+++ b/ctl/src/main/java/org/pollenrock/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' tool. */
+package org.pollenrock.ctl;
--- /dev/null
+++ b/protocol/src/main/java/org/pollenrock/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between routers and their frame codec. */
+package org.pollenrock.protocol;
--- /dev/null
+++ b/router/src/main/java/org/pollenrock/router/package-info.java
@@ -0,0 +1,2 @@
+/** The router daemon. */
+package org.pollenrock.router;
--- /dev/null
+++ b/settings/src/main/java/org/pollenrock/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Reading and checking of settings files. */
+package org.pollenrock.settings;
--- /dev/null
+++ b/standin/src/main/java/org/pollenrock/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins of outside systems with fault switches. */
+package org.pollenrock.standin;
