--- /dev/null
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/HttpTransport.java
@@ -0,0 +1,142 @@
+package org.pollenrock.adapters.http;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.util.Timer;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Future;
+import org.asynchttpclient.AsyncHandler;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.asynchttpclient.Request;
+import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.channel.ChannelPoolPartitioning;
+
+/**
+ * HTTP/1.1 client shared by all adapters of one router.
+ *
+ * <p>The library's own retries and redirects are off: a retry may run a call twice, so only the
+ * router decides on one.
+ */
+public final class HttpTransport implements AutoCloseable {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1_000);
+  private static final Duration IDLE_LIMIT = Duration.ofSeconds(30);
+  private static final Duration NO_TIMEOUT = Duration.ofMillis(-1);
+  private static final int MAX_LINE_BYTES = 8 * 1024;
+  private static final int MAX_HEADER_BYTES = 32 * 1024;
+  private static final int MAX_CHUNK_BYTES = 64 * 1024;
+
+  private final PeerChannelPool pool;
+  private final AsyncHttpClient client;
+
+  /**
+   * Creates a client on event loops that the owner closes after this client.
+   *
+   * @param loops event loops for the connections
+   * @param timer timer for time limits, stopped by the owner
+   */
+  public HttpTransport(EventLoopGroup loops, Timer timer) {
+    this.pool = new PeerChannelPool(System::nanoTime, IDLE_LIMIT);
+    this.client =
+        new DefaultAsyncHttpClient(
+            new DefaultAsyncHttpClientConfig.Builder()
+                .setEventLoopGroup(loops)
+                .setNettyTimer(timer)
+                .setChannelPool(pool)
+                .setMaxRequestRetry(0)
+                .setFollowRedirect(false)
+                .setCookieStore(null)
+                .setHttp2Enabled(false)
+                .setUseProxySelector(false)
+                .setUseProxyProperties(false)
+                .setDisableUrlEncodingForBoundRequests(true)
+                .setEnableAutomaticDecompression(false)
+                .setKeepEncodingHeader(true)
+                .setTcpNoDelay(true)
+                .setConnectTimeout(CONNECT_TIMEOUT)
+                .setRequestTimeout(NO_TIMEOUT)
+                .setReadTimeout(NO_TIMEOUT)
+                .setHttpClientCodecMaxInitialLineLength(MAX_LINE_BYTES)
+                .setHttpClientCodecMaxHeaderSize(MAX_HEADER_BYTES)
+                .setHttpClientCodecMaxChunkSize(MAX_CHUNK_BYTES)
+                .build());
+  }
+
+  /**
+   * Sends a request and reads the whole answer.
+   *
+   * @param call the request
+   * @return completes normally with the outcome, on an event loop
+   */
+  public CompletionStage<HttpOutcome> call(HttpCall call) {
+    CompletableFuture<HttpOutcome> outcome = new CompletableFuture<>();
+    RequestBuilder builder =
+        request(call.peer(), call.method(), call.path(), call.use())
+            .setHeaders(call.headers())
+            .setRequestTimeout(call.timeout());
+    if (call.use().isFresh()) {
+      builder.setHeader("Connection", "close");
+    }
+    if (call.body().length > 0) {
+      builder.setBody(call.body());
+    }
+    execute(builder.build(), new WholeAnswerHandler(call.maxAnswerBytes(), outcome::complete));
+    return outcome;
+  }
+
+  /**
+   * Starts a request with a handler of its own.
+   *
+   * @param request built by {@link #request}
+   * @param handler receives every event; {@code onThrowable} also receives failures to start
+   * @return cancelling it closes the connection
+   */
+  public Future<?> execute(Request request, AsyncHandler<?> handler) {
+    try {
+      return client.executeRequest(request, handler);
+    } catch (IllegalStateException e) {
+      handler.onThrowable(e);
+      return CompletableFuture.failedFuture(e);
+    }
+  }
+
+  /**
+   * Begins a request on connections to a peer.
+   *
+   * @param peer where to send it
+   * @param method the HTTP method
+   * @param path path and query, beginning with a slash
+   * @param use which connections may be used
+   * @return a builder to which headers and a body are added
+   */
+  public RequestBuilder request(HostPort peer, String method, String path, ConnectionUse use) {
+    PeerChannelPool.PoolKey key = new PeerChannelPool.PoolKey(peer, use);
+    ChannelPoolPartitioning partitioning = (uri, virtualHost, proxy) -> key;
+    return new RequestBuilder(method, true)
+        .setUrl(peer.url(path))
+        .setChannelPoolPartitioning(partitioning);
+  }
+
+  /**
+   * Closes the idle connections to a peer, for example when one of them was found silent.
+   *
+   * @param peer the other end
+   * @return number of connections closed
+   */
+  public int closeIdle(HostPort peer) {
+    return pool.closeIdle(peer);
+  }
+
+  @Override
+  public void close() {
+    try {
+      client.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/pollenrock/adapters/kv/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the KV cache store. */
+package org.pollenrock.adapters.kv;
--- /dev/null
+++ b/adapters/src/main/java/org/pollenrock/adapters/list/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the instance list. */
+package org.pollenrock.adapters.list;
--- /dev/null
+++ b/adapters/src/main/java/org/pollenrock/adapters/log/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the append-only log service. */
+package org.pollenrock.adapters.log;
--- /dev/null
+++ b/adapters/src/main/java/org/pollenrock/adapters/plain/HttpPlainServiceClient.java
@@ -0,0 +1,52 @@
+package org.pollenrock.adapters.plain;
+
+import java.util.concurrent.CompletionStage;
+import org.pollenrock.adapters.http.HttpCall;
+import org.pollenrock.adapters.http.HttpTransport;
+import org.pollenrock.adapters.http.JsonCalls;
+import org.pollenrock.core.error.ErrorCode;
+import org.pollenrock.core.error.Peer;
+import org.pollenrock.core.error.Result;
+
+/** {@link PlainServiceClient} over HTTP. */
+public final class HttpPlainServiceClient implements PlainServiceClient {
+  private final HttpTransport transport;
+  private final int maxAnswerBytes;
+  private final JsonCalls json = new JsonCalls(ErrorCode.SERVER_FAILED);
+
+  /**
+   * Creates a client.
+   *
+   * @param transport connections
+   * @param maxAnswerBytes largest body of an answer
+   */
+  public HttpPlainServiceClient(HttpTransport transport, int maxAnswerBytes) {
+    this.transport = transport;
+    this.maxAnswerBytes = maxAnswerBytes;
+  }
+
+  @Override
+  public CompletionStage<Result<PlainAnswer>> send(PlainCall call) {
+    HttpCall request =
+        new HttpCall(
+            call.address(),
+            call.method(),
+            call.path(),
+            call.headers(),
+            call.body(),
+            call.timeout(),
+            maxAnswerBytes,
+            call.use());
+    Peer peer = new Peer(Peer.Kind.PLAIN_SERVICE, call.server().value());
+    return transport
+        .call(request)
+        .thenApply(
+            outcome ->
+                json.answered(outcome, peer)
+                    .then(
+                        answer ->
+                            Result.success(
+                                new PlainAnswer(
+                                    answer.status(), answer.headers(), answer.body()))));
+  }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/pollenrock/adapters/plain/package-info.java
@@ -0,0 +1,2 @@
+/** Client of plain services. */
+package org.pollenrock.adapters.plain;
