--- /dev/null
+++ b/router/src/main/java/org/pollenrock/router/caller/CallerListener.java
@@ -0,0 +1,144 @@
+package org.pollenrock.router.caller;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.ssl.SslContext;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.pollenrock.router.RouterLimits;
+
+/** Accepts connections of callers. */
+public final class CallerListener {
+  private static final int BACKLOG = 4_096;
+  private static final int MAX_CHUNK_BYTES = 64 * 1024;
+
+  private final EventLoopGroup loops;
+  private final InetSocketAddress address;
+  private final RouterLimits limits;
+  private final RequestHandler handler;
+  private final Supplier<Optional<SslContext>> tls;
+  private final HeldBytes heldBytes;
+  private final DrainSwitch drain = new DrainSwitch();
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private Channel server;
+
+  /**
+   * Creates a listener.
+   *
+   * @param loops event loops of the listener and its connections
+   * @param address where to listen; port 0 for one that the system chooses
+   * @param limits bounds of each connection
+   * @param handler serves requests
+   * @param tls the TLS context for each new connection, empty for plain TCP
+   */
+  public CallerListener(
+      EventLoopGroup loops,
+      InetSocketAddress address,
+      RouterLimits limits,
+      RequestHandler handler,
+      Supplier<Optional<SslContext>> tls) {
+    this.loops = loops;
+    this.address = address;
+    this.limits = limits;
+    this.handler = handler;
+    this.tls = tls;
+    this.heldBytes = new HeldBytes(limits.maxHeldBytes());
+  }
+
+  /** Binds the address and accepts connections. */
+  public void start() {
+    server =
+        new ServerBootstrap()
+            .group(loops)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new Initializer())
+            .bind(address)
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  /**
+   * Where the listener listens.
+   *
+   * @return the bound address
+   */
+  public InetSocketAddress boundAddress() {
+    return (InetSocketAddress) server.localAddress();
+  }
+
+  /**
+   * Number of open connections.
+   *
+   * @return the number
+   */
+  public int connections() {
+    return connections.size();
+  }
+
+  /**
+   * Bytes of request bodies held now.
+   *
+   * @return number of bytes
+   */
+  public long heldBytes() {
+    return heldBytes.held();
+  }
+
+  /** Accepts no more connections and closes each open one after its current response. */
+  public void drain() {
+    drain.turnOn();
+    server.close().syncUninterruptibly();
+    connections.forEach(
+        channel -> {
+          CallerConnection connection = channel.pipeline().get(CallerConnection.class);
+          if (connection != null) {
+            channel.eventLoop().execute(connection::closeWhenIdle);
+          }
+        });
+  }
+
+  /** Closes the listener and every connection. */
+  public void stop() {
+    drain.turnOn();
+    if (server != null) {
+      server.close().syncUninterruptibly();
+    }
+    connections.close().awaitUninterruptibly();
+  }
+
+  private final class Initializer extends ChannelInitializer<Channel> {
+    @Override
+    protected void initChannel(Channel channel) {
+      if (connections.size() >= limits.maxConnections()) {
+        channel.close();
+        return;
+      }
+      connections.add(channel);
+      ChannelPipeline pipeline = channel.pipeline();
+      tls.get().ifPresent(context -> pipeline.addLast(context.newHandler(channel.alloc())));
+      CallerConnection connection = new CallerConnection(limits, handler, heldBytes, drain);
+      pipeline.addLast(new FirstByteHandler(connection));
+      pipeline.addLast(
+          new HttpServerCodec(
+              new HttpDecoderConfig()
+                  .setMaxInitialLineLength(limits.maxLineBytes())
+                  .setMaxHeaderSize(limits.maxHeaderBytes())
+                  .setMaxChunkSize(MAX_CHUNK_BYTES)));
+      pipeline.addLast(connection);
+    }
+  }
+}
