--- /dev/null
+++ b/standin/src/main/java/org/pollenrock/standin/http/StandinExchange.java
@@ -0,0 +1,108 @@
+package org.pollenrock.standin.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/** The answer side of one request; its methods may be called from any thread. */
+public final class StandinExchange {
+  private final Channel channel;
+  private final boolean keepAlive;
+
+  StandinExchange(Channel channel, boolean keepAlive) {
+    this.channel = channel;
+    this.keepAlive = keepAlive;
+  }
+
+  /**
+   * Sends a whole answer.
+   *
+   * @param status HTTP status
+   * @param headers extra headers
+   * @param contentType media type of the body
+   * @param body the body
+   */
+  public void respond(int status, Map<String, String> headers, String contentType, byte[] body) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
+    headers.forEach((name, value) -> response.headers().set(name, value));
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+    HttpUtil.setContentLength(response, body.length);
+    HttpUtil.setKeepAlive(response, keepAlive);
+    write(response, !keepAlive);
+  }
+
+  /**
+   * Sends a JSON answer.
+   *
+   * @param status HTTP status
+   * @param json the body
+   */
+  public void respondJson(int status, String json) {
+    respond(status, Map.of(), "application/json", json.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /**
+   * Begins a chunked answer.
+   *
+   * @param status HTTP status
+   * @param headers headers
+   */
+  public void beginStream(int status, Map<String, String> headers) {
+    HttpResponse response =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+    headers.forEach((name, value) -> response.headers().set(name, value));
+    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    HttpUtil.setKeepAlive(response, keepAlive);
+    write(response, false);
+  }
+
+  /**
+   * Sends a part of a chunked answer.
+   *
+   * @param text the part
+   */
+  public void chunk(String text) {
+    write(new DefaultHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)), false);
+  }
+
+  /** Ends a chunked answer. */
+  public void endStream() {
+    write(new DefaultLastHttpContent(), !keepAlive);
+  }
+
+  /** Closes the connection without ending the answer. */
+  public void abort() {
+    channel.close();
+  }
+
+  /**
+   * Tells whether the client is still connected.
+   *
+   * @return false after the connection closed
+   */
+  public boolean open() {
+    return channel.isActive();
+  }
+
+  private void write(Object message, boolean last) {
+    var future = channel.writeAndFlush(message);
+    if (last) {
+      future.addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/pollenrock/standin/http/package-info.java
@@ -0,0 +1,2 @@
+/** A small HTTP server on Netty, with connection faults, that all stand-ins share. */
+package org.pollenrock.standin.http;
--- /dev/null
+++ b/standin/src/main/java/org/pollenrock/standin/list/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the instance list. */
+package org.pollenrock.standin.list;
--- /dev/null
+++ b/standin/src/main/java/org/pollenrock/standin/log/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the append-only log service. */
+package org.pollenrock.standin.log;
--- /dev/null
+++ b/standin/src/main/java/org/pollenrock/standin/store/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins of the KV cache store and the weight store. */
+package org.pollenrock.standin.store;
