--- /dev/null
+++ b/protocol/src/main/java/org/pollenrock/protocol/codec/package-info.java
@@ -0,0 +1,2 @@
+/** Length-prefixed frames of protobuf messages on a Netty channel. */
+package org.pollenrock.protocol.codec;
