--- a/adapters/src/main/java/org/pollenrock/adapters/http/HttpTransport.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/HttpTransport.java
@@ -25,6 +25,7 @@
 public final class HttpTransport implements AutoCloseable {
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1_000);
   private static final Duration IDLE_LIMIT = Duration.ofSeconds(30);
+  private static final Duration CLEANER_PERIOD = Duration.ofSeconds(1);
   private static final Duration NO_TIMEOUT = Duration.ofMillis(-1);
   private static final int MAX_LINE_BYTES = 8 * 1024;
   private static final int MAX_HEADER_BYTES = 32 * 1024;
@@ -40,7 +41,7 @@
    * @param timer timer for time limits, stopped by the owner
    */
   public HttpTransport(EventLoopGroup loops, Timer timer) {
-    this.pool = new PeerChannelPool(System::nanoTime, IDLE_LIMIT);
+    this.pool = new PeerChannelPool(System::nanoTime, timer, IDLE_LIMIT, CLEANER_PERIOD);
     this.client =
         new DefaultAsyncHttpClient(
             new DefaultAsyncHttpClientConfig.Builder()
@@ -125,10 +126,9 @@
    * Closes the idle connections to a peer, for example when one of them was found silent.
    *
    * @param peer the other end
-   * @return number of connections closed
    */
-  public int closeIdle(HostPort peer) {
-    return pool.closeIdle(peer);
+  public void closeIdle(HostPort peer) {
+    pool.closeIdle(peer);
   }
 
   @Override
--- a/router/src/main/java/org/pollenrock/router/caller/CallerConnection.java
+++ b/router/src/main/java/org/pollenrock/router/caller/CallerConnection.java
@@ -262,9 +262,7 @@
       stallDeadline =
           ctx.executor()
               .schedule(
-                  () -> ctx.close(),
-                  limits.writeStallTimeout().toMillis(),
-                  TimeUnit.MILLISECONDS);
+                  () -> ctx.close(), limits.writeStallTimeout().toMillis(), TimeUnit.MILLISECONDS);
     }
     if (writer != null) {
       writer.writabilityChanged(writable);
@@ -293,8 +291,7 @@
 
   private void armReadDeadline(Duration delay, Runnable action) {
     cancel(readDeadline);
-    readDeadline =
-        context.executor().schedule(action, delay.toMillis(), TimeUnit.MILLISECONDS);
+    readDeadline = context.executor().schedule(action, delay.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private static void cancel(Future<?> deadline) {
--- a/router/src/main/java/org/pollenrock/router/filter/CompletionBody.java
+++ b/router/src/main/java/org/pollenrock/router/filter/CompletionBody.java
@@ -140,7 +140,8 @@
   static Optional<String> textOf(String eventData) {
     try {
       JsonNode choice = MAPPER.readTree(eventData).path("choices").path(0);
-      JsonNode text = choice.has("text") ? choice.get("text") : choice.path("delta").path("content");
+      JsonNode text =
+          choice.has("text") ? choice.get("text") : choice.path("delta").path("content");
       return text.isTextual() ? Optional.of(text.asText()) : Optional.empty();
     } catch (JsonProcessingException e) {
       return Optional.empty();
--- a/router/src/main/java/org/pollenrock/router/filter/EngineAttempt.java
+++ b/router/src/main/java/org/pollenrock/router/filter/EngineAttempt.java
@@ -152,8 +152,7 @@
           case EngineFailure.Broken(RequestError cause) -> cause;
           case EngineFailure.IdentityDiffers differs -> refused("the identity differs");
           case EngineFailure.Leaving leaving -> refused("the server is leaving");
-          case EngineFailure.Rejected rejected ->
-              refused("status " + rejected.head().status());
+          case EngineFailure.Rejected rejected -> refused("status " + rejected.head().status());
         };
     exchange.fail(error);
   }
--- a/router/src/main/java/org/pollenrock/router/filter/Filters.java
+++ b/router/src/main/java/org/pollenrock/router/filter/Filters.java
@@ -29,8 +29,7 @@
       AttemptIds attemptIds,
       RouterLimits limits,
       LongSupplier nanoClock) {
-    AttemptContext context =
-        new AttemptContext(engines, services, attemptIds, limits, nanoClock);
+    AttemptContext context = new AttemptContext(engines, services, attemptIds, limits, nanoClock);
     return new FilterChain(
         List.of(
             new ReadFilter(),
--- a/router/src/main/java/org/pollenrock/router/filter/IdentifyFilter.java
+++ b/router/src/main/java/org/pollenrock/router/filter/IdentifyFilter.java
@@ -28,8 +28,7 @@
 
   @Override
   public void apply(Exchange exchange) {
-    RequestValues values =
-        exchange.knownSettings().values(exchange.caller(), traits(exchange));
+    RequestValues values = exchange.knownSettings().values(exchange.caller(), traits(exchange));
     exchange.values(values);
     Optional<Duration> asked;
     try {
@@ -53,8 +52,7 @@
 
   private void armDeadline(Exchange exchange) {
     long left = exchange.deadlineNanos() - nanoClock.getAsLong();
-    var timer =
-        exchange.loop().schedule(() -> expire(exchange), left, TimeUnit.NANOSECONDS);
+    var timer = exchange.loop().schedule(() -> expire(exchange), left, TimeUnit.NANOSECONDS);
     exchange.atEnd(() -> timer.cancel(false));
   }
 
--- a/router/src/main/java/org/pollenrock/router/filter/PlainAttempt.java
+++ b/router/src/main/java/org/pollenrock/router/filter/PlainAttempt.java
@@ -50,13 +50,8 @@
             headers,
             exchange.request().body(),
             timeout,
-            idempotent
-                ? ConnectionUse.ANY
-                : ConnectionUse.proven(context.limits().provenLife()));
-    context
-        .services()
-        .send(call)
-        .thenAccept(result -> exchange.onLoop(() -> answered(result)));
+            idempotent ? ConnectionUse.ANY : ConnectionUse.proven(context.limits().provenLife()));
+    context.services().send(call).thenAccept(result -> exchange.onLoop(() -> answered(result)));
   }
 
   private void answered(Result<PlainAnswer> result) {
--- a/router/src/main/java/org/pollenrock/router/filter/RequestPipeline.java
+++ b/router/src/main/java/org/pollenrock/router/filter/RequestPipeline.java
@@ -34,8 +34,7 @@
 
   @Override
   public void handle(CallerRequest request, ResponseSink sink) {
-    new Exchange(
-            request, sink, chain, requestId(request), nanoClock.getAsLong(), settings.get())
+    new Exchange(request, sink, chain, requestId(request), nanoClock.getAsLong(), settings.get())
         .start();
   }
 
