--- a/standin/src/main/java/org/pollenrock/standin/engine/EngineBatch.java
+++ b/standin/src/main/java/org/pollenrock/standin/engine/EngineBatch.java
@@ -100,6 +100,12 @@
     }
   }
 
+  boolean holds(String key) {
+    synchronized (cache) {
+      return cache.holds(key);
+    }
+  }
+
   List<String> cachedKeys() {
     synchronized (cache) {
       return cache.keys();
--- a/standin/src/main/java/org/pollenrock/standin/engine/EngineStandin.java
+++ b/standin/src/main/java/org/pollenrock/standin/engine/EngineStandin.java
@@ -172,6 +172,16 @@
     return batch.cachedLeading(keys);
   }
 
+  /**
+   * Tells whether one block is cached now.
+   *
+   * @param key block key, as hex text
+   * @return true when it is cached
+   */
+  public boolean holds(String key) {
+    return batch.holds(key);
+  }
+
   /**
    * Prefill tokens that wait or run now.
    *
--- /dev/null
+++ b/standin/src/main/java/org/pollenrock/standin/net/LinkRelay.java
@@ -0,0 +1,166 @@
+package org.pollenrock.standin.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/** Forwards the bytes of TCP connections after a delay; it can be cut, or silenced for good. */
+public final class LinkRelay {
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+
+  private final EventLoopGroup group;
+  private final Supplier<String> target;
+  private final Duration delay;
+  private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private volatile boolean cut;
+  private volatile long silencedBeforeNanos = System.nanoTime() - 1;
+  private Channel listener;
+
+  /**
+   * Makes a relay; it listens once started.
+   *
+   * @param group event loops, owned by the caller
+   * @param target IP number and port of the other end, asked for at each connection
+   * @param delay one-way delay of the bytes
+   */
+  public LinkRelay(EventLoopGroup group, Supplier<String> target, Duration delay) {
+    this.group = group;
+    this.target = target;
+    this.delay = delay;
+  }
+
+  /** Begins to listen on loopback. */
+  public void start() {
+    listener =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 1024)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.AUTO_READ, false)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    accept(channel);
+                  }
+                })
+            .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  /** Stops listening and closes every connection. */
+  public void stop() {
+    listener.close().syncUninterruptibly();
+    channels.close();
+  }
+
+  /**
+   * Address of the near end.
+   *
+   * @return IP number and port
+   */
+  public String address() {
+    return "127.0.0.1:" + ((InetSocketAddress) listener.localAddress()).getPort();
+  }
+
+  /**
+   * Cuts or restores the link: while cut, bytes are dropped and new connections get no answer.
+   *
+   * @param on true to cut
+   */
+  public void cut(boolean on) {
+    cut = on;
+  }
+
+  /** Drops the bytes of the connections that are open now, for good; new ones work. */
+  public void silenceConnections() {
+    silencedBeforeNanos = System.nanoTime();
+  }
+
+  private void accept(SocketChannel near) {
+    channels.add(near);
+    long openedNanos = System.nanoTime();
+    String[] parts = target.get().split(":");
+    new Bootstrap()
+        .group(near.eventLoop())
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .handler(new Forwarder(near, openedNanos))
+        .connect(parts[0], Integer.parseInt(parts[1]))
+        .addListener(
+            (ChannelFuture connected) -> {
+              if (!connected.isSuccess()) {
+                near.close();
+                return;
+              }
+              channels.add(connected.channel());
+              near.pipeline().addLast(new Forwarder(connected.channel(), openedNanos));
+              near.config().setAutoRead(true);
+            });
+  }
+
+  /** Passes what arrives on one connection to another, in order. */
+  private final class Forwarder extends ChannelInboundHandlerAdapter {
+    private final Channel other;
+    private final long openedNanos;
+
+    private Forwarder(Channel other, long openedNanos) {
+      this.other = other;
+      this.openedNanos = openedNanos;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      if (dropped()) {
+        ReferenceCountUtil.release(message);
+        return;
+      }
+      afterDelay(context, () -> other.writeAndFlush(message));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      if (!dropped()) {
+        afterDelay(context, other::close);
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+
+    private boolean dropped() {
+      return cut || openedNanos - silencedBeforeNanos < 0;
+    }
+
+    private void afterDelay(ChannelHandlerContext context, Runnable action) {
+      if (delay.isZero()) {
+        action.run();
+        return;
+      }
+      context.channel().eventLoop().schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+  }
+}
