--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/placement/Candidate.java
@@ -0,0 +1,26 @@
+package org.pollenrock.core.placement;
+
+import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.DataCentreId;
+import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.WeightsVersion;
+
+/**
+ * A server that was considered for a request.
+ *
+ * @param server the server
+ * @param dataCentre where it runs
+ * @param incarnation the life that the figures hold for
+ * @param weights the weights version that it serves
+ * @param origin why it was considered
+ * @param expectedCachedTokens prompt tokens that it is expected to have cached
+ * @param cost parts of its cost
+ */
+public record Candidate(
+    BackendServerId server,
+    DataCentreId dataCentre,
+    Incarnation incarnation,
+    WeightsVersion weights,
+    CandidateOrigin origin,
+    double expectedCachedTokens,
+    CostTerms cost) {}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/placement/CostTerms.java
@@ -0,0 +1,36 @@
+package org.pollenrock.core.placement;
+
+/**
+ * Parts of a candidate's cost, for decisions and explanations.
+ *
+ * @param missingTokens prompt tokens that have to be prefilled or imported
+ * @param prefillNanos time to prefill the missing tokens, less what an import saves
+ * @param queueNanos expected wait for the prefill work ahead
+ * @param slotNanos expected wait for a free slot
+ * @param networkNanos round trip to the server's data centre
+ * @param urgentNanos time that a prefill chunk which cannot be interrupted adds for urgent requests
+ * @param evictionNanos time that other requests lose because new blocks evict theirs, before the
+ *     hit weight
+ * @param totalNanos the weighted sum that is compared
+ */
+public record CostTerms(
+    double missingTokens,
+    double prefillNanos,
+    double queueNanos,
+    double slotNanos,
+    double networkNanos,
+    double urgentNanos,
+    double evictionNanos,
+    double totalNanos) {
+  /** Cost of a candidate that was chosen without looking at costs. */
+  public static final CostTerms NONE = new CostTerms(0, 0, 0, 0, 0, 0, 0, 0);
+
+  /**
+   * Expected time to first token.
+   *
+   * @return nanoseconds
+   */
+  public double ttftNanos() {
+    return prefillNanos + queueNanos + slotNanos + networkNanos + urgentNanos;
+  }
+}
