Add the placer with the expected-cost strategy and baselines

The router takes any strategy behind one facade. The expected-cost strategy compares holders, rendezvous homes and two sampled servers by expected time to first token; own requests are added to a server's load at once, because reports lag.

--- a/core/src/main/java/org/pollenrock/core/cache/CacheIndex.java
+++ b/core/src/main/java/org/pollenrock/core/cache/CacheIndex.java
@@ -7,7 +7,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.pollenrock.core.model.BackendServerId;
@@ -313,8 +312,7 @@
     return found;
   }
 
-  private void addHolders(
-      int block, int limit, long nowNanos, List<BackendServerId> found) {
+  private void addHolders(int block, int limit, long nowNanos, List<BackendServerId> found) {
     int budget = HOLDERS_SCANNED_PER_WANTED * limit;
     int entry = entries.firstHolder(block);
     while (entry != NONE && found.size() < limit && budget-- > 0) {
--- a/core/src/main/java/org/pollenrock/core/cache/EvictionEstimator.java
+++ b/core/src/main/java/org/pollenrock/core/cache/EvictionEstimator.java
@@ -44,8 +44,7 @@
             : storedBlocksPerSecond;
     reported = true;
     double lifetime = capacityBlocks / storedPerSecond * NANOS_PER_SECOND;
-    lifetimeNanos =
-        Math.max(MINIMUM_LIFETIME_NANOS, Math.min(MAXIMUM_LIFETIME_NANOS, lifetime));
+    lifetimeNanos = Math.max(MINIMUM_LIFETIME_NANOS, Math.min(MAXIMUM_LIFETIME_NANOS, lifetime));
   }
 
   /**
--- a/core/src/main/java/org/pollenrock/core/placement/Candidate.java
+++ b/core/src/main/java/org/pollenrock/core/placement/Candidate.java
@@ -1,5 +1,6 @@
 package org.pollenrock.core.placement;
 
+import java.util.Optional;
 import org.pollenrock.core.model.BackendServerId;
 import org.pollenrock.core.model.DataCentreId;
 import org.pollenrock.core.model.Incarnation;
@@ -15,6 +16,7 @@
  * @param origin why it was considered
  * @param expectedCachedTokens prompt tokens that it is expected to have cached
  * @param cost parts of its cost
+ * @param kvImport blocks to import first, when that is faster than computing them
  */
 public record Candidate(
     BackendServerId server,
@@ -23,4 +25,5 @@
     WeightsVersion weights,
     CandidateOrigin origin,
     double expectedCachedTokens,
-    CostTerms cost) {}
+    CostTerms cost,
+    Optional<KvImport> kvImport) {}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/placement/ConsistentHashStrategy.java
@@ -0,0 +1,14 @@
+package org.pollenrock.core.placement;
+
+import java.util.List;
+
+/** Baseline: the rendezvous server of the deepest prefix level, whatever its load. */
+public record ConsistentHashStrategy() implements PlacementStrategy {
+  @Override
+  public List<Candidate> rank(PlacementContext context) {
+    List<EligibleServer> servers = context.eligible().all();
+    long[] seeds = servers.stream().mapToLong(server -> server.load().seed()).toArray();
+    int home = RendezvousHash.top(context.prefixKey(), seeds, 1)[0];
+    return List.of(context.candidate(servers.get(home), CandidateOrigin.HOME));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/placement/CostModel.java
@@ -0,0 +1,138 @@
+package org.pollenrock.core.placement;
+
+import java.util.Optional;
+import org.pollenrock.core.cache.ChainLookup;
+import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.Priority;
+
+/** Expected time to first token of a request on a server, and what it costs other requests. */
+final class CostModel {
+  /** Engines that are compared as the source of an import. */
+  private static final int IMPORT_SOURCES = 4;
+
+  /**
+   * A copy outside the homes is not found by routers that rely on rendezvous ranking, so its tokens
+   * are expected to be computed once more.
+   */
+  private static final double STRAY_COPY_FACTOR = 2;
+
+  private final PlacerState state;
+
+  CostModel(PlacerState state) {
+    this.state = state;
+  }
+
+  Candidate candidate(
+      PlacementContext context, EligibleServer server, CandidateOrigin origin, double blocks) {
+    PlacementRequest request = context.request();
+    double cached = Math.min(blocks * request.tokensPerBlock(), request.promptTokens() - 1);
+    Optional<KvImport> kvImport = kvImport(context, server, blocks);
+    CostTerms cost = cost(context, server, origin, cached, kvImport);
+    return new Candidate(
+        server.server(),
+        server.load().dataCentre(),
+        server.load().incarnation(),
+        server.weights(),
+        origin,
+        cached,
+        cost,
+        kvImport);
+  }
+
+  private CostTerms cost(
+      PlacementContext context,
+      EligibleServer server,
+      CandidateOrigin origin,
+      double cachedTokens,
+      Optional<KvImport> kvImport) {
+    PlacementRequest request = context.request();
+    ServerLoad load = server.load();
+    double missing = request.promptTokens() - cachedTokens;
+    double prefill = load.prefillNanos(missing);
+    if (kvImport.isPresent()) {
+      double imported = importedTokens(request, kvImport.get());
+      prefill = load.prefillNanos(missing - imported) + kvImport.get().expectedNanos();
+    }
+    double queueTokens = load.queueTokens(context.nowNanos());
+    double queue = load.prefillNanos(queueTokens);
+    double slot = slotNanos(request.priority(), load);
+    double urgent = urgentNanos(request.priority(), load, queueTokens);
+    double eviction = load.prefillNanos(missing);
+    if (isStray(origin)) {
+      eviction *= STRAY_COPY_FACTOR;
+    }
+    double ttft = prefill + queue + slot + server.roundTripNanos() + urgent;
+    PlacementWeights weights = request.tuning();
+    double total = weights.ttftWeight() * ttft + weights.hitWeight() * eviction;
+    return new CostTerms(
+        missing, prefill, queue, slot, server.roundTripNanos(), urgent, eviction, total);
+  }
+
+  private static boolean isStray(CandidateOrigin origin) {
+    return origin == CandidateOrigin.SAMPLED || origin == CandidateOrigin.REMOTE;
+  }
+
+  private static double importedTokens(PlacementRequest request, KvImport kvImport) {
+    return (kvImport.endBlock() - kvImport.firstBlock()) * request.tokensPerBlock();
+  }
+
+  /** Slots free up one after the other, each after the hold time divided by the slots. */
+  private double slotNanos(Priority priority, ServerLoad load) {
+    int reserve = priority == Priority.URGENT ? 0 : state.config().urgentReserveSlots();
+    int usable = Math.max(1, load.slots() - reserve);
+    int ahead = load.running() + 1 - usable;
+    return ahead <= 0 ? 0 : ahead * state.holdNanos() / load.slots();
+  }
+
+  private double urgentNanos(Priority priority, ServerLoad load, double queueTokens) {
+    boolean longPrefill = queueTokens >= state.config().longPrefillTokens();
+    if (priority != Priority.URGENT || !longPrefill) {
+      return 0;
+    }
+    return load.prefillNanos(state.config().prefillChunkTokens());
+  }
+
+  private Optional<KvImport> kvImport(
+      PlacementContext context, EligibleServer server, double ownBlocks) {
+    Optional<KvTransfer> configured = state.config().kvTransfer();
+    if (configured.isEmpty()) {
+      return Optional.empty();
+    }
+    KvTransfer transfer = configured.get();
+    ChainLookup lookup = context.lookup(server.weights());
+    int first = (int) ownBlocks;
+    KvImport best = null;
+    for (BackendServerId source :
+        state.cache().holders(lookup, IMPORT_SOURCES, context.nowNanos())) {
+      int end = source.equals(server.server()) ? 0 : exported(context, transfer, source, lookup);
+      if (end > first && (best == null || end > best.endBlock())) {
+        best = new KvImport(source, first, end, transfer.nanos(end - first));
+      }
+    }
+    if (best == null) {
+      return Optional.empty();
+    }
+    double computeNanos = server.load().prefillNanos(importedTokens(context.request(), best));
+    return best.expectedNanos() < computeNanos ? Optional.of(best) : Optional.empty();
+  }
+
+  /** Leading blocks that a source can export; a store has one endless incarnation. */
+  private int exported(
+      PlacementContext context, KvTransfer transfer, BackendServerId source, ChainLookup lookup) {
+    boolean store = transfer.store().filter(source::equals).isPresent();
+    if (store) {
+      return (int)
+          state
+              .cache()
+              .expectedBlocks(lookup, source, Placer.STORE_INCARNATION, context.nowNanos());
+    }
+    Optional<ServerLoad> engine = state.loads().server(source);
+    if (!transfer.fromEngines() || engine.isEmpty()) {
+      return 0;
+    }
+    return (int)
+        state
+            .cache()
+            .expectedBlocks(lookup, source, engine.get().incarnation(), context.nowNanos());
+  }
+}
--- a/core/src/main/java/org/pollenrock/core/placement/CostTerms.java
+++ b/core/src/main/java/org/pollenrock/core/placement/CostTerms.java
@@ -22,9 +22,6 @@
     double urgentNanos,
     double evictionNanos,
     double totalNanos) {
-  /** Cost of a candidate that was chosen without looking at costs. */
-  public static final CostTerms NONE = new CostTerms(0, 0, 0, 0, 0, 0, 0, 0);
-
   /**
    * Expected time to first token.
    *
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/placement/ExpectedCostStrategy.java
@@ -0,0 +1,154 @@
+package org.pollenrock.core.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.BlockKey;
+import org.pollenrock.core.model.WeightsVersion;
+
+/**
+ * Chooses the lowest expected cost among the servers that are believed to hold part of the prefix,
+ * the rendezvous homes of the prefix and two sampled servers.
+ *
+ * <p>Not all servers are compared: that bounds the time of a decision, and sampling keeps routers
+ * that act on the same stale report from all choosing the same idle server.
+ */
+public record ExpectedCostStrategy() implements PlacementStrategy {
+  /** Holders that are compared for each weights version. */
+  private static final int HOLDERS = 8;
+
+  /** Sampled servers: the power of two choices. */
+  private static final int SAMPLES = 2;
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  @Override
+  public List<Candidate> rank(PlacementContext context) {
+    List<EligibleServer> chosen = new ArrayList<>();
+    List<Candidate> local = new ArrayList<>();
+    List<Candidate> remote = new ArrayList<>();
+    Collector collector = new Collector(context, chosen, local, remote);
+    addHomes(context, collector);
+    addHolders(context, collector);
+    addRemoteHome(context, collector);
+    addSamples(context, collector);
+    Comparator<Candidate> order = order(context.prefixKey());
+    local.sort(order);
+    remote.sort(order);
+    return merge(context, local, remote);
+  }
+
+  private static Comparator<Candidate> order(BlockKey key) {
+    return Comparator.<Candidate>comparingDouble(candidate -> candidate.cost().totalNanos())
+        .thenComparing(
+            candidate -> RendezvousHash.weight(key, seed(candidate)),
+            Comparator.comparing((Long weight) -> weight ^ Long.MIN_VALUE).reversed())
+        .thenComparing(Candidate::server)
+        .thenComparing(Candidate::weights);
+  }
+
+  private static long seed(Candidate candidate) {
+    return RendezvousHash.seed(candidate.server().value());
+  }
+
+  private static void addHomes(PlacementContext context, Collector collector) {
+    PlacerState state = context.state();
+    EligibleServers eligible = context.eligible();
+    BlockKey key = context.levels().deepest();
+    Optional<BlockKey> parent = context.levels().parent();
+    if (context.isNewPrefix() && parent.filter(state.hot()::hasColdTail).isPresent()) {
+      int spread = state.config().coldHomes();
+      int[] shared = RendezvousHash.top(parent.get(), eligible.localSeeds(), spread);
+      long[] seeds = new long[shared.length];
+      for (int at = 0; at < seeds.length; at++) {
+        seeds[at] = eligible.localSeeds()[shared[at]];
+      }
+      int home = shared[RendezvousHash.top(key, seeds, 1)[0]];
+      collector.add(eligible.local().get(home), CandidateOrigin.HOME);
+      return;
+    }
+    for (int home : RendezvousHash.top(key, eligible.localSeeds(), homes(context, key))) {
+      collector.add(eligible.local().get(home), CandidateOrigin.HOME);
+    }
+  }
+
+  private static int homes(PlacementContext context, BlockKey key) {
+    PlacerState state = context.state();
+    int limit = Math.min(state.config().maximumHomes(), context.eligible().local().size());
+    double rate = state.hot().rate(key, context.nowNanos()) * state.routers();
+    ServerLoad typical = context.eligible().local().get(0).load();
+    double seconds = state.holdNanos() / typical.slots() / NANOS_PER_SECOND;
+    return HotPrefixTracker.homes(rate, seconds, state.config().targetUtilisation(), limit);
+  }
+
+  private static void addHolders(PlacementContext context, Collector collector) {
+    for (WeightsVersion version : context.eligible().versions()) {
+      List<BackendServerId> holders =
+          context.cache().holders(context.lookup(version), HOLDERS, context.nowNanos());
+      for (BackendServerId holder : holders) {
+        for (EligibleServer server : context.eligible().of(holder)) {
+          if (server.weights().equals(version)) {
+            collector.add(server, CandidateOrigin.HOLDER);
+          }
+        }
+      }
+    }
+  }
+
+  private static void addRemoteHome(PlacementContext context, Collector collector) {
+    EligibleServers eligible = context.eligible();
+    for (int home : RendezvousHash.top(context.prefixKey(), eligible.remoteSeeds(), 1)) {
+      collector.add(eligible.remote().get(home), CandidateOrigin.REMOTE);
+    }
+  }
+
+  private static void addSamples(PlacementContext context, Collector collector) {
+    List<EligibleServer> servers = context.eligible().local();
+    for (int sample = 0; sample < SAMPLES; sample++) {
+      int drawn = context.random().nextInt(servers.size());
+      collector.add(servers.get(drawn), CandidateOrigin.SAMPLED);
+    }
+  }
+
+  /** Puts the better side first; a remote server needs a gain beyond the margin. */
+  private static List<Candidate> merge(
+      PlacementContext context, List<Candidate> local, List<Candidate> remote) {
+    boolean spill = false;
+    if (!remote.isEmpty() && !local.isEmpty()) {
+      double gain = local.get(0).cost().totalNanos() - remote.get(0).cost().totalNanos();
+      double margin = context.request().tuning().spillMarginNanos();
+      spill = context.state().spill().decide(context.prefixKey(), gain, margin);
+    }
+    List<Candidate> ranked = new ArrayList<>(local.size() + remote.size());
+    ranked.addAll(spill ? remote : local);
+    ranked.addAll(spill ? local : remote);
+    return ranked;
+  }
+
+  /**
+   * Collects candidates without duplicates, local and remote ones apart.
+   *
+   * @param context the decision
+   * @param chosen servers that were added
+   * @param local candidates that need no spill margin
+   * @param remote candidates in other data centres
+   */
+  private record Collector(
+      PlacementContext context,
+      List<EligibleServer> chosen,
+      List<Candidate> local,
+      List<Candidate> remote) {
+    void add(EligibleServer server, CandidateOrigin origin) {
+      for (EligibleServer known : chosen) {
+        if (known == server) {
+          return;
+        }
+      }
+      chosen.add(server);
+      boolean near = server.local() || context.eligible().remote().isEmpty();
+      (near ? local : remote).add(context.candidate(server, origin));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/placement/HotPrefixTracker.java
@@ -0,0 +1,125 @@
+package org.pollenrock.core.placement;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.pollenrock.core.model.BlockKey;
+
+/**
+ * Request rate of each prefix level, exponentially decayed, and whether the prefixes below a level
+ * tend to be cold.
+ *
+ * <p>Bounded: the levels that were not requested for the longest time are dropped first.
+ */
+public final class HotPrefixTracker {
+  /** Time after which an observation counts half, in nanoseconds. */
+  public static final long HALF_LIFE_NANOS = 2_000_000_000L;
+
+  private static final double DECAY_PER_NANO = Math.log(2) / HALF_LIFE_NANOS;
+  private static final double RATE_PER_OBSERVATION = DECAY_PER_NANO * 1e9;
+  private static final double OUTCOME_SMOOTHING = 0.1;
+  private static final double COLD_SHARE = 0.9;
+
+  private final Map<BlockKey, Level> levels;
+  private final int capacity;
+
+  /**
+   * Creates an empty tracker.
+   *
+   * @param capacity most levels to track
+   */
+  public HotPrefixTracker(int capacity) {
+    this.capacity = capacity;
+    levels = new LinkedHashMap<>(64, 0.75f, true);
+  }
+
+  /**
+   * Counts a request.
+   *
+   * @param key the level
+   * @param nowNanos the time
+   */
+  public void observe(BlockKey key, long nowNanos) {
+    Level level = levels.get(key);
+    if (level == null) {
+      level = new Level();
+      levels.put(key, level);
+      if (levels.size() > capacity) {
+        levels.remove(levels.keySet().iterator().next());
+      }
+    }
+    level.rate = level.rate(nowNanos) + RATE_PER_OBSERVATION;
+    level.observedNanos = nowNanos;
+  }
+
+  /**
+   * Request rate of a level.
+   *
+   * @param key the level
+   * @param nowNanos the time
+   * @return requests per second, 0 when it is not tracked
+   */
+  public double rate(BlockKey key, long nowNanos) {
+    Level level = levels.get(key);
+    return level == null ? 0 : level.rate(nowNanos);
+  }
+
+  /**
+   * Number of servers that share a prefix: ceil(rate x service time / target utilisation).
+   *
+   * @param ratePerSecond requests per second of all routers
+   * @param serviceSeconds time that one request takes of one server
+   * @param targetUtilisation share of a server that the prefix may take
+   * @param limit most homes, at least 1
+   * @return homes, 1 to {@code limit}
+   */
+  public static int homes(
+      double ratePerSecond, double serviceSeconds, double targetUtilisation, int limit) {
+    double wanted = Math.ceil(ratePerSecond * serviceSeconds / targetUtilisation);
+    return (int) Math.max(1, Math.min(limit, wanted));
+  }
+
+  /**
+   * Records whether a prefix that this router had not seen recently was cached where it was sent.
+   *
+   * @param parent the level above the prefix
+   * @param cached true when another request had cached the whole prefix
+   */
+  public void outcome(BlockKey parent, boolean cached) {
+    Level level = levels.get(parent);
+    if (level != null) {
+      level.coldShare += OUTCOME_SMOOTHING * ((cached ? 0 : 1) - level.coldShare);
+    }
+  }
+
+  /**
+   * True when nearly all prefixes that were new to this router below a level were cached nowhere.
+   *
+   * @param parent the level
+   * @return true for long-tail traffic
+   */
+  public boolean hasColdTail(BlockKey parent) {
+    Level level = levels.get(parent);
+    return level != null && level.coldShare >= COLD_SHARE;
+  }
+
+  /**
+   * Number of tracked levels.
+   *
+   * @return the count
+   */
+  public int size() {
+    return levels.size();
+  }
+
+  /** Decayed state of one level. */
+  private static final class Level {
+    private double rate;
+    private long observedNanos;
+    private double coldShare;
+
+    double rate(long nowNanos) {
+      long age = Math.max(0, nowNanos - observedNanos);
+      return rate * Math.exp(-age * DECAY_PER_NANO);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/placement/InFlight.java
@@ -0,0 +1,45 @@
+package org.pollenrock.core.placement;
+
+/** A request that this router has sent and that has not finished. */
+final class InFlight {
+  private final PlacementResult.Chosen chosen;
+  private final double missingTokens;
+  private final long sentNanos;
+  private boolean inReport;
+  private boolean answered;
+
+  InFlight(PlacementResult.Chosen chosen, double missingTokens, long sentNanos) {
+    this.chosen = chosen;
+    this.missingTokens = missingTokens;
+    this.sentNanos = sentNanos;
+  }
+
+  PlacementResult.Chosen chosen() {
+    return chosen;
+  }
+
+  double missingTokens() {
+    return missingTokens;
+  }
+
+  long sentNanos() {
+    return sentNanos;
+  }
+
+  /** True when the last report of the server was made after the request arrived there. */
+  boolean inReport() {
+    return inReport;
+  }
+
+  void coveredByReport(boolean covered) {
+    inReport = covered;
+  }
+
+  boolean answered() {
+    return answered;
+  }
+
+  void answer() {
+    answered = true;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/placement/PlacementLevels.java
@@ -0,0 +1,55 @@
+package org.pollenrock.core.placement;
+
+import java.util.List;
+import java.util.Optional;
+import org.pollenrock.core.model.BlockKey;
+
+/**
+ * Keys of the prefix levels of a request, for ranking and rates.
+ *
+ * <p>The keys depend on customer, model, adapter and content, not on the weights version: the homes
+ * of a prefix stay the same during a rollout. They are not sent to engines.
+ */
+final class PlacementLevels {
+  private final BlockKey[] keys;
+
+  private PlacementLevels(BlockKey[] keys) {
+    this.keys = keys;
+  }
+
+  static PlacementLevels of(PlacementRequest request) {
+    String owner =
+        request.customer().value()
+            + '\0'
+            + request.model().value()
+            + '\0'
+            + request.adapter().map(Object::toString).orElse("");
+    long seed = RendezvousHash.seed(owner);
+    List<Integer> ends = request.levelEnds();
+    if (ends.isEmpty()) {
+      return new PlacementLevels(new BlockKey[] {new BlockKey(seed, 0)});
+    }
+    BlockKey[] keys = new BlockKey[ends.size()];
+    for (int level = 0; level < keys.length; level++) {
+      BlockKey content = request.blocks().prefixKey(ends.get(level));
+      keys[level] = new BlockKey(content.high() ^ seed, content.low() ^ RendezvousHash.mix(seed));
+    }
+    return new PlacementLevels(keys);
+  }
+
+  int count() {
+    return keys.length;
+  }
+
+  BlockKey key(int level) {
+    return keys[level];
+  }
+
+  BlockKey deepest() {
+    return keys[keys.length - 1];
+  }
+
+  Optional<BlockKey> parent() {
+    return keys.length < 2 ? Optional.empty() : Optional.of(keys[keys.length - 2]);
+  }
+}
--- a/core/src/main/java/org/pollenrock/core/placement/PlacementRequest.java
+++ b/core/src/main/java/org/pollenrock/core/placement/PlacementRequest.java
@@ -26,6 +26,7 @@
  * @param requiredWeights the only weights version that is acceptable; a stream that continues
  *     elsewhere needs the version that it began with
  * @param excluded servers that must not be chosen, for example ejected or already tried ones
+ * @param tuning weights from the effective settings of the caller
  */
 public record PlacementRequest(
     CustomerId customer,
@@ -36,7 +37,8 @@
     int promptTokens,
     Priority priority,
     Optional<WeightsVersion> requiredWeights,
-    Set<BackendServerId> excluded) {
+    Set<BackendServerId> excluded,
+    PlacementWeights tuning) {
   /**
    * Checks and copies the parts.
    *
@@ -50,6 +52,7 @@
     Objects.requireNonNull(blocks, "blocks");
     Objects.requireNonNull(priority, "priority");
     Objects.requireNonNull(requiredWeights, "requiredWeights");
+    Objects.requireNonNull(tuning, "tuning");
     levelEnds = List.copyOf(levelEnds);
     excluded = Set.copyOf(excluded);
     int previous = 0;
@@ -86,7 +89,8 @@
         blocks.estimatedTokens(),
         priority,
         Optional.empty(),
-        Set.of());
+        Set.of(),
+        PlacementWeights.DEFAULT);
   }
 
   /**
@@ -105,7 +109,8 @@
         promptTokens,
         priority,
         requiredWeights,
-        excluded);
+        excluded,
+        tuning);
   }
 
   /**
@@ -124,7 +129,8 @@
         promptTokens,
         priority,
         Optional.of(weights),
-        excluded);
+        excluded,
+        tuning);
   }
 
   /**
@@ -143,7 +149,28 @@
         promptTokens,
         priority,
         requiredWeights,
-        servers);
+        servers,
+        tuning);
+  }
+
+  /**
+   * The same request with other weights of the cost terms.
+   *
+   * @param weights weights from the settings
+   * @return a copy
+   */
+  public PlacementRequest tunedBy(PlacementWeights weights) {
+    return new PlacementRequest(
+        customer,
+        model,
+        adapter,
+        blocks,
+        levelEnds,
+        promptTokens,
+        priority,
+        requiredWeights,
+        excluded,
+        weights);
   }
 
   /**
--- a/core/src/main/java/org/pollenrock/core/placement/PlacementResult.java
+++ b/core/src/main/java/org/pollenrock/core/placement/PlacementResult.java
@@ -24,8 +24,9 @@
    * @param incarnation the life that the choice relied on
    * @param weights the weights version that the choice relied on
    * @param chain block keys of the prompt under that version
-   * @param promptTokens length of the prompt in tokens
+   * @param request the request that was placed
    * @param expectedCachedTokens prompt tokens that the server is expected to have cached
+   * @param newPrefix true when this router had not seen the deepest prefix level recently
    * @param kvImport blocks to import first, when that is faster than computing them
    * @param candidates the servers that were considered, best first
    */
@@ -35,8 +36,9 @@
       Incarnation incarnation,
       WeightsVersion weights,
       PrefixChain chain,
-      int promptTokens,
+      PlacementRequest request,
       int expectedCachedTokens,
+      boolean newPrefix,
       Optional<KvImport> kvImport,
       List<Candidate> candidates)
       implements PlacementResult {}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/placement/Placer.java
@@ -0,0 +1,350 @@
+package org.pollenrock.core.placement;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.pollenrock.core.cache.CacheEvent;
+import org.pollenrock.core.cache.CacheIndex;
+import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.BlockKey;
+import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.ModelId;
+import org.pollenrock.core.model.WeightsVersion;
+import org.pollenrock.core.prefix.PrefixChain;
+
+/**
+ * Chooses a backend server for each model request and learns from what becomes of it.
+ *
+ * <p>The caller reports every chosen placement that it sends with {@link #sent}, then {@link
+ * #firstToken} when the first token arrives, and always one of {@link #finished} and {@link
+ * #failed}. Not thread-safe; times are monotonic nanoseconds that never decrease from call to call.
+ */
+public final class Placer {
+  /** Incarnation of a KV store in the cache index: a store has only one life. */
+  static final Incarnation STORE_INCARNATION = new Incarnation(0);
+
+  /** Part of a block that may be missing from a cached-token count because tokens are estimated. */
+  private static final double ROUNDING = 0.01;
+
+  private final PlacerState state;
+  private final PlacementStrategy strategy;
+  private final Map<PlacementId, InFlight> inFlight = new HashMap<>();
+  private final Optional<BackendServerId> store;
+  private long placements;
+
+  /**
+   * Creates a placer that knows no server.
+   *
+   * @param config parameters
+   * @param strategy how to choose
+   * @param random randomness of this router; each router has its own seed
+   */
+  public Placer(PlacerConfig config, PlacementStrategy strategy, RandomGenerator random) {
+    this.strategy = Objects.requireNonNull(strategy, "strategy");
+    state = new PlacerState(config, Objects.requireNonNull(random, "random"));
+    store = config.kvTransfer().flatMap(KvTransfer::store);
+    store.ifPresent(name -> state.cache().report(name, STORE_INCARNATION, 1, 0));
+  }
+
+  /**
+   * Chooses a server.
+   *
+   * @param request the request
+   * @param nowNanos the time
+   * @return the choice with the incarnation and weights version that it relied on, or why there is
+   *     none
+   */
+  public PlacementResult place(PlacementRequest request, long nowNanos) {
+    EligibleServers eligible = state.loads().eligible(request);
+    if (eligible.all().isEmpty()) {
+      return new PlacementResult.NoServer(state.loads().reason(request));
+    }
+    PlacementContext context = new PlacementContext(request, nowNanos, eligible, state);
+    boolean newPrefix = context.isNewPrefix();
+    List<Candidate> ranked = strategy.rank(context);
+    Candidate best = ranked.get(0);
+    for (int level = 0; level < context.levels().count(); level++) {
+      state.hot().observe(context.levels().key(level), nowNanos);
+    }
+    return new PlacementResult.Chosen(
+        new PlacementId(++placements),
+        best.server(),
+        best.incarnation(),
+        best.weights(),
+        context.lookup(best.weights()).chain(),
+        request,
+        (int) best.expectedCachedTokens(),
+        newPrefix,
+        best.kvImport(),
+        ranked);
+  }
+
+  /**
+   * Notes that a request was sent to the chosen server.
+   *
+   * @param chosen the placement
+   * @param nowNanos the time
+   */
+  public void sent(PlacementResult.Chosen chosen, long nowNanos) {
+    int missing = chosen.request().promptTokens() - chosen.expectedCachedTokens();
+    InFlight request = new InFlight(chosen, missing, nowNanos);
+    inFlight.put(chosen.id(), request);
+    Optional<ServerLoad> load = state.loads().server(chosen.server());
+    if (load.isEmpty() || !load.get().incarnation().equals(chosen.incarnation())) {
+      return;
+    }
+    load.get().sent(request);
+    state.cache().sent(chosen.server(), chosen.incarnation(), chosen.chain(), nowNanos);
+  }
+
+  /**
+   * Notes the first token of a response.
+   *
+   * @param id the placement
+   * @param incarnation the incarnation that the response names
+   * @param weights the weights version that the response names
+   * @param cachedTokens prompt tokens that the response says were cached
+   * @param nowNanos the time
+   * @return true when the response has the identity that the placement relied on; otherwise nothing
+   *     is learned about the cache from it and it must not be relayed
+   */
+  public boolean firstToken(
+      PlacementId id,
+      Incarnation incarnation,
+      WeightsVersion weights,
+      int cachedTokens,
+      long nowNanos) {
+    InFlight request = inFlight.get(id);
+    if (request == null) {
+      return false;
+    }
+    PlacementResult.Chosen chosen = request.chosen();
+    incarnationSeen(chosen.server(), incarnation);
+    answer(request, nowNanos);
+    if (!incarnation.equals(chosen.incarnation()) || !weights.equals(chosen.weights())) {
+      state.cache().failed(chosen.server(), chosen.incarnation(), chosen.chain());
+      return false;
+    }
+    int cachedBlocks = cachedBlocks(chosen, cachedTokens);
+    state.cache().observed(chosen.server(), incarnation, chosen.chain(), cachedBlocks, nowNanos);
+    if (chosen.newPrefix()) {
+      learnTail(chosen.request(), cachedBlocks);
+    }
+    return true;
+  }
+
+  private void answer(InFlight request, long nowNanos) {
+    if (request.answered()) {
+      return;
+    }
+    state.loads().server(request.chosen().server()).ifPresent(load -> load.answered(request));
+    request.answer();
+  }
+
+  private static int cachedBlocks(PlacementResult.Chosen chosen, int cachedTokens) {
+    double tokensPerBlock = chosen.request().tokensPerBlock();
+    if (tokensPerBlock == 0) {
+      return 0;
+    }
+    int blocks = (int) Math.floor(cachedTokens / tokensPerBlock + ROUNDING);
+    return Math.max(0, Math.min(chosen.chain().length(), blocks));
+  }
+
+  private void learnTail(PlacementRequest request, int cachedBlocks) {
+    List<Integer> ends = request.levelEnds();
+    Optional<BlockKey> parent = PlacementLevels.of(request).parent();
+    parent.ifPresent(
+        level -> state.hot().outcome(level, cachedBlocks >= ends.get(ends.size() - 1)));
+  }
+
+  /**
+   * Notes that a response ended and everything of it was received.
+   *
+   * @param id the placement
+   * @param nowNanos the time
+   */
+  public void finished(PlacementId id, long nowNanos) {
+    InFlight request = end(id);
+    if (request != null) {
+      state.held(nowNanos - request.sentNanos());
+    }
+  }
+
+  /**
+   * Notes that a request failed, was refused by the server or was cancelled.
+   *
+   * @param id the placement
+   */
+  public void failed(PlacementId id) {
+    InFlight request = end(id);
+    if (request != null && !request.answered()) {
+      PlacementResult.Chosen chosen = request.chosen();
+      state.cache().failed(chosen.server(), chosen.incarnation(), chosen.chain());
+    }
+  }
+
+  private InFlight end(PlacementId id) {
+    InFlight request = inFlight.remove(id);
+    if (request != null) {
+      state.loads().server(request.chosen().server()).ifPresent(load -> load.ended(request));
+    }
+    return request;
+  }
+
+  /**
+   * Takes a server's report.
+   *
+   * @param report the report
+   * @param nowNanos time of arrival
+   * @return false when it is outdated and was ignored
+   */
+  public boolean report(ServerReport report, long nowNanos) {
+    BackendServerId server = report.server();
+    Optional<ServerLoad> known = state.loads().server(server);
+    List<ServedModel> before = known.map(ServerLoad::models).orElse(List.of());
+    if (!state.loads().report(report, nowNanos)) {
+      return false;
+    }
+    ReportedLoad load = report.load();
+    state
+        .cache()
+        .report(
+            server, report.incarnation(), load.cacheCapacityBlocks(), load.storedBlocksPerSecond());
+    if (!before.equals(report.models())) {
+      for (ServedModel model : before) {
+        state.cache().retainWeights(server, model.model(), versions(report, model.model()));
+      }
+    }
+    return true;
+  }
+
+  private static Set<WeightsVersion> versions(ServerReport report, ModelId model) {
+    return report.models().stream()
+        .filter(served -> served.model().equals(model))
+        .map(ServedModel::weights)
+        .collect(Collectors.toSet());
+  }
+
+  /**
+   * Notes the incarnation that a refusal, response or connection of a server named.
+   *
+   * @param server the server
+   * @param incarnation the incarnation
+   * @return false when a newer one is known, so that the message is outdated
+   */
+  public boolean incarnationSeen(BackendServerId server, Incarnation incarnation) {
+    return state.loads().accept(server, incarnation) && state.cache().accept(server, incarnation);
+  }
+
+  /**
+   * Notes that a server is leaving; final for this incarnation.
+   *
+   * @param server the server
+   * @param incarnation the life that is ending
+   */
+  public void serverLeaving(BackendServerId server, Incarnation incarnation) {
+    state.loads().leaving(server, incarnation);
+  }
+
+  /**
+   * Drops a server that is gone.
+   *
+   * @param server the server
+   */
+  public void serverGone(BackendServerId server) {
+    state.loads().gone(server);
+    state.cache().forget(server);
+  }
+
+  /**
+   * Applies cache events of a server.
+   *
+   * @param server the server
+   * @param incarnation the incarnation that the events belong to
+   * @param events the events
+   * @param nowNanos the time
+   * @return false when a newer incarnation is known and the events were ignored
+   */
+  public boolean cacheEvents(
+      BackendServerId server,
+      Incarnation incarnation,
+      Collection<CacheEvent> events,
+      long nowNanos) {
+    return incarnationSeen(server, incarnation)
+        && state.cache().apply(server, incarnation, events, nowNanos);
+  }
+
+  /**
+   * Replaces the event-based knowledge of a server by a digest of its cache.
+   *
+   * @param server the server
+   * @param incarnation the incarnation that the digest belongs to
+   * @param sequence last event that the digest includes
+   * @param held every block that the server holds
+   * @param nowNanos the time
+   * @return false when the digest is outdated and was ignored
+   */
+  public boolean cacheDigest(
+      BackendServerId server,
+      Incarnation incarnation,
+      long sequence,
+      Collection<BlockKey> held,
+      long nowNanos) {
+    return incarnationSeen(server, incarnation)
+        && state.cache().applyDigest(server, incarnation, sequence, held, nowNanos);
+  }
+
+  /**
+   * Notes that the KV store holds all blocks of a chain; without a store this has no effect.
+   *
+   * @param chain the blocks
+   * @param nowNanos the time
+   */
+  public void storeHolds(PrefixChain chain, long nowNanos) {
+    store.ifPresent(
+        name -> state.cache().observed(name, STORE_INCARNATION, chain, chain.length(), nowNanos));
+  }
+
+  /**
+   * Sets the number of routers that share the traffic; rates of this router are multiplied by it.
+   *
+   * @param count routers of this data centre, this one included
+   */
+  public void routers(int count) {
+    state.routers(count);
+  }
+
+  /**
+   * Load of a server, for the operator's view.
+   *
+   * @param server the server
+   * @return its load, empty when it is not known
+   */
+  public Optional<ServerLoad> load(BackendServerId server) {
+    return state.loads().server(server);
+  }
+
+  /**
+   * Beliefs about the servers' caches, for the operator's view.
+   *
+   * @return the index
+   */
+  public CacheIndex cache() {
+    return state.cache();
+  }
+
+  /**
+   * Own requests that have not ended.
+   *
+   * @return the count
+   */
+  public int inFlight() {
+    return inFlight.size();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/placement/ServerLoad.java
@@ -0,0 +1,220 @@
+package org.pollenrock.core.placement;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.DataCentreId;
+import org.pollenrock.core.model.Incarnation;
+
+/**
+ * Load of one server: its last report, aged, plus what this router has sent since.
+ *
+ * <p>Reports lag, so tokens that this router sent after a report was made are added at once, and
+ * tokens of the report are subtracted as the server drains its queue or answers.
+ */
+public final class ServerLoad {
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private final BackendServerId server;
+  private final long seed;
+  private final Map<PlacementId, InFlight> inFlight = new LinkedHashMap<>();
+  private ServerReport report;
+  private Incarnation incarnation;
+  private boolean accepting;
+  private long reportedNanos;
+  private double sentTokens;
+  private int sentRunning;
+  private double answeredTokens;
+  private int finishedRunning;
+
+  ServerLoad(ServerReport report, long nowNanos) {
+    this.server = report.server();
+    this.seed = RendezvousHash.seed(server.value());
+    this.report = report;
+    this.incarnation = report.incarnation();
+    this.accepting = report.accepting();
+    this.reportedNanos = nowNanos;
+  }
+
+  void update(ServerReport newer, boolean accepts, long nowNanos, long lagNanos) {
+    if (!newer.incarnation().equals(incarnation)) {
+      inFlight.clear();
+    }
+    report = newer;
+    incarnation = newer.incarnation();
+    accepting = accepts;
+    reportedNanos = nowNanos;
+    answeredTokens = 0;
+    finishedRunning = 0;
+    sentTokens = 0;
+    sentRunning = 0;
+    for (InFlight request : inFlight.values()) {
+      request.coveredByReport(nowNanos - request.sentNanos() >= lagNanos);
+      if (!request.inReport()) {
+        sentRunning++;
+        sentTokens += request.answered() ? 0 : request.missingTokens();
+      }
+    }
+  }
+
+  /** A newer life was seen; nothing is known about its models until its first report. */
+  void restarted(Incarnation newer) {
+    inFlight.clear();
+    incarnation = newer;
+    accepting = false;
+    sentTokens = 0;
+    sentRunning = 0;
+  }
+
+  void stopAccepting() {
+    accepting = false;
+  }
+
+  void sent(InFlight request) {
+    inFlight.put(request.chosen().id(), request);
+    sentTokens += request.missingTokens();
+    sentRunning++;
+  }
+
+  void answered(InFlight request) {
+    if (!inFlight.containsKey(request.chosen().id())) {
+      return;
+    }
+    if (request.inReport()) {
+      answeredTokens += request.missingTokens();
+    } else {
+      sentTokens = Math.max(0, sentTokens - request.missingTokens());
+    }
+  }
+
+  void ended(InFlight request) {
+    if (!request.answered()) {
+      answered(request);
+    }
+    if (inFlight.remove(request.chosen().id()) == null) {
+      return;
+    }
+    if (request.inReport()) {
+      finishedRunning++;
+    } else {
+      sentRunning--;
+    }
+  }
+
+  /**
+   * The server.
+   *
+   * @return its name
+   */
+  public BackendServerId server() {
+    return server;
+  }
+
+  /**
+   * Hash of the server's name for rendezvous ranking.
+   *
+   * @return 64 bits
+   */
+  public long seed() {
+    return seed;
+  }
+
+  /**
+   * Current life of the server.
+   *
+   * @return the latest incarnation that was seen
+   */
+  public Incarnation incarnation() {
+    return incarnation;
+  }
+
+  /**
+   * Where the server runs.
+   *
+   * @return its data centre
+   */
+  public DataCentreId dataCentre() {
+    return report.dataCentre();
+  }
+
+  /**
+   * Whether the server takes new requests.
+   *
+   * @return false while it is leaving, loading or restarted without a report
+   */
+  public boolean accepting() {
+    return accepting;
+  }
+
+  /**
+   * Models that the server serves.
+   *
+   * @return the models of the last report
+   */
+  public List<ServedModel> models() {
+    return report.models();
+  }
+
+  ServerReport report() {
+    return report;
+  }
+
+  /**
+   * Measured prefill rate.
+   *
+   * @return tokens per second
+   */
+  public double prefillTokensPerSecond() {
+    return report.load().prefillTokensPerSecond();
+  }
+
+  /**
+   * Time to prefill tokens without waiting.
+   *
+   * @param tokens how many
+   * @return nanoseconds
+   */
+  public double prefillNanos(double tokens) {
+    return tokens / prefillTokensPerSecond() * NANOS_PER_SECOND;
+  }
+
+  /**
+   * Prompt tokens that wait for prefill.
+   *
+   * @param nowNanos the time
+   * @return the reported queue, less what was drained or answered, plus what this router sent since
+   */
+  public double queueTokens(long nowNanos) {
+    double seconds = Math.max(0, nowNanos - reportedNanos) / NANOS_PER_SECOND;
+    double drained = Math.max(answeredTokens, prefillTokensPerSecond() * seconds);
+    return Math.max(0, report.load().queueTokens() - drained) + sentTokens;
+  }
+
+  /**
+   * Requests that hold a slot.
+   *
+   * @return the reported number, less those that finished since, plus those this router sent since
+   */
+  public int running() {
+    return Math.max(0, report.load().running() - finishedRunning) + sentRunning;
+  }
+
+  /**
+   * Requests that can run at the same time.
+   *
+   * @return slots
+   */
+  public int slots() {
+    return report.load().slots();
+  }
+
+  /**
+   * Own requests that have not finished.
+   *
+   * @return the count
+   */
+  public int ownInFlight() {
+    return inFlight.size();
+  }
+}
