Add core packages stream, connection and retry

Change: identity check and assembly of streams, resumption, detection of silent connections, retry policy and budget, ejection of failing servers.

--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/connection/MonitoredConnection.java
@@ -0,0 +1,88 @@
+package org.pollenrock.core.connection;
+
+/** One connection as its monitor knows it. */
+final class MonitoredConnection {
+  private final ConnectionId id;
+  private final long createdAt;
+  private ConnectionState state = ConnectionState.IDLE;
+  private long lastReceivedAt;
+  private long progressAt;
+  private long receiveDeadlineNanos;
+  private long betweenNanos;
+  private boolean sending;
+  private long lastSentAt;
+
+  MonitoredConnection(ConnectionId id, long nowNanos) {
+    this.id = id;
+    this.createdAt = nowNanos;
+    this.lastReceivedAt = nowNanos;
+  }
+
+  ConnectionId id() {
+    return id;
+  }
+
+  ConnectionState state() {
+    return state;
+  }
+
+  long createdAt() {
+    return createdAt;
+  }
+
+  /** A connection that was just established counts as one that just answered. */
+  long lastReceivedAt() {
+    return lastReceivedAt;
+  }
+
+  void begin(long firstNanos, long nextNanos, long nowNanos) {
+    state = ConnectionState.BUSY;
+    progressAt = nowNanos;
+    receiveDeadlineNanos = firstNanos;
+    betweenNanos = nextNanos;
+  }
+
+  void received(long nowNanos) {
+    lastReceivedAt = nowNanos;
+    progressAt = nowNanos;
+    receiveDeadlineNanos = betweenNanos;
+  }
+
+  void writeWaits(long nowNanos) {
+    if (!sending) {
+      sending = true;
+      lastSentAt = nowNanos;
+    }
+  }
+
+  void writeProgressed(boolean drained, long nowNanos) {
+    sending = !drained;
+    lastSentAt = nowNanos;
+    if (state == ConnectionState.BUSY && nowNanos > progressAt) {
+      progressAt = nowNanos;
+    }
+  }
+
+  void finish() {
+    state = ConnectionState.IDLE;
+  }
+
+  void suspect() {
+    state = ConnectionState.SUSPECT;
+  }
+
+  void close() {
+    state = ConnectionState.CLOSED;
+  }
+
+  /** While own data still waits to be written, the peer cannot be expected to answer. */
+  boolean receiveSilent(long nowNanos) {
+    return state == ConnectionState.BUSY
+        && !sending
+        && nowNanos - progressAt > receiveDeadlineNanos;
+  }
+
+  boolean sendSilent(long deadlineNanos, long nowNanos) {
+    return sending && nowNanos - lastSentAt > deadlineNanos;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/retry/ServerVerdict.java
@@ -0,0 +1,11 @@
+package org.pollenrock.core.retry;
+
+/** Whether a server may get a request. */
+public enum ServerVerdict {
+  /** It is in use. */
+  ALLOWED,
+  /** It may get exactly one request, which decides whether it returns. */
+  TRIAL,
+  /** It is ejected, or its trial request is outstanding. */
+  EXCLUDED
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/stream/AnswerVerdict.java
@@ -0,0 +1,58 @@
+package org.pollenrock.core.stream;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.WeightsVersion;
+
+/** What to do with a response before its first byte is relayed. */
+public sealed interface AnswerVerdict {
+  /** The response belongs to the attempt and has the expected identity. */
+  record Accepted() implements AnswerVerdict {}
+
+  /**
+   * The response belongs to no known or to another attempt. It must be dropped and its connection
+   * closed; the run state of the own attempt is unknown.
+   *
+   * @param echoed the attempt it names, if any
+   */
+  record OtherAttempt(Optional<AttemptId> echoed) implements AnswerVerdict {
+    /** Checks that the part is present. */
+    public OtherAttempt {
+      Objects.requireNonNull(echoed, "echoed");
+    }
+  }
+
+  /**
+   * The own request ran on another incarnation of the server than the choice relied on.
+   *
+   * @param actual incarnation that answered; empty when the server stated none
+   */
+  record OtherIncarnation(Optional<Incarnation> actual) implements AnswerVerdict {
+    /** Checks that the part is present. */
+    public OtherIncarnation {
+      Objects.requireNonNull(actual, "actual");
+    }
+  }
+
+  /**
+   * The own request was computed under another weights version than the choice relied on.
+   *
+   * @param actual weights version that answered; empty when the server stated none
+   */
+  record OtherWeights(Optional<WeightsVersion> actual) implements AnswerVerdict {
+    /** Checks that the part is present. */
+    public OtherWeights {
+      Objects.requireNonNull(actual, "actual");
+    }
+  }
+
+  /**
+   * Whether the response may be relayed.
+   *
+   * @return true for an accepted response only
+   */
+  default boolean relayable() {
+    return this instanceof Accepted;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/stream/ResumePlanner.java
@@ -0,0 +1,95 @@
+package org.pollenrock.core.stream;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.pollenrock.core.error.ErrorCode;
+import org.pollenrock.core.error.Peer;
+import org.pollenrock.core.error.RequestError;
+import org.pollenrock.core.error.Step;
+
+/**
+ * Decides where a broken stream goes on.
+ *
+ * <p>Resuming the same run costs nothing and comes first. Another run must have the same weights
+ * version, because text of two versions must not be joined into one response.
+ */
+public final class ResumePlanner {
+  private final int maxBreaks;
+
+  /**
+   * Creates a planner.
+   *
+   * @param maxBreaks how many breaks of one stream are repaired, not negative
+   * @throws IllegalArgumentException when the number is negative
+   */
+  public ResumePlanner(int maxBreaks) {
+    if (maxBreaks < 0) {
+      throw new IllegalArgumentException("maxBreaks must not be negative: " + maxBreaks);
+    }
+    this.maxBreaks = maxBreaks;
+  }
+
+  /**
+   * Decides how a stream goes on.
+   *
+   * @param stream the broken stream
+   * @param candidates servers in order of preference; the server that broke is among them while it
+   *     is known
+   * @return resume, continue or interrupt
+   */
+  public ResumeDecision plan(BrokenStream stream, List<ResumeCandidate> candidates) {
+    if (stream.breaks() > maxBreaks) {
+      return interrupt(stream, "the stream broke " + stream.breaks() + " times");
+    }
+    if (canResumeOnSame(stream, candidates)) {
+      return new ResumeDecision.ResumeOnSame(
+          stream.server(), stream.incarnation(), lastEventId(stream), stream.indexOffset());
+    }
+    if (!stream.continuable()) {
+      return interrupt(stream, "the run was lost and cannot be continued from its text");
+    }
+    Optional<ResumeCandidate> other =
+        candidates.stream().filter(candidate -> canContinueOn(stream, candidate)).findFirst();
+    if (other.isEmpty()) {
+      return interrupt(stream, "no live server has weights " + stream.weights());
+    }
+    ResumeCandidate chosen = other.get();
+    return new ResumeDecision.ContinueOn(
+        chosen.server(), chosen.incarnation(), chosen.weights(), stream.nextIndex());
+  }
+
+  // A leaving server still finishes its runs, so acceptsNewWork is not asked here.
+  private static boolean canResumeOnSame(BrokenStream stream, List<ResumeCandidate> candidates) {
+    return !stream.sameServerFailed()
+        && candidates.stream()
+            .anyMatch(candidate -> isSameRun(stream, candidate) && candidate.reachable());
+  }
+
+  private static boolean canContinueOn(BrokenStream stream, ResumeCandidate candidate) {
+    return candidate.acceptsNewWork()
+        && candidate.reachable()
+        && candidate.weights().equals(stream.weights())
+        && !isSameRun(stream, candidate);
+  }
+
+  private static boolean isSameRun(BrokenStream stream, ResumeCandidate candidate) {
+    return candidate.server().equals(stream.server())
+        && candidate.incarnation().equals(stream.incarnation());
+  }
+
+  private static OptionalLong lastEventId(BrokenStream stream) {
+    long own = stream.nextIndex() - stream.indexOffset();
+    return own == 0 ? OptionalLong.empty() : OptionalLong.of(own - 1);
+  }
+
+  private static ResumeDecision interrupt(BrokenStream stream, String reason) {
+    Optional<Peer> peer = Optional.of(new Peer(Peer.Kind.ENGINE, stream.server().value()));
+    String message = "Stream interrupted after " + stream.nextIndex() + " tokens: " + reason;
+    RequestError error =
+        stream.nextIndex() > 0
+            ? new RequestError.AfterRun(ErrorCode.STREAM_INTERRUPTED, Step.RELAY, peer, message)
+            : new RequestError.Uncertain(ErrorCode.STREAM_INTERRUPTED, Step.RELAY, peer, message);
+    return new ResumeDecision.Interrupt(error);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/stream/StreamAssembler.java
@@ -0,0 +1,163 @@
+package org.pollenrock.core.stream;
+
+import java.util.Objects;
+import java.util.OptionalLong;
+
+/**
+ * Joins the tokens of all attempts of one request into one response.
+ *
+ * <p>Each index is relayed exactly once and in order. Only the current attempt has an effect;
+ * whatever an older attempt still delivers is dropped. Nothing is buffered: within one connection
+ * tokens arrive in order, so a skipped index means lost tokens and breaks the attempt.
+ *
+ * @param <T> type of a token's content
+ */
+public final class StreamAssembler<T> {
+  private enum State {
+    /** No attempt may deliver tokens. */
+    WAITING,
+    /** The current attempt delivers tokens. */
+    OPEN,
+    /** Completed or aborted. */
+    ENDED
+  }
+
+  private State state = State.WAITING;
+  private AttemptId current;
+  private long offset;
+  private long nextIndex;
+
+  /** Starts without an attempt and without tokens. */
+  public StreamAssembler() {}
+
+  /**
+   * Makes an attempt the current one; tokens of the previous one are dropped from now on.
+   *
+   * @param attempt the new attempt, later than the previous one
+   * @param indexOffset what to add to the attempt's own indexes: for a resumed stream the offset of
+   *     the resumed attempt, for a continued one the number of tokens in its prompt that were
+   *     already relayed
+   * @throws IllegalArgumentException when the attempt is not later than the previous one, or the
+   *     offset would skip tokens
+   * @throws IllegalStateException when the stream has ended
+   */
+  public void startAttempt(AttemptId attempt, long indexOffset) {
+    Objects.requireNonNull(attempt, "attempt");
+    if (state == State.ENDED) {
+      throw new IllegalStateException("the stream has ended");
+    }
+    if (current != null && !attempt.isAfter(current)) {
+      throw new IllegalArgumentException("attempt " + attempt + " is not after " + current);
+    }
+    if (indexOffset < 0 || indexOffset > nextIndex) {
+      throw new IllegalArgumentException("offset " + indexOffset + " outside 0.." + nextIndex);
+    }
+    current = attempt;
+    offset = indexOffset;
+    state = State.OPEN;
+  }
+
+  /**
+   * Takes one token.
+   *
+   * @param attempt attempt that delivered it
+   * @param index the attempt's own index of the token, starting at 0
+   * @param content content of the token
+   * @return relay, drop or broken
+   */
+  public StreamAction<T> token(AttemptId attempt, long index, T content) {
+    if (!isOpenFor(attempt)) {
+      return dropped();
+    }
+    long absolute = offset + index;
+    if (absolute < nextIndex) {
+      return new StreamAction.Drop<>(StreamAction.DropReason.DUPLICATE);
+    }
+    if (absolute > nextIndex) {
+      return breakAttempt(StreamAction.BreakReason.GAP);
+    }
+    nextIndex++;
+    return new StreamAction.Relay<>(absolute, content);
+  }
+
+  /**
+   * Takes the end marker of an attempt.
+   *
+   * @param attempt attempt that delivered it
+   * @param count number of tokens that the attempt says it produced, counted like its indexes;
+   *     empty when the server states none, and the order on the connection must be relied on
+   * @return complete, drop or broken
+   */
+  public StreamAction<T> end(AttemptId attempt, OptionalLong count) {
+    if (!isOpenFor(attempt)) {
+      return dropped();
+    }
+    if (count.isPresent() && offset + count.getAsLong() != nextIndex) {
+      return breakAttempt(StreamAction.BreakReason.TOKEN_COUNT);
+    }
+    state = State.ENDED;
+    return new StreamAction.Complete<>(nextIndex);
+  }
+
+  /**
+   * Takes the loss of an attempt's connection.
+   *
+   * @param attempt attempt whose connection ended, was reset or missed its progress deadline
+   * @return broken, or drop when the attempt is not the current one
+   */
+  public StreamAction<T> connectionEnded(AttemptId attempt) {
+    if (!isOpenFor(attempt)) {
+      return dropped();
+    }
+    return breakAttempt(StreamAction.BreakReason.CONNECTION_ENDED);
+  }
+
+  /** Ends the stream without completing it: the caller left or was told of an error. */
+  public void abort() {
+    state = State.ENDED;
+  }
+
+  /**
+   * First index that was not relayed.
+   *
+   * @return the number of relayed tokens
+   */
+  public long nextIndex() {
+    return nextIndex;
+  }
+
+  /**
+   * Offset of the current attempt's indexes in the whole response.
+   *
+   * @return tokens before the attempt's own index 0
+   */
+  public long indexOffset() {
+    return offset;
+  }
+
+  /**
+   * Tells whether the stream was completed or aborted.
+   *
+   * @return true when no further token will be relayed
+   */
+  public boolean ended() {
+    return state == State.ENDED;
+  }
+
+  private boolean isOpenFor(AttemptId attempt) {
+    return state == State.OPEN && current.equals(attempt);
+  }
+
+  private StreamAction<T> dropped() {
+    StreamAction.DropReason reason =
+        state == State.ENDED
+            ? StreamAction.DropReason.AFTER_END
+            : StreamAction.DropReason.OTHER_ATTEMPT;
+    return new StreamAction.Drop<>(reason);
+  }
+
+  private StreamAction<T> breakAttempt(StreamAction.BreakReason reason) {
+    state = State.WAITING;
+    return new StreamAction.Broken<>(reason, nextIndex);
+  }
+}
