--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/limits/FairClass.java
@@ -0,0 +1,122 @@
+package org.pollenrock.core.limits;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeSet;
+import org.pollenrock.core.model.CustomerId;
+
+/**
+ * Waiting requests of one class in start-time fair order.
+ *
+ * <p>The virtual time is the start tag of the latest dispatched request. While two customers both
+ * wait, what they received per weight differs by at most one request of each.
+ */
+final class FairClass {
+  /** Flows that no longer wait are swept when they outnumber the others; small maps never are. */
+  private static final int SWEEP_MINIMUM = 64;
+
+  private final Map<CustomerId, CustomerFlow> flows = new HashMap<>();
+  private final TreeSet<CustomerFlow> byStart =
+      new TreeSet<>(
+          Comparator.comparingDouble(CustomerFlow::start)
+              .thenComparingLong(CustomerFlow::sequence));
+  private final TreeSet<CustomerFlow> byEnd =
+      new TreeSet<>(
+          Comparator.comparingDouble(CustomerFlow::end).thenComparingLong(CustomerFlow::sequence));
+  private double virtualTime;
+  private double waitingWeight;
+  private int size;
+  private long flowCounter;
+
+  int size() {
+    return size;
+  }
+
+  boolean isEmpty() {
+    return size == 0;
+  }
+
+  QueuedRequest add(AdmissionRequest request) {
+    CustomerFlow flow =
+        flows.computeIfAbsent(
+            request.customer(), added -> new CustomerFlow(flowCounter++));
+    QueuedRequest added = new QueuedRequest(request, flow);
+    detach(flow);
+    flow.add(added, virtualTime);
+    attach(flow);
+    size++;
+    return added;
+  }
+
+  QueuedRequest dispatch() {
+    CustomerFlow flow = byStart.first();
+    detach(flow);
+    virtualTime = flow.start();
+    QueuedRequest dispatched = flow.dispatchHead();
+    attach(flow);
+    removed();
+    return dispatched;
+  }
+
+  void remove(QueuedRequest request) {
+    CustomerFlow flow = request.flow();
+    detach(flow);
+    flow.remove(request);
+    attach(flow);
+    removed();
+  }
+
+  /** Returns the request that would be dispatched last. */
+  QueuedRequest last() {
+    return byEnd.last().tail();
+  }
+
+  /** Tells whether a new request would be dispatched before the present last one. */
+  boolean precedesLast(AdmissionRequest request) {
+    CustomerFlow flow = flows.get(request.customer());
+    double end =
+        flow == null
+            ? virtualTime + request.cost() / request.weight()
+            : flow.endWith(request, virtualTime);
+    return end < byEnd.last().end();
+  }
+
+  /** Estimates how many waiting requests of the class are dispatched before a new one. */
+  double requestsAhead(AdmissionRequest request) {
+    CustomerFlow flow = flows.get(request.customer());
+    boolean waiting = flow != null && !flow.isEmpty();
+    int own = waiting ? flow.size() : 0;
+    double others = waitingWeight - (waiting ? flow.weight() : 0);
+    double fairOthers = (own + 1) * others / request.weight();
+    return Math.min(size, own + fairOthers);
+  }
+
+  private void detach(CustomerFlow flow) {
+    if (!flow.isEmpty()) {
+      byStart.remove(flow);
+      byEnd.remove(flow);
+      waitingWeight -= flow.weight();
+    }
+  }
+
+  private void attach(CustomerFlow flow) {
+    if (!flow.isEmpty()) {
+      byStart.add(flow);
+      byEnd.add(flow);
+      waitingWeight += flow.weight();
+    }
+  }
+
+  // When nothing waits, no customer competes with another, so what they received is forgotten.
+  private void removed() {
+    size--;
+    if (size == 0) {
+      flows.clear();
+      virtualTime = 0;
+      waitingWeight = 0;
+    } else if (flows.size() > 2 * byStart.size() + SWEEP_MINIMUM) {
+      flows.values().removeIf(flow -> flow.isEmpty() && flow.finish() <= virtualTime);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/limits/LentLoan.java
@@ -0,0 +1,31 @@
+package org.pollenrock.core.limits;
+
+/** A loan that this router gave. */
+final class LentLoan {
+  private final long amount;
+  private long round;
+  private long expiresAt;
+
+  LentLoan(long amount, long round, long expiresAt) {
+    this.amount = amount;
+    this.round = round;
+    this.expiresAt = expiresAt;
+  }
+
+  long amount() {
+    return amount;
+  }
+
+  long round() {
+    return round;
+  }
+
+  long expiresAt() {
+    return expiresAt;
+  }
+
+  void renew(long newRound, long newExpiresAt) {
+    round = newRound;
+    expiresAt = newExpiresAt;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/limits/ShareSettings.java
@@ -0,0 +1,47 @@
+package org.pollenrock.core.limits;
+
+/**
+ * Time bounds and sizes of share loans, equal on all routers.
+ *
+ * @param loanDurationNanos how long a loan lasts unless renewed
+ * @param marginNanos how much longer the lender waits by its own clock, for clocks of unequal pace
+ * @param replyTimeoutNanos how long a borrower waits for a reply before it asks again
+ * @param lendPercent largest part of its unused share that a lender gives to one request, 1 to 100
+ * @param maxLoans most loans given, and most loans taken, by one router
+ */
+public record ShareSettings(
+    long loanDurationNanos,
+    long marginNanos,
+    long replyTimeoutNanos,
+    int lendPercent,
+    int maxLoans) {
+  /**
+   * Checks the bounds.
+   *
+   * @throws IllegalArgumentException when a value is out of range
+   */
+  public ShareSettings {
+    if (loanDurationNanos <= 0 || marginNanos < 0) {
+      throw new IllegalArgumentException(
+          "loan duration " + loanDurationNanos + " ns, margin " + marginNanos + " ns");
+    }
+    if (replyTimeoutNanos <= 0 || replyTimeoutNanos >= loanDurationNanos / 2) {
+      throw new IllegalArgumentException("a reply must time out within half a loan duration");
+    }
+    if (lendPercent < 1 || lendPercent > 100) {
+      throw new IllegalArgumentException("lendPercent outside 1..100: " + lendPercent);
+    }
+    if (maxLoans < 1) {
+      throw new IllegalArgumentException("maxLoans must be positive: " + maxLoans);
+    }
+  }
+
+  /**
+   * Longest time that a lender withholds an amount after the last request for it arrived.
+   *
+   * @return nanoseconds
+   */
+  public long withheldNanos() {
+    return loanDurationNanos + marginNanos;
+  }
+}
--- a/core/src/main/java/org/pollenrock/core/retry/OutlierEjector.java
+++ b/core/src/main/java/org/pollenrock/core/retry/OutlierEjector.java
@@ -33,8 +33,8 @@
   }
 
   /**
-   * Replaces the set of servers that serve the model. When fewer remain, the servers
-   * with the oldest ejections return until the floor holds again.
+   * Replaces the set of servers that serve the model. When fewer remain, the servers with the
+   * oldest ejections return until the floor holds again.
    *
    * @param members the servers
    * @param nowNanos time now
