Add claim protocol and log record framing

Non-idempotent calls need an owner that every router derives from the log alone. A claim is valid only inside the key window around its own log time, so an append that takes effect late cannot win.

--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/claim/ClaimCodec.java
@@ -0,0 +1,183 @@
+package org.pollenrock.core.claim;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.InstanceId;
+import org.pollenrock.core.record.FrameScanner;
+import org.pollenrock.core.record.MalformedRecordException;
+import org.pollenrock.core.record.RecordReader;
+import org.pollenrock.core.record.RecordWriter;
+
+/**
+ * Encoding of claim records.
+ *
+ * <p>A batch starts with a header frame that names the writer once; the records of the batch carry
+ * only the claim's counter. Without a readable header the whole batch is skipped.
+ */
+public final class ClaimCodec {
+  /** Version of the format, in the header frame; batches of a later version are skipped. */
+  public static final int VERSION = 1;
+
+  private static final int TYPE_HEADER = 0;
+  private static final int TYPE_CLAIMED = 1;
+  private static final int TYPE_RELEASED = 2;
+  private static final int TYPE_SETTLED = 3;
+  private static final int TYPE_UNKNOWN = 4;
+  private static final int TYPE_TIME_MARK = 5;
+
+  private final FrameScanner scanner = new FrameScanner();
+  private long unknownTypes;
+
+  private record Writer(InstanceId router, Incarnation incarnation) {}
+
+  /**
+   * Encodes the header of a writer's batches.
+   *
+   * @param router the writing router
+   * @param incarnation its incarnation
+   * @return one frame
+   */
+  public static byte[] encodeHeader(InstanceId router, Incarnation incarnation) {
+    return new RecordWriter()
+        .writeByte(VERSION)
+        .writeText(router.value())
+        .writeLong(incarnation.value())
+        .frame(TYPE_HEADER);
+  }
+
+  /**
+   * Encodes one record for a batch of the claim's router and incarnation.
+   *
+   * @param claimRecord the record
+   * @return one frame
+   */
+  public static byte[] encode(ClaimRecord claimRecord) {
+    RecordWriter writer = new RecordWriter().writeLong(claimRecord.claim().counter());
+    return switch (claimRecord) {
+      case ClaimRecord.Claimed claimed -> {
+        claimed.key().write(writer);
+        claimed.body().write(writer);
+        yield writer.writeLong(claimed.keyTimeMillis()).frame(TYPE_CLAIMED);
+      }
+      case ClaimRecord.Released released -> {
+        released.key().write(writer);
+        yield writer.frame(TYPE_RELEASED);
+      }
+      case ClaimRecord.Settled settled -> {
+        settled.key().write(writer);
+        CallOutcome outcome = settled.outcome().bounded();
+        yield writer
+            .writeInt(outcome.status())
+            .writeByte(outcome.bodyKept() ? 1 : 0)
+            .writeText(outcome.contentType())
+            .writeBytes(outcome.body())
+            .frame(TYPE_SETTLED);
+      }
+      case ClaimRecord.Unknown unknown -> {
+        unknown.key().write(writer);
+        yield writer.frame(TYPE_UNKNOWN);
+      }
+      case ClaimRecord.TimeMark mark -> writer.frame(TYPE_TIME_MARK);
+    };
+  }
+
+  /**
+   * Encodes a whole batch.
+   *
+   * @param router the writing router
+   * @param incarnation its incarnation
+   * @param records records of this router and incarnation
+   * @return the bytes to append
+   */
+  public static byte[] encodeBatch(
+      InstanceId router, Incarnation incarnation, List<ClaimRecord> records) {
+    ByteArrayOutputStream batch = new ByteArrayOutputStream();
+    batch.writeBytes(encodeHeader(router, incarnation));
+    records.forEach(claimRecord -> batch.writeBytes(encode(claimRecord)));
+    return batch.toByteArray();
+  }
+
+  /**
+   * Decodes a batch; what cannot be decoded is skipped and counted.
+   *
+   * @param data the data of one log entry
+   * @return the records that could be decoded, in order
+   */
+  public List<ClaimRecord> decode(byte[] data) {
+    List<ClaimRecord> records = new ArrayList<>();
+    Writer writer = null;
+    for (FrameScanner.Frame frame : scanner.scan(data)) {
+      try {
+        RecordReader reader = new RecordReader(frame.payload());
+        if (frame.type() == TYPE_HEADER) {
+          writer = header(reader);
+        } else if (writer != null) {
+          ClaimId claim = new ClaimId(writer.router(), writer.incarnation(), reader.readLong());
+          decode(frame.type(), claim, reader, records);
+        } else {
+          scanner.countMalformed();
+        }
+      } catch (MalformedRecordException | IllegalArgumentException e) {
+        scanner.countMalformed();
+      }
+    }
+    return records;
+  }
+
+  /**
+   * Frames that were skipped as corrupt.
+   *
+   * @return a count since the start
+   */
+  public long corruptFrames() {
+    return scanner.corruptFrames();
+  }
+
+  /**
+   * Intact frames that were skipped because their type is not known.
+   *
+   * @return a count since the start
+   */
+  public long unknownTypes() {
+    return unknownTypes;
+  }
+
+  private static Writer header(RecordReader reader) {
+    int version = reader.readByte();
+    if (version != VERSION) {
+      throw new MalformedRecordException("version " + version + " is not supported");
+    }
+    return new Writer(new InstanceId(reader.readText()), new Incarnation(reader.readLong()));
+  }
+
+  private void decode(int type, ClaimId claim, RecordReader reader, List<ClaimRecord> records) {
+    ClaimRecord claimRecord =
+        switch (type) {
+          case TYPE_CLAIMED ->
+              new ClaimRecord.Claimed(
+                  claim, Digest256.read(reader), Digest256.read(reader), reader.readLong());
+          case TYPE_RELEASED -> new ClaimRecord.Released(claim, Digest256.read(reader));
+          case TYPE_SETTLED ->
+              new ClaimRecord.Settled(claim, Digest256.read(reader), outcome(reader));
+          case TYPE_UNKNOWN -> new ClaimRecord.Unknown(claim, Digest256.read(reader));
+          case TYPE_TIME_MARK -> new ClaimRecord.TimeMark(claim);
+          default -> null;
+        };
+    if (Objects.isNull(claimRecord)) {
+      unknownTypes++;
+      return;
+    }
+    records.add(claimRecord);
+  }
+
+  private static CallOutcome outcome(RecordReader reader) {
+    int status = reader.readInt();
+    final boolean bodyKept = reader.readByte() == 1;
+    String contentType = reader.readText();
+    byte[] body = reader.readBytes(CallOutcome.MAX_BODY_BYTES);
+    return new CallOutcome(status, contentType, body, bodyKept);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/claim/ClaimLog.java
@@ -0,0 +1,93 @@
+package org.pollenrock.core.claim;
+
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import org.pollenrock.core.record.LogEntry;
+import org.pollenrock.core.record.LogRead;
+
+/** The claim stream as far as it was read: position, table and horizon. */
+final class ClaimLog {
+  private final ClaimTable table;
+  private final LogHorizon horizon;
+  private final ClaimCodec codec = new ClaimCodec();
+  private final long futureMillis;
+  private long nextOffset = -1;
+
+  ClaimLog(ClaimSettings settings) {
+    this.futureMillis = settings.futureMillis();
+    this.table = new ClaimTable(settings.windowMillis(), futureMillis, settings.maxTableBytes());
+    this.horizon = new LogHorizon(settings.windowMillis());
+  }
+
+  ClaimTable table() {
+    return table;
+  }
+
+  ClaimCodec codec() {
+    return codec;
+  }
+
+  long nextOffset() {
+    return Math.max(0, nextOffset);
+  }
+
+  boolean caughtUp(LogRead read) {
+    return nextOffset >= read.head();
+  }
+
+  /** A read that ends before what was already read is late, or the log lost entries. */
+  boolean endsBeforePosition(LogRead read) {
+    return nextOffset >= 0 && read.head() < nextOffset;
+  }
+
+  /**
+   * Starts again when the read does not continue the position.
+   *
+   * @return true when entries were missed
+   */
+  boolean align(LogRead read) {
+    if (nextOffset >= 0 && read.from() <= nextOffset) {
+      return false;
+    }
+    boolean gap = nextOffset >= 0;
+    nextOffset = read.from();
+    table.restart(nextOffset);
+    horizon.restart();
+    return gap;
+  }
+
+  void apply(LogRead read, BiConsumer<ClaimRecord, ClaimTable.Verdict> sink) {
+    horizon.firstOffset(read.first());
+    for (LogEntry entry : read.entries()) {
+      if (entry.offset() >= nextOffset) {
+        apply(entry, sink);
+      }
+    }
+    table.observeTime(read.headTimeMillis());
+  }
+
+  Optional<ClaimView> find(ClaimCall call) {
+    return table.find(call.key());
+  }
+
+  boolean tooFarAhead(ClaimCall call) {
+    return call.keyTimeMillis() > table.newestTimeMillis() + futureMillis;
+  }
+
+  boolean inWindow(ClaimCall call) {
+    return table.inWindow(call.keyTimeMillis(), table.newestTimeMillis());
+  }
+
+  boolean historyComplete(ClaimCall call) {
+    return table.completeFor(call.keyTimeMillis()) && horizon.longEnough(table.newestTimeMillis());
+  }
+
+  private void apply(LogEntry entry, BiConsumer<ClaimRecord, ClaimTable.Verdict> sink) {
+    nextOffset = entry.offset() + 1;
+    horizon.entryRead(entry.offset(), entry.timeMillis());
+    table.beginEntry(entry.timeMillis());
+    for (ClaimRecord claimRecord : codec.decode(entry.data())) {
+      sink.accept(claimRecord, table.apply(claimRecord, entry.timeMillis()));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/claim/Digest256.java
@@ -0,0 +1,73 @@
+package org.pollenrock.core.claim;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import org.pollenrock.core.model.CustomerId;
+import org.pollenrock.core.record.RecordReader;
+import org.pollenrock.core.record.RecordWriter;
+
+/**
+ * SHA-256 digest, kept as four numbers because claims are many and arrays cost a header each.
+ *
+ * @param first bits 0 to 63
+ * @param second bits 64 to 127
+ * @param third bits 128 to 191
+ * @param fourth bits 192 to 255
+ */
+public record Digest256(long first, long second, long third, long fourth) {
+  /**
+   * Digest of a request body.
+   *
+   * @param body the bytes
+   * @return its SHA-256
+   */
+  public static Digest256 of(byte[] body) {
+    return finish(sha256(), body);
+  }
+
+  /**
+   * Digest of a key in its scope, so that customers and services never share a key.
+   *
+   * @param customer the customer
+   * @param service name of the plain service
+   * @param key the key
+   * @return SHA-256 of the three parts, each with its length
+   */
+  public static Digest256 ofKey(CustomerId customer, String service, IdempotencyKey key) {
+    MessageDigest digest = sha256();
+    update(digest, customer.value());
+    update(digest, service);
+    update(digest, key.value());
+    return finish(digest, new byte[0]);
+  }
+
+  static Digest256 read(RecordReader reader) {
+    return new Digest256(
+        reader.readLong(), reader.readLong(), reader.readLong(), reader.readLong());
+  }
+
+  void write(RecordWriter writer) {
+    writer.writeLong(first).writeLong(second).writeLong(third).writeLong(fourth);
+  }
+
+  private static void update(MessageDigest digest, String part) {
+    byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
+    digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).array());
+    digest.update(bytes);
+  }
+
+  private static Digest256 finish(MessageDigest digest, byte[] last) {
+    ByteBuffer buffer = ByteBuffer.wrap(digest.digest(last));
+    return new Digest256(buffer.getLong(), buffer.getLong(), buffer.getLong(), buffer.getLong());
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every JDK provides SHA-256", e);
+    }
+  }
+}
