--- a/adapters/src/main/java/org/pollenrock/adapters/http/HttpTransport.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/HttpTransport.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Future;
+import java.util.function.Consumer;
 import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClient;
@@ -23,7 +24,6 @@
  * router decides on one.
  */
 public final class HttpTransport implements AutoCloseable {
-  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1_000);
   private static final Duration IDLE_LIMIT = Duration.ofSeconds(30);
   private static final Duration CLEANER_PERIOD = Duration.ofSeconds(1);
   private static final Duration NO_TIMEOUT = Duration.ofMillis(-1);
@@ -39,8 +39,9 @@
    *
    * @param loops event loops for the connections
    * @param timer timer for time limits, stopped by the owner
+   * @param connectTimeout longest time to establish a connection
    */
-  public HttpTransport(EventLoopGroup loops, Timer timer) {
+  public HttpTransport(EventLoopGroup loops, Timer timer, Duration connectTimeout) {
     this.pool = new PeerChannelPool(System::nanoTime, timer, IDLE_LIMIT, CLEANER_PERIOD);
     this.client =
         new DefaultAsyncHttpClient(
@@ -58,7 +59,7 @@
                 .setEnableAutomaticDecompression(false)
                 .setKeepEncodingHeader(true)
                 .setTcpNoDelay(true)
-                .setConnectTimeout(CONNECT_TIMEOUT)
+                .setConnectTimeout(connectTimeout)
                 .setRequestTimeout(NO_TIMEOUT)
                 .setReadTimeout(NO_TIMEOUT)
                 .setHttpClientCodecMaxInitialLineLength(MAX_LINE_BYTES)
@@ -75,6 +76,18 @@
    */
   public CompletionStage<HttpOutcome> call(HttpCall call) {
     CompletableFuture<HttpOutcome> outcome = new CompletableFuture<>();
+    start(call, outcome::complete);
+    return outcome;
+  }
+
+  /**
+   * Sends a request that can be cancelled and reads the whole answer.
+   *
+   * @param call the request
+   * @param done receives the outcome once, on an event loop
+   * @return cancelling it closes the connection
+   */
+  public Future<?> start(HttpCall call, Consumer<HttpOutcome> done) {
     RequestBuilder builder =
         request(call.peer(), call.method(), call.path(), call.use())
             .setHeaders(call.headers())
@@ -85,8 +98,7 @@
     if (call.body().length > 0) {
       builder.setBody(call.body());
     }
-    execute(builder.build(), new WholeAnswerHandler(call.maxAnswerBytes(), outcome::complete));
-    return outcome;
+    return execute(builder.build(), new WholeAnswerHandler(call.maxAnswerBytes(), done));
   }
 
   /**
--- a/adapters/src/main/java/org/pollenrock/adapters/plain/HttpPlainServiceClient.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/plain/HttpPlainServiceClient.java
@@ -1,7 +1,9 @@
 package org.pollenrock.adapters.plain;
 
-import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Future;
+import java.util.function.Consumer;
 import org.pollenrock.adapters.http.HttpCall;
+import org.pollenrock.adapters.http.HttpOutcome;
 import org.pollenrock.adapters.http.HttpTransport;
 import org.pollenrock.adapters.http.JsonCalls;
 import org.pollenrock.core.error.ErrorCode;
@@ -26,7 +28,7 @@
   }
 
   @Override
-  public CompletionStage<Result<PlainAnswer>> send(PlainCall call) {
+  public PlainExchange send(PlainCall call, Consumer<Result<PlainAnswer>> reply) {
     HttpCall request =
         new HttpCall(
             call.address(),
@@ -38,15 +40,13 @@
             maxAnswerBytes,
             call.use());
     Peer peer = new Peer(Peer.Kind.PLAIN_SERVICE, call.server().value());
-    return transport
-        .call(request)
-        .thenApply(
-            outcome ->
-                json.answered(outcome, peer)
-                    .then(
-                        answer ->
-                            Result.success(
-                                new PlainAnswer(
-                                    answer.status(), answer.headers(), answer.body()))));
+    Future<?> exchange =
+        transport.start(
+            request, outcome -> reply.accept(json.answered(outcome, peer).then(this::answer)));
+    return () -> exchange.cancel(true);
+  }
+
+  private Result<PlainAnswer> answer(HttpOutcome.Answered answer) {
+    return Result.success(new PlainAnswer(answer.status(), answer.headers(), answer.body()));
   }
 }
--- a/adapters/src/main/java/org/pollenrock/adapters/plain/PlainServiceClient.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/plain/PlainServiceClient.java
@@ -1,6 +1,6 @@
 package org.pollenrock.adapters.plain;
 
-import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import org.pollenrock.core.error.Result;
 
 /** Client of plain services; sends each call exactly once. */
@@ -9,8 +9,9 @@
    * Sends a call.
    *
    * @param call the call
-   * @return the service's answer of any status; a refusal when no byte left; an uncertain error
-   *     when the call may have run
+   * @param reply receives, once, the service's answer of any status; a refusal when no byte left;
+   *     an uncertain error when the call may have run
+   * @return handle of the call
    */
-  CompletionStage<Result<PlainAnswer>> send(PlainCall call);
+  PlainExchange send(PlainCall call, Consumer<Result<PlainAnswer>> reply);
 }
--- a/router/src/main/java/org/pollenrock/router/Router.java
+++ b/router/src/main/java/org/pollenrock/router/Router.java
@@ -6,40 +6,56 @@
 import io.netty.util.HashedWheelTimer;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
-import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
-import org.pollenrock.adapters.engine.HttpEngineClient;
-import org.pollenrock.adapters.http.HttpTransport;
-import org.pollenrock.adapters.plain.HttpPlainServiceClient;
+import org.pollenrock.adapters.engine.EngineAddress;
+import org.pollenrock.core.connection.ConnectionSettings;
+import org.pollenrock.core.error.Result;
+import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.InstanceId;
+import org.pollenrock.core.placement.PlacerConfig;
+import org.pollenrock.router.caller.CallerLimits;
 import org.pollenrock.router.caller.CallerListener;
+import org.pollenrock.router.decision.DecisionState;
+import org.pollenrock.router.decision.DecisionTask;
 import org.pollenrock.router.decision.Decisions;
 import org.pollenrock.router.decision.ServerEntry;
 import org.pollenrock.router.filter.AttemptIds;
 import org.pollenrock.router.filter.Filters;
 import org.pollenrock.router.filter.RequestPipeline;
 import org.pollenrock.router.settings.RouterSettings;
+import org.pollenrock.router.task.ListTask;
+import org.pollenrock.router.task.ReportTask;
+import org.pollenrock.router.task.RouterEntry;
+import org.pollenrock.settings.HostPort;
+import org.pollenrock.settings.ProcessSettings;
 
 /** One router: listeners, clients and tasks. Many can run in one process. */
 public final class Router {
-  private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(1);
+  private static final int MAILBOX_SIZE = 65_536;
+  private static final long TICK_NANOS = 10_000_000L;
+  private static final int CUSTOMER_FLOOR = 1_000;
 
   private final RouterConfig config;
   private final EventLoopGroup loops;
   private final HashedWheelTimer timer;
-  private final HttpTransport transport;
+  private final RouterClients clients;
+  private final DecisionTask decisionTask;
   private final Decisions decisions;
+  private final ListTask listTask;
+  private final ReportTask reportTask;
   private final CallerListener callers;
   private volatile Optional<RouterSettings> settings = Optional.empty();
 
   /**
-   * Assembles a router.
+   * Assembles a router; nothing runs before {@link #start}.
    *
-   * @param config settings of the process
+   * @param config what it is started with
    */
   public Router(RouterConfig config) {
-    String name = config.instance().value();
+    ProcessSettings process = config.process();
+    String name = process.instance().value();
     this.config = config;
     this.loops =
         new MultiThreadIoEventLoopGroup(
@@ -47,29 +63,66 @@
             new DefaultThreadFactory(name + "-io", true),
             NioIoHandler.newFactory());
     this.timer = new HashedWheelTimer(new DefaultThreadFactory(name + "-timer", true));
-    this.transport = new HttpTransport(loops, timer);
-    this.decisions = new Decisions(name + "-decisions", config.limits().mailboxSize());
+    this.clients = RouterClients.create(config, loops, timer);
+    DecisionState state =
+        new DecisionState(
+            parameters(config),
+            new Random(process.randomSeed().orElse(config.incarnation().value())),
+            new Outside(),
+            System::nanoTime);
+    this.decisionTask =
+        new DecisionTask(name + "-decisions", MAILBOX_SIZE, TICK_NANOS, state::tick);
+    this.decisions = new Decisions(decisionTask, state, System::nanoTime);
+    this.listTask =
+        new ListTask(
+            loops.next(), clients.list(), process.list().pollIntervalNanos(), this::listed);
+    this.reportTask =
+        new ReportTask(
+            loops.next(),
+            clients.engines(),
+            decisions,
+            config.times().reportInterval().toNanos());
     this.callers =
-        new CallerListener(loops, config.callers(), config.limits(), pipeline(), Optional::empty);
+        new CallerListener(
+            loops,
+            socket(process.listen().callers()),
+            CallerLimits.of(process),
+            pipeline(),
+            Optional::empty);
+  }
+
+  private static DecisionState.Parameters parameters(RouterConfig config) {
+    ProcessSettings process = config.process();
+    return new DecisionState.Parameters(
+        process.instance(),
+        config.incarnation(),
+        process.dataCentre(),
+        PlacerConfig.of(process.dataCentre())
+            .withCache(process.memory().cacheEntries(), CUSTOMER_FLOOR),
+        config.strategy(),
+        connections(config.times()),
+        process.limits().queuedRequests(),
+        process.limits().queuedPerCustomer());
+  }
+
+  private static ConnectionSettings connections(RouterTimes times) {
+    long control = times.control().toNanos();
+    return new ConnectionSettings(
+        true, times.provenLife().toNanos(), 10 * control, control, 2 * control, TICK_NANOS);
+  }
+
+  private static InetSocketAddress socket(HostPort address) {
+    return new InetSocketAddress(address.host(), address.port());
   }
 
   private RequestPipeline pipeline() {
-    RouterLimits limits = config.limits();
-    HttpEngineClient engines =
-        new HttpEngineClient(
-            transport,
-            new HttpEngineClient.Bounds(
-                limits.maxEventBytes(),
-                limits.maxEventBytes(),
-                limits.maxAnswerBytes(),
-                CONTROL_TIMEOUT));
     return new RequestPipeline(
         Filters.chain(
             decisions,
-            engines,
-            new HttpPlainServiceClient(transport, limits.maxAnswerBytes()),
-            new AttemptIds(config.instance(), config.incarnation()),
-            limits,
+            clients.engines(),
+            clients.services(),
+            new AttemptIds(config.process().instance(), config.incarnation()),
+            config.times(),
             System::nanoTime),
         () -> settings,
         System::nanoTime);
@@ -77,15 +130,19 @@
 
   /** Starts the tasks and listens. */
   public void start() {
-    decisions.start();
+    decisionTask.start();
+    reportTask.start();
+    listTask.start();
     callers.start();
   }
 
   /** Stops at once; open connections are closed. */
   public void stop() {
     callers.stop();
-    decisions.stop();
-    transport.close();
+    listTask.stop();
+    reportTask.stop();
+    decisionTask.stop();
+    clients.transport().close();
     timer.stop();
     loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
@@ -97,15 +154,7 @@
    */
   public void settings(RouterSettings accepted) {
     settings = Optional.of(accepted);
-  }
-
-  /**
-   * Replaces the known servers.
-   *
-   * @param entries the servers
-   */
-  public void servers(List<ServerEntry> entries) {
-    decisions.servers(entries);
+    decisions.tell(state -> state.settings(accepted.tree()));
   }
 
   /**
@@ -116,4 +165,39 @@
   public InetSocketAddress callerAddress() {
     return callers.boundAddress();
   }
+
+  private void listed(ListTask.Listing listing) {
+    String dataCentre = config.process().dataCentre().value();
+    var routers =
+        listing.routers().stream().filter(entry -> !entry.leaving()).toList();
+    var ids = routers.stream().map(RouterEntry::id).map(InstanceId::new).toList();
+    int local =
+        (int) routers.stream().filter(entry -> entry.dataCentre().equals(dataCentre)).count();
+    decisions.tell(
+        state -> {
+          state.servers(listing.servers());
+          state.routers(ids, local);
+        });
+    reportTask.servers(listing.servers());
+  }
+
+  private final class Outside implements DecisionState.Outside {
+    @Override
+    public void probe(ServerEntry entry, long probe) {
+      clients
+          .engines()
+          .probe(new EngineAddress(entry.id(), entry.address()))
+          .thenAccept(
+              result ->
+                  decisions.tell(
+                      state ->
+                          state.probeEnded(
+                              entry.id(), probe, result instanceof Result.Success<?>)));
+    }
+
+    @Override
+    public void pokeReport(BackendServerId server) {
+      reportTask.poke(server);
+    }
+  }
 }
--- a/router/src/main/java/org/pollenrock/router/RouterConfig.java
+++ b/router/src/main/java/org/pollenrock/router/RouterConfig.java
@@ -1,49 +1,49 @@
 package org.pollenrock.router;
 
-import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.Objects;
-import org.pollenrock.core.model.DataCentreId;
 import org.pollenrock.core.model.Incarnation;
-import org.pollenrock.core.model.InstanceId;
+import org.pollenrock.core.placement.PlacementStrategy;
+import org.pollenrock.router.decision.DecisionState;
+import org.pollenrock.settings.ProcessSettings;
 
 /**
- * Settings of one router process, apart from the shared tree.
+ * What one router is started with.
  *
- * @param instance name of this router
+ * @param process settings of the process
  * @param incarnation larger at each start under the same name
- * @param dataCentre where it runs
- * @param callers where to listen for callers; port 0 for one that the system chooses
- * @param operators where to listen for operators; port 0 for one that the system chooses
- * @param limits bounds
- * @param stop how to stop
  * @param ioThreads number of event loops
+ * @param times time limits towards servers
+ * @param strategy how engines are chosen
  */
 public record RouterConfig(
-    InstanceId instance,
+    ProcessSettings process,
     Incarnation incarnation,
-    DataCentreId dataCentre,
-    InetSocketAddress callers,
-    InetSocketAddress operators,
-    RouterLimits limits,
-    Stop stop,
-    int ioThreads) {
+    int ioThreads,
+    RouterTimes times,
+    PlacementStrategy strategy) {
   /** Checks that all parts are present. */
   public RouterConfig {
-    Objects.requireNonNull(instance, "instance");
+    Objects.requireNonNull(process, "process");
     Objects.requireNonNull(incarnation, "incarnation");
-    Objects.requireNonNull(dataCentre, "dataCentre");
-    Objects.requireNonNull(callers, "callers");
-    Objects.requireNonNull(operators, "operators");
-    Objects.requireNonNull(limits, "limits");
-    Objects.requireNonNull(stop, "stop");
+    Objects.requireNonNull(times, "times");
+    Objects.requireNonNull(strategy, "strategy");
   }
 
   /**
-   * How a router stops.
+   * The configuration of normal operation.
    *
-   * @param drainDelay time for which it serves on after it reports that it is not ready
-   * @param hardStopAfter longest time until the remaining streams are aborted
+   * @param process settings of the process
+   * @param incarnation larger at each start under the same name
+   * @param ioThreads number of event loops
+   * @return the configuration
    */
-  public record Stop(Duration drainDelay, Duration hardStopAfter) {}
+  public static RouterConfig of(
+      ProcessSettings process, Incarnation incarnation, int ioThreads) {
+    return new RouterConfig(
+        process,
+        incarnation,
+        ioThreads,
+        RouterTimes.defaults(),
+        DecisionState.Parameters.defaultStrategy());
+  }
 }
--- a/router/src/main/java/org/pollenrock/router/caller/CallerConnection.java
+++ b/router/src/main/java/org/pollenrock/router/caller/CallerConnection.java
@@ -30,7 +30,6 @@
 import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.RequestError;
 import org.pollenrock.core.error.Step;
-import org.pollenrock.router.RouterLimits;
 
 /**
  * One connection of a caller: reads requests within bounds and serves them one after the other.
@@ -45,7 +44,7 @@
   /** Bytes counted for a queued message in addition to its content. */
   private static final int MESSAGE_OVERHEAD_BYTES = 512;
 
-  private final RouterLimits limits;
+  private final CallerLimits limits;
   private final RequestHandler handler;
   private final HeldBytes heldBytes;
   private final DrainSwitch drain;
@@ -69,7 +68,7 @@
   }
 
   CallerConnection(
-      RouterLimits limits, RequestHandler handler, HeldBytes heldBytes, DrainSwitch drain) {
+      CallerLimits limits, RequestHandler handler, HeldBytes heldBytes, DrainSwitch drain) {
     this.limits = limits;
     this.handler = handler;
     this.heldBytes = heldBytes;
--- a/router/src/main/java/org/pollenrock/router/caller/CallerListener.java
+++ b/router/src/main/java/org/pollenrock/router/caller/CallerListener.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -16,7 +17,6 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.function.Supplier;
-import org.pollenrock.router.RouterLimits;
 
 /** Accepts connections of callers. */
 public final class CallerListener {
@@ -25,7 +25,7 @@
 
   private final EventLoopGroup loops;
   private final InetSocketAddress address;
-  private final RouterLimits limits;
+  private final CallerLimits limits;
   private final RequestHandler handler;
   private final Supplier<Optional<SslContext>> tls;
   private final HeldBytes heldBytes;
@@ -45,7 +45,7 @@
   public CallerListener(
       EventLoopGroup loops,
       InetSocketAddress address,
-      RouterLimits limits,
+      CallerLimits limits,
       RequestHandler handler,
       Supplier<Optional<SslContext>> tls) {
     this.loops = loops;
@@ -65,6 +65,9 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                new WriteBufferWaterMark(limits.maxQueuedBytes() / 4, limits.maxQueuedBytes()))
             .childHandler(new Initializer())
             .bind(address)
             .syncUninterruptibly()
--- a/router/src/main/java/org/pollenrock/router/decision/Choice.java
+++ b/router/src/main/java/org/pollenrock/router/decision/Choice.java
@@ -1,13 +1,10 @@
 package org.pollenrock.router.decision;
 
-import java.util.List;
-import java.util.Optional;
 import org.pollenrock.adapters.engine.EngineAddress;
 import org.pollenrock.adapters.http.HostPort;
+import org.pollenrock.core.error.Peer;
 import org.pollenrock.core.model.BackendServerId;
-import org.pollenrock.core.model.BlockKey;
-import org.pollenrock.core.model.Incarnation;
-import org.pollenrock.core.model.WeightsVersion;
+import org.pollenrock.core.placement.PlacementResult;
 
 /** Where a request goes. */
 public sealed interface Choice {
@@ -18,24 +15,29 @@
    */
   BackendServerId server();
 
+  /**
+   * The chosen server as the peer of an error.
+   *
+   * @return the peer
+   */
+  Peer peer();
+
   /**
    * An engine.
    *
    * @param engine the engine
-   * @param incarnation incarnation that the choice relied on
-   * @param weights weights version that the choice relied on
-   * @param blockKeys keys of the prompt's blocks under these weights
+   * @param placement identity, weights version and block keys that the choice relied on
    */
-  record Engine(
-      EngineAddress engine,
-      Optional<Incarnation> incarnation,
-      Optional<WeightsVersion> weights,
-      List<BlockKey> blockKeys)
-      implements Choice {
+  record Engine(EngineAddress engine, PlacementResult.Chosen placement) implements Choice {
     @Override
     public BackendServerId server() {
       return engine.id();
     }
+
+    @Override
+    public Peer peer() {
+      return engine.peer();
+    }
   }
 
   /**
@@ -44,5 +46,10 @@
    * @param server its name
    * @param address where it listens
    */
-  record Plain(BackendServerId server, HostPort address) implements Choice {}
+  record Plain(BackendServerId server, HostPort address) implements Choice {
+    @Override
+    public Peer peer() {
+      return new Peer(Peer.Kind.PLAIN_SERVICE, server.value());
+    }
+  }
 }
--- /dev/null
+++ b/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
@@ -0,0 +1,313 @@
+package org.pollenrock.router.decision;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.pollenrock.core.connection.ConnectionSettings;
+import org.pollenrock.core.limits.ShareLedger;
+import org.pollenrock.core.limits.ShareSettings;
+import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.DataCentreId;
+import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.InstanceId;
+import org.pollenrock.core.model.ModelId;
+import org.pollenrock.core.placement.ExpectedCostStrategy;
+import org.pollenrock.core.placement.PlacementStrategy;
+import org.pollenrock.core.placement.Placer;
+import org.pollenrock.core.placement.PlacerConfig;
+import org.pollenrock.core.placement.ServedModel;
+import org.pollenrock.core.placement.ServerLoad;
+import org.pollenrock.core.placement.ServerReport;
+import org.pollenrock.core.settings.SettingsTree;
+
+/** All state that decisions are made on; confined to the decision thread. */
+public final class DecisionState {
+  private static final long MILLI = 1_000_000L;
+  private static final int LEND_PERCENT = 50;
+  private static final int MAX_LOANS = 1_000;
+
+  private final ServerDirectory directory = new ServerDirectory();
+  private final ServerHealthBook health = new ServerHealthBook();
+  private final ShareLedger shares;
+  private final Admission admission;
+  private final EnginePlacement placement;
+  private final PlainPlacement plain;
+  private final Retries retries;
+  private final LinkWatch links;
+  private final Outside outside;
+  private final LongSupplier nanoClock;
+  private final Set<ModelId> models = new HashSet<>();
+  private int routers = 1;
+
+  /** What the state asks of the tasks that own connections. */
+  public interface Outside {
+    /**
+     * Tests on a fresh connection whether a server answers; the end is told by {@link
+     * DecisionState#probeEnded}.
+     *
+     * @param entry the server
+     * @param probe number of the probe
+     */
+    void probe(ServerEntry entry, long probe);
+
+    /**
+     * Reads a server's report soon.
+     *
+     * @param server the server
+     */
+    void pokeReport(BackendServerId server);
+  }
+
+  /**
+   * Who decides, and within which bounds.
+   *
+   * @param instance this router
+   * @param incarnation its incarnation
+   * @param dataCentre where it runs
+   * @param placer parameters of the placer
+   * @param strategy how engines are chosen
+   * @param connections deadlines of links
+   * @param maxQueued most requests that wait for a slot
+   * @param maxQueuedPerCustomer most of one customer
+   */
+  public record Parameters(
+      InstanceId instance,
+      Incarnation incarnation,
+      DataCentreId dataCentre,
+      PlacerConfig placer,
+      PlacementStrategy strategy,
+      ConnectionSettings connections,
+      int maxQueued,
+      int maxQueuedPerCustomer) {
+    /**
+     * The strategy of normal operation.
+     *
+     * @return choice by expected cost
+     */
+    public static PlacementStrategy defaultStrategy() {
+      return new ExpectedCostStrategy();
+    }
+  }
+
+  /**
+   * Creates the state of a router that has just started.
+   *
+   * @param parameters who decides
+   * @param random randomness of this router
+   * @param outside tasks that own connections
+   * @param nanoClock monotonic clock
+   */
+  public DecisionState(
+      Parameters parameters, RandomGenerator random, Outside outside, LongSupplier nanoClock) {
+    this.outside = outside;
+    this.nanoClock = nanoClock;
+    this.shares =
+        new ShareLedger(
+            parameters.instance(),
+            parameters.incarnation(),
+            new ShareSettings(2_000 * MILLI, 100 * MILLI, 200 * MILLI, LEND_PERCENT, MAX_LOANS),
+            random,
+            nanoClock.getAsLong());
+    this.admission =
+        new Admission(shares, parameters.maxQueued(), parameters.maxQueuedPerCustomer());
+    this.placement =
+        new EnginePlacement(
+            new Placer(parameters.placer(), parameters.strategy(), random), directory, health);
+    this.plain = new PlainPlacement(parameters.dataCentre(), directory, health);
+    this.retries = new Retries(random);
+    this.links = new LinkWatch(parameters.connections(), new LinkActions());
+  }
+
+  private final class LinkActions implements LinkWatch.Actions {
+    @Override
+    public void probe(BackendServerId server, long probe) {
+      directory
+          .find(server)
+          .ifPresentOrElse(
+              entry -> outside.probe(entry, probe), () -> probeEnded(server, probe, false));
+    }
+
+    @Override
+    public void suspect(BackendServerId server, boolean suspect) {
+      directory.suspect(server, suspect);
+    }
+  }
+
+  /**
+   * Takes the end of a probe.
+   *
+   * @param server the server
+   * @param probe number of the probe
+   * @param success whether the server answered
+   */
+  public void probeEnded(BackendServerId server, long probe, boolean success) {
+    links.probeEnded(server, probe, success, now());
+  }
+
+  /**
+   * Takes a new revision of the settings.
+   *
+   * @param tree the settings
+   */
+  public void settings(SettingsTree tree) {
+    retries.settings(tree);
+  }
+
+  /**
+   * Takes the instance list.
+   *
+   * @param listed every backend server in it
+   */
+  public void servers(List<ServerEntry> listed) {
+    for (BackendServerId gone : directory.replace(listed)) {
+      placement.gone(gone);
+      links.gone(gone);
+    }
+    refreshModels();
+  }
+
+  /**
+   * Takes the names of the routers in the list.
+   *
+   * @param all every router of the deployment
+   * @param inDataCentre number of those in the own data centre
+   */
+  public void routers(List<InstanceId> all, int inDataCentre) {
+    routers = Math.max(1, all.size());
+    shares.setRouters(all);
+    placement.placer().routers(Math.max(1, inDataCentre));
+    refreshModels();
+  }
+
+  /**
+   * Takes an engine's report.
+   *
+   * @param report the report
+   */
+  public void engineReport(ServerReport report) {
+    placement.report(report, now());
+    report.models().forEach(served -> models.add(served.model()));
+    refreshModels();
+  }
+
+  /**
+   * Takes a plain server's report.
+   *
+   * @param server the server
+   * @param leaving whether it says that it takes no new work
+   */
+  public void plainReport(BackendServerId server, boolean leaving) {
+    directory.leaving(server, leaving);
+  }
+
+  private void refreshModels() {
+    Map<ModelId, Integer> slots = new HashMap<>();
+    for (ModelId model : models) {
+      List<ServerLoad> servers = placement.servers(model);
+      int accepting =
+          servers.stream().filter(ServerLoad::accepting).mapToInt(ServerLoad::slots).sum();
+      slots.put(model, accepting);
+      health.members(
+          EnginePlacement.group(model),
+          servers.stream().map(ServerLoad::server).toList(),
+          now());
+    }
+    slots.forEach((model, total) -> admission.engineSlots(model, total, routers));
+  }
+
+  /** Does what is due. */
+  public void tick() {
+    admission.tick(now());
+    links.tick(now());
+  }
+
+  /**
+   * Whether every listed model server has reported or is suspect, so that choices are informed.
+   *
+   * @return true when at least one engine has reported
+   */
+  public boolean knowsEngines() {
+    return !models.isEmpty();
+  }
+
+  /**
+   * The newest placements, newest first.
+   *
+   * @return a copy
+   */
+  public List<Explanation> explanations() {
+    return placement.explanations();
+  }
+
+  /**
+   * A bounded summary for operators.
+   *
+   * @return counts and servers
+   */
+  public StateSummary summary() {
+    List<StateSummary.Server> servers =
+        directory.all().stream()
+            .limit(StateSummary.MAX_SERVERS)
+            .map(entry -> summary(entry))
+            .toList();
+    return new StateSummary(
+        servers,
+        routers,
+        admission.waiting(),
+        admission.running(),
+        placement.placer().inFlight(),
+        placement.placer().cache().size(),
+        health.ejected());
+  }
+
+  private StateSummary.Server summary(ServerEntry entry) {
+    var load = placement.placer().load(entry.id());
+    return new StateSummary.Server(
+        entry.id().value(),
+        entry.role().name(),
+        entry.dataCentre().value(),
+        load.map(known -> known.incarnation().value()).orElse(0L),
+        load.map(known -> known.models().stream().map(ServedModel::toString).toList())
+            .orElse(List.of()),
+        load.map(known -> known.queueTokens(now())).orElse(0.0),
+        load.map(ServerLoad::ownInFlight).orElse(0),
+        load.map(ServerLoad::accepting).orElse(!entry.leaving()),
+        directory.isSuspect(entry.id()));
+  }
+
+  void pokeReport(BackendServerId server) {
+    outside.pokeReport(server);
+  }
+
+  ServerDirectory directory() {
+    return directory;
+  }
+
+  Admission admission() {
+    return admission;
+  }
+
+  EnginePlacement placement() {
+    return placement;
+  }
+
+  PlainPlacement plain() {
+    return plain;
+  }
+
+  Retries retries() {
+    return retries;
+  }
+
+  LinkWatch links() {
+    return links;
+  }
+
+  private long now() {
+    return nanoClock.getAsLong();
+  }
+}
--- a/router/src/main/java/org/pollenrock/router/decision/Decisions.java
+++ b/router/src/main/java/org/pollenrock/router/decision/Decisions.java
@@ -1,135 +1,249 @@
 package org.pollenrock.router.decision;
 
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import org.pollenrock.adapters.engine.EngineAddress;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.pollenrock.adapters.engine.EngineHead;
 import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.RequestError;
 import org.pollenrock.core.error.Result;
 import org.pollenrock.core.error.Step;
 import org.pollenrock.core.model.BackendServerId;
-import org.pollenrock.core.model.CustomerId;
-import org.pollenrock.core.model.ServerRole;
+import org.pollenrock.core.retry.RetryDecision;
+import org.pollenrock.core.stream.BrokenStream;
 
-/** Questions to the decision task; answers arrive on its thread. */
+/**
+ * Questions and notices to the decision task; answers arrive on its thread.
+ *
+ * <p>A question returns false when too many wait; the request is refused then.
+ */
 public final class Decisions {
-  private static final int AFFINITY_BYTES = 4096;
-
   private final DecisionTask task;
-  private List<ServerEntry> servers = List.of();
-  private int rotation;
+  private final DecisionState state;
+  private final LongSupplier nanoClock;
+  private final AtomicLong tickets = new AtomicLong();
+
+  /**
+   * Creates the facade of a task.
+   *
+   * @param task the task
+   * @param state what the task decides on
+   * @param nanoClock monotonic clock
+   */
+  public Decisions(DecisionTask task, DecisionState state, LongSupplier nanoClock) {
+    this.task = task;
+    this.state = state;
+    this.nanoClock = nanoClock;
+  }
 
   /**
-   * Creates the state, empty at first.
+   * Draws a number for a request or an exchange.
    *
-   * @param name name of the thread
-   * @param mailboxSize most questions that wait
+   * @return a number that is not drawn again
    */
-  public Decisions(String name, int mailboxSize) {
-    this.task = new DecisionTask(name, mailboxSize, 10_000_000L, () -> {});
+  public long nextTicket() {
+    return tickets.incrementAndGet();
   }
 
-  /** Starts answering. */
-  public void start() {
-    task.start();
+  /**
+   * Asks to admit a request. After an {@link AdmitAnswer.Admitted}, and also when no answer is
+   * awaited any longer, the ticket must be released.
+   *
+   * @param ticket number of the request
+   * @param request the request
+   * @param reply receives exactly one answer unless the ticket is released before
+   * @return false when too many questions wait
+   */
+  public boolean admit(long ticket, AdmitRequest request, Consumer<AdmitAnswer> reply) {
+    return task.ask(
+        () -> state.admission().admit(ticket, request, answer -> admitted(request, answer, reply), now()));
   }
 
-  /** Stops answering. */
-  public void stop() {
-    task.stop();
+  private void admitted(
+      AdmitRequest request, AdmitAnswer answer, Consumer<AdmitAnswer> reply) {
+    if (answer instanceof AdmitAnswer.Admitted) {
+      state.retries().firstAttempt(request.customer());
+    }
+    reply.accept(answer);
   }
 
   /**
-   * Replaces the known servers.
+   * Releases what an admitted or waiting request holds.
    *
-   * @param entries the servers
+   * @param ticket number of the request
+   * @param ran whether it was sent to a server
    */
-  public void servers(List<ServerEntry> entries) {
-    task.tell(() -> servers = List.copyOf(entries));
+  public void release(long ticket, boolean ran) {
+    task.tell(() -> state.admission().release(ticket, ran, now()));
   }
 
   /**
    * Chooses an engine.
    *
-   * @param customer whose request it is
-   * @param prompt canonical prompt
-   * @param avoided servers that failed already
-   * @param reply receives the choice on the decision thread
+   * @param question the request
+   * @param reply receives the choice
    * @return false when too many questions wait
    */
-  public boolean chooseEngine(
-      CustomerId customer,
-      byte[] prompt,
-      Set<BackendServerId> avoided,
-      Consumer<Result<Choice>> reply) {
-    int affinity =
-        31 * customer.hashCode()
-            + Arrays.hashCode(Arrays.copyOf(prompt, Math.min(prompt.length, AFFINITY_BYTES)));
+  public boolean chooseEngine(EngineQuestion question, Consumer<Result<Choice>> reply) {
     return task.ask(
         () ->
             reply.accept(
-                candidates(ServerRole.MODEL_SERVER, "", avoided).stream()
-                    .max(Comparator.comparingInt(e -> (affinity + e.id().hashCode()) * 0x9E3779B9))
-                    .<Result<Choice>>map(
-                        entry ->
-                            Result.success(
-                                new Choice.Engine(
-                                    new EngineAddress(entry.id(), entry.address()),
-                                    Optional.empty(),
-                                    Optional.empty(),
-                                    List.of())))
-                    .orElseGet(Decisions::noServer)));
+                state.placement().choose(question, now()).then(choice -> Result.success(choice))));
   }
 
   /**
-   * Chooses a plain server.
+   * Chooses a plain server: the accepting ones take turns.
    *
-   * @param service its service
-   * @param avoided servers that failed already
-   * @param reply receives the choice on the decision thread
+   * @param service service of the servers
+   * @param avoided servers that failed for this call already
+   * @param reply receives the choice
    * @return false when too many questions wait
    */
   public boolean choosePlain(
-      String service, Set<BackendServerId> avoided, Consumer<Result<Choice>> reply) {
+      String service,
+      Set<BackendServerId> avoided,
+      Consumer<Result<Choice>> reply) {
     return task.ask(
+        () -> reply.accept(state.plain().choose(service, avoided, now())));
+  }
+
+  /**
+   * Decides what follows a failed attempt.
+   *
+   * @param question the attempt
+   * @param reply receives the decision
+   */
+  public void retry(RetryQuestion question, Consumer<RetryDecision> reply) {
+    task.tell(() -> reply.accept(state.retries().decide(question)));
+  }
+
+  /**
+   * Decides how a broken stream goes on.
+   *
+   * @param question the request
+   * @param broken state of the stream
+   * @param reply receives the decision
+   */
+  public void resume(EngineQuestion question, BrokenStream broken, Consumer<ResumeAnswer> reply) {
+    task.tell(() -> reply.accept(state.placement().resume(question, broken, now())));
+  }
+
+  /**
+   * Notes the head of an engine's answer.
+   *
+   * @param choice where the request went
+   * @param head the head
+   */
+  public void engineAnswered(Choice.Engine choice, EngineHead head) {
+    task.tell(() -> state.placement().answered(choice, head, now()));
+  }
+
+  /**
+   * Notes that an engine refused a request.
+   *
+   * @param choice where the request went
+   * @param head identity and state that the engine named
+   */
+  public void engineRefused(Choice.Engine choice, EngineHead head) {
+    task.tell(
         () -> {
-          List<ServerEntry> found = candidates(ServerRole.PLAIN_SERVER, service, avoided);
-          if (found.isEmpty()) {
-            reply.accept(noServer());
-            return;
-          }
-          rotation++;
-          ServerEntry entry = found.get(Math.floorMod(rotation, found.size()));
-          reply.accept(Result.success(new Choice.Plain(entry.id(), entry.address())));
+          state.placement().refused(choice.server(), head, now());
+          state.pokeReport(choice.server());
         });
   }
 
-  private List<ServerEntry> candidates(
-      ServerRole role, String service, Set<BackendServerId> avoided) {
-    List<ServerEntry> found = new ArrayList<>();
-    for (ServerEntry entry : servers) {
-      boolean matches =
-          entry.role() == role
-              && !entry.leaving()
-              && (service.isEmpty() || entry.service().equals(service));
-      if (matches && !avoided.contains(entry.id())) {
-        found.add(entry);
-      }
-    }
-    return found;
+  /**
+   * Notes that a server said that it is leaving.
+   *
+   * @param server the server
+   */
+  public void plainLeaving(BackendServerId server) {
+    task.tell(() -> state.directory().leaving(server, true));
+  }
+
+  /**
+   * Ends a placement.
+   *
+   * @param choice where the request went
+   * @param end how it ended
+   */
+  public void engineEnded(Choice.Engine choice, AttemptEnd end) {
+    task.tell(() -> state.placement().ended(choice, end, now()));
+  }
+
+  /**
+   * Ends a plain call.
+   *
+   * @param service service of the server
+   * @param server the server
+   * @param success whether it answered
+   */
+  public void plainEnded(String service, BackendServerId server, boolean success) {
+    task.tell(() -> state.plain().ended(service, server, success, now()));
+  }
+
+  /**
+   * Begins to watch an exchange.
+   *
+   * @param server the server
+   * @param id number of the exchange
+   * @param exchange its progress
+   * @param deadline longest silence
+   */
+  public void watch(
+      BackendServerId server, long id, WatchedExchange exchange, ProgressDeadline deadline) {
+    task.tell(() -> state.links().started(server, id, exchange, deadline, now()));
+  }
+
+  /**
+   * Ends the watch of an exchange.
+   *
+   * @param server the server
+   * @param id number of the exchange
+   */
+  public void unwatch(BackendServerId server, long id) {
+    task.tell(() -> state.links().ended(server, id));
+  }
+
+  /**
+   * Runs a notice on the decision thread.
+   *
+   * @param notice receives the state
+   */
+  public void tell(Consumer<DecisionState> notice) {
+    task.tell(() -> notice.accept(state));
+  }
+
+  /**
+   * Reads from the state.
+   *
+   * @param query runs on the decision thread
+   * @param reply receives the result there
+   * @param <T> type of the result
+   * @return false when too many questions wait
+   */
+  public <T> boolean query(Function<DecisionState, T> query, Consumer<T> reply) {
+    return task.ask(() -> reply.accept(query.apply(state)));
+  }
+
+  /**
+   * Messages that wait for the decision thread.
+   *
+   * @return the number
+   */
+  public int waiting() {
+    return task.waiting();
+  }
+
+  private long now() {
+    return nanoClock.getAsLong();
   }
 
-  private static Result<Choice> noServer() {
-    return Result.failure(
-        new RequestError.Refusal(
-            ErrorCode.NO_SERVER,
-            Step.CHOOSE,
-            Optional.empty(),
-            "no live server can serve the request"));
+  static RequestError noServer(String message) {
+    return new RequestError.Refusal(
+        ErrorCode.NO_SERVER, Step.CHOOSE, Optional.empty(), message);
   }
 }
--- a/router/src/main/java/org/pollenrock/router/filter/AttemptContext.java
+++ b/router/src/main/java/org/pollenrock/router/filter/AttemptContext.java
@@ -3,20 +3,28 @@
 import java.util.function.LongSupplier;
 import org.pollenrock.adapters.engine.EngineClient;
 import org.pollenrock.adapters.plain.PlainServiceClient;
-import org.pollenrock.router.RouterLimits;
+import org.pollenrock.core.stream.AnswerVerifier;
+import org.pollenrock.router.RouterTimes;
+import org.pollenrock.router.decision.Decisions;
 
 /**
- * What attempts need to send requests.
+ * What attempts need to send requests and to learn from the answers.
  *
  * @param engines client of engines
  * @param services client of plain services
  * @param attemptIds makes the identity of the next attempt
- * @param limits time limits
+ * @param decisions takes what became of attempts
+ * @param recovery decides what follows a failure
+ * @param verifier verifies the identity of answers
+ * @param times time limits
  * @param nanoClock monotonic clock
  */
 record AttemptContext(
     EngineClient engines,
     PlainServiceClient services,
     AttemptIds attemptIds,
-    RouterLimits limits,
+    Decisions decisions,
+    Recovery recovery,
+    AnswerVerifier verifier,
+    RouterTimes times,
     LongSupplier nanoClock) {}
--- a/router/src/main/java/org/pollenrock/router/filter/AttemptIds.java
+++ b/router/src/main/java/org/pollenrock/router/filter/AttemptIds.java
@@ -3,10 +3,12 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.pollenrock.core.model.Incarnation;
 import org.pollenrock.core.model.InstanceId;
+import org.pollenrock.core.stream.AttemptId;
 
 /** Identities of attempts, never repeated within one incarnation of the router. */
 public final class AttemptIds {
-  private final String prefix;
+  private final InstanceId instance;
+  private final Incarnation incarnation;
   private final AtomicLong counter = new AtomicLong();
 
   /**
@@ -16,10 +18,11 @@
    * @param incarnation its incarnation
    */
   public AttemptIds(InstanceId instance, Incarnation incarnation) {
-    this.prefix = instance.value() + "/" + incarnation.value() + "/";
+    this.instance = instance;
+    this.incarnation = incarnation;
   }
 
-  String next() {
-    return prefix + counter.incrementAndGet();
+  AttemptId next() {
+    return new AttemptId(instance, incarnation, counter.incrementAndGet());
   }
 }
--- a/router/src/main/java/org/pollenrock/router/filter/AuthenticateFilter.java
+++ b/router/src/main/java/org/pollenrock/router/filter/AuthenticateFilter.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.Step;
-import org.pollenrock.router.settings.CallerIdentity;
+import org.pollenrock.core.settings.ApiKeyOwner;
 
 /** Checks the bearer key. */
 final class AuthenticateFilter implements Filter {
@@ -21,7 +21,7 @@
           ErrorCode.SETTINGS_UNAVAILABLE, "the router has not received any accepted settings yet");
       return;
     }
-    Optional<CallerIdentity> owner =
+    Optional<ApiKeyOwner> owner =
         bearerKey(exchange.request().headers().get("Authorization", ""))
             .flatMap(exchange.knownSettings()::identify);
     if (owner.isEmpty()) {
--- a/router/src/main/java/org/pollenrock/router/filter/ChooseFilter.java
+++ b/router/src/main/java/org/pollenrock/router/filter/ChooseFilter.java
@@ -4,6 +4,7 @@
 import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.Result;
 import org.pollenrock.core.error.Step;
+import org.pollenrock.router.decision.AttemptEnd;
 import org.pollenrock.router.decision.Choice;
 import org.pollenrock.router.decision.Decisions;
 
@@ -22,34 +23,39 @@
 
   @Override
   public void apply(Exchange exchange) {
-    Set<org.pollenrock.core.model.BackendServerId> avoided = Set.copyOf(exchange.avoided());
     boolean asked =
         switch (exchange.route()) {
           case Route.Model model ->
               decisions.chooseEngine(
-                  exchange.caller().customer(),
-                  exchange.prompt(),
-                  avoided,
-                  result -> answered(exchange, result));
+                  exchange.engineQuestion(), result -> answered(exchange, result));
           case Route.Service service ->
               decisions.choosePlain(
-                  service.service().backend(), avoided, result -> answered(exchange, result));
+                  service.backend(),
+                  Set.copyOf(exchange.avoided()),
+                  result -> answered(exchange, result));
         };
     if (!asked) {
       exchange.refuse(ErrorCode.OVERLOADED, "too many requests wait for a decision");
     }
   }
 
-  private static void answered(Exchange exchange, Result<Choice> result) {
-    exchange.onLoop(
-        () -> {
-          switch (result) {
-            case Result.Success<Choice>(Choice choice) -> {
-              exchange.choice(choice);
-              exchange.proceed();
-            }
-            case Result.Failure<Choice>(var error) -> exchange.fail(error);
-          }
-        });
+  private void answered(Exchange exchange, Result<Choice> result) {
+    switch (result) {
+      case Result.Success<Choice>(Choice choice) ->
+          exchange.onLoop(
+              () -> {
+                exchange.choice(choice);
+                exchange.proceed();
+              },
+              () -> giveBack(choice));
+      case Result.Failure<Choice>(var error) -> exchange.onLoop(() -> exchange.fail(error));
+    }
+  }
+
+  /** The request ended while the choice was made, so nothing will be sent. */
+  private void giveBack(Choice choice) {
+    if (choice instanceof Choice.Engine engine) {
+      decisions.engineEnded(engine, AttemptEnd.CANCELLED);
+    }
   }
 }
--- a/router/src/main/java/org/pollenrock/router/filter/CompletionBody.java
+++ b/router/src/main/java/org/pollenrock/router/filter/CompletionBody.java
@@ -6,10 +6,15 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.RequestError;
 import org.pollenrock.core.error.Result;
@@ -18,6 +23,7 @@
 /** Reading and changing of completion bodies; fields that the router does not use pass through. */
 final class CompletionBody {
   private static final int MAX_DEPTH = 64;
+  private static final Set<String> TEXT_FIELDS = Set.of("role", "content");
   private static final ObjectMapper MAPPER = mapper();
 
   private CompletionBody() {}
@@ -95,20 +101,27 @@
   /**
    * The prompt in the form whose bytes are cut into blocks: equal prompts have equal bytes, and a
    * longer conversation begins with the bytes of a shorter one.
+   *
+   * @param bytes the text in UTF-8
+   * @param partEnds offsets at which a message ends, ascending
    */
-  static byte[] canonicalPrompt(ParsedCall.Completion call) {
+  record CanonicalPrompt(byte[] bytes, List<Integer> partEnds) {}
+
+  static CanonicalPrompt canonicalPrompt(ParsedCall.Completion call) {
     if (!call.chat()) {
-      return call.body().path("prompt").asText().getBytes(StandardCharsets.UTF_8);
+      byte[] bytes = call.body().path("prompt").asText().getBytes(StandardCharsets.UTF_8);
+      return new CanonicalPrompt(bytes, List.of(bytes.length));
     }
-    StringBuilder text = new StringBuilder();
+    ByteArrayOutputStream text = new ByteArrayOutputStream();
+    List<Integer> ends = new ArrayList<>();
     for (JsonNode message : call.body().path("messages")) {
       JsonNode content = message.path("content");
-      text.append(message.path("role").asText())
-          .append('\n')
-          .append(content.isTextual() ? content.asText() : content.toString())
-          .append('\n');
+      String body = content.isTextual() ? content.asText() : content.toString();
+      String part = message.path("role").asText() + '\n' + body + '\n';
+      text.writeBytes(part.getBytes(StandardCharsets.UTF_8));
+      ends.add(text.size());
     }
-    return text.toString().getBytes(StandardCharsets.UTF_8);
+    return new CanonicalPrompt(text.toByteArray(), ends);
   }
 
   /** The body for an engine: the caller's body with the salt of its customer. */
@@ -136,18 +149,34 @@
     return write(body);
   }
 
-  /** The text that an event of a stream adds, empty when it adds something else. */
+  /**
+   * The text that an event of a stream adds. Empty when the event holds anything that cannot be
+   * continued from text, such as a tool call or a second choice.
+   */
   static Optional<String> textOf(String eventData) {
     try {
-      JsonNode choice = MAPPER.readTree(eventData).path("choices").path(0);
-      JsonNode text =
-          choice.has("text") ? choice.get("text") : choice.path("delta").path("content");
-      return text.isTextual() ? Optional.of(text.asText()) : Optional.empty();
+      JsonNode choices = MAPPER.readTree(eventData).path("choices");
+      if (choices.size() > 1 || choices.path(0).path("index").asInt(0) != 0) {
+        return Optional.empty();
+      }
+      JsonNode choice = choices.path(0);
+      JsonNode delta = choice.path("delta");
+      for (String name : iterable(delta.fieldNames())) {
+        if (!TEXT_FIELDS.contains(name) && !delta.path(name).isNull()) {
+          return Optional.empty();
+        }
+      }
+      JsonNode text = choice.has("text") ? choice.get("text") : delta.path("content");
+      return Optional.of(text.isTextual() ? text.asText() : "");
     } catch (JsonProcessingException e) {
       return Optional.empty();
     }
   }
 
+  private static Iterable<String> iterable(Iterator<String> names) {
+    return () -> names;
+  }
+
   private static byte[] write(ObjectNode body) {
     try {
       return MAPPER.writeValueAsBytes(body);
--- a/router/src/main/java/org/pollenrock/router/filter/EngineAttempt.java
+++ b/router/src/main/java/org/pollenrock/router/filter/EngineAttempt.java
@@ -1,6 +1,7 @@
 package org.pollenrock.router.filter;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -13,22 +14,40 @@
 import org.pollenrock.adapters.http.ConnectionUse;
 import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.RequestError;
+import org.pollenrock.core.error.RunState;
 import org.pollenrock.core.error.Step;
+import org.pollenrock.core.retry.FailedAttempt;
+import org.pollenrock.core.retry.FailureKind;
+import org.pollenrock.core.stream.AnswerIdentity;
+import org.pollenrock.core.stream.AttemptId;
+import org.pollenrock.core.stream.ExpectedAnswer;
+import org.pollenrock.core.stream.StreamAction;
 import org.pollenrock.router.caller.ResponseHeaders;
+import org.pollenrock.router.decision.AttemptEnd;
 import org.pollenrock.router.decision.Choice;
+import org.pollenrock.router.decision.ProgressDeadline;
+import org.pollenrock.router.decision.WatchedExchange;
 
 /** One send of a completion to an engine. */
-final class EngineAttempt implements Attempt, EngineListener {
+final class EngineAttempt implements Attempt, EngineListener, WatchedExchange {
   private static final int OK = 200;
+  private static final int MAX_MESSAGE_CHARS = 300;
 
   private final Exchange exchange;
   private final Choice.Engine choice;
   private final AttemptContext context;
   private final ParsedCall.Completion call;
-  private final String attemptId;
+  private final AttemptId attemptId;
+  private final SendMode mode;
+  private final long watchId;
+
   private EngineExchange work;
   private EngineHead head;
   private boolean over;
+  private boolean answerNoted;
+  private boolean tokenRelayed;
+  private volatile long progressNanos;
+  private volatile boolean heldBack;
 
   EngineAttempt(Exchange exchange, Choice.Engine choice, AttemptContext context) {
     this.exchange = exchange;
@@ -36,29 +55,75 @@
     this.context = context;
     this.call = (ParsedCall.Completion) exchange.call();
     this.attemptId = context.attemptIds().next();
+    this.mode = exchange.sendMode();
+    this.watchId = context.decisions().nextTicket();
   }
 
   void send() {
-    long left = exchange.deadlineNanos() - context.nanoClock().getAsLong();
+    progressNanos = now();
+    long left = exchange.deadlineNanos() - progressNanos;
+    if (call.streamed()) {
+      exchange.stream().startAttempt(attemptId, mode.indexOffset());
+    }
     EngineRequest request =
         new EngineRequest(
             choice.engine(),
             exchange.request().path(),
-            CompletionBody.forEngine(call, exchange.caller().customer().value()),
+            body(),
             call.streamed(),
-            attemptId,
-            choice.incarnation(),
-            choice.weights(),
-            exchange.values().priority(),
+            attemptId.headerValue(),
+            Optional.of(choice.placement().incarnation()),
+            Optional.of(choice.placement().weights()),
+            exchange.values().effective().priority(),
             OptionalLong.of(Math.max(1, TimeUnit.NANOSECONDS.toMillis(left))),
-            choice.blockKeys(),
-            OptionalLong.empty(),
-            ConnectionUse.ANY);
+            mode instanceof SendMode.Continue ? List.of() : choice.placement().chain().keys(),
+            mode instanceof SendMode.Resume resume ? resume.lastEventId() : OptionalLong.empty(),
+            exchange.freshConnection() ? ConnectionUse.FRESH : ConnectionUse.ANY);
+    context.decisions().watch(choice.server(), watchId, this, deadline());
     work = context.engines().open(request, this);
   }
 
+  private byte[] body() {
+    String salt = exchange.caller().customer().value();
+    return mode instanceof SendMode.Continue
+        ? CompletionBody.continuation(
+            call, salt, exchange.stream().text().orElseThrow(), mode.indexOffset())
+        : CompletionBody.forEngine(call, salt);
+  }
+
+  private ProgressDeadline deadline() {
+    double expected =
+        choice.placement().candidates().isEmpty()
+            ? 0
+            : choice.placement().candidates().get(0).cost().ttftNanos();
+    long first =
+        Math.max(
+            context.times().leastFirstToken().toNanos(),
+            (long) (expected * context.times().firstTokenFactor()));
+    // An answer that is not streamed arrives at its end, so only the caller's deadline bounds it.
+    long between = context.times().betweenTokens().toNanos();
+    return call.streamed()
+        ? new ProgressDeadline(first, between)
+        : new ProgressDeadline(exchange.deadlineNanos() - now(), between);
+  }
+
+  private long now() {
+    return context.nanoClock().getAsLong();
+  }
+
+  @Override
+  public long lastProgressNanos() {
+    return heldBack ? now() : progressNanos;
+  }
+
+  @Override
+  public void silent() {
+    onLoop(() -> failed(FailureKind.TIMED_OUT, runStateSoFar(), true));
+  }
+
   @Override
   public void onHead(EngineHead answerHead) {
+    progressNanos = now();
     onLoop(
         () -> {
           head = answerHead;
@@ -68,6 +133,7 @@
 
   @Override
   public void onEvent(SseEvent event) {
+    progressNanos = now();
     onLoop(() -> relayEvent(event));
   }
 
@@ -78,7 +144,7 @@
 
   @Override
   public void onEnd() {
-    onLoop(() -> failed(new EngineFailure.Broken(interrupted())));
+    onLoop(() -> failed(FailureKind.CONNECTION_LOST, RunState.RAN, true));
   }
 
   @Override
@@ -97,45 +163,113 @@
 
   @Override
   public boolean verified() {
-    if (head.attemptId().equals(attemptId)) {
+    ExpectedAnswer expected =
+        new ExpectedAnswer(
+            attemptId,
+            Optional.of(choice.placement().incarnation()),
+            Optional.of(choice.placement().weights()));
+    AnswerIdentity actual =
+        new AnswerIdentity(
+            AttemptId.parse(head.attemptId()), head.incarnation(), head.weights());
+    if (context.verifier().verify(expected, actual).relayable()) {
       return true;
     }
-    cancel();
-    exchange.fail(
-        new RequestError.Uncertain(
-            ErrorCode.ANSWER_MISMATCH,
-            Step.VERIFY,
-            Optional.of(choice.engine().peer()),
-            "the answer belongs to another request"));
+    context.decisions().engineRefused(choice, head);
+    failed(FailureKind.ANSWER_MISMATCH, RunState.UNKNOWN, true);
     return false;
   }
 
   @Override
   public void relay() {
-    if (!exchange.sink().writable()) {
-      work.suspend();
-    }
+    callerWritable(exchange.sink().writable());
   }
 
   private void relayEvent(SseEvent event) {
-    if (!exchange.streaming()) {
-      exchange.streaming(true);
-      exchange.sink().startStream(OK, headers("text/event-stream"));
-    }
-    exchange.sink().sendPart(EventText.of(event.id(), event.data()));
     if (event.isDone()) {
-      over = true;
-      exchange.sink().endStream();
-      exchange.finish(new ExchangeEnd.Completed());
+      relayEnd();
+      return;
+    }
+    if (event.type().equals("error")) {
+      failed(FailureKind.SERVER_ERROR, runStateSoFar(), true);
+      return;
+    }
+    OptionalLong index = index(event);
+    if (index.isEmpty()) {
+      relayUnnumbered(event);
+      return;
     }
+    noteAnswer();
+    switch (exchange.stream().event(attemptId, event, index.getAsLong())) {
+      case StreamAction.Relay<SseEvent>(long position, SseEvent token) -> {
+        startStream();
+        tokenRelayed = true;
+        Optional<String> id = Optional.of(Long.toString(position));
+        exchange.sink().sendPart(EventText.of(id, token.data()));
+      }
+      case StreamAction.Broken<SseEvent> broken ->
+          failed(FailureKind.ANSWER_MISMATCH, runStateSoFar(), true);
+      case StreamAction.Drop<SseEvent> drop -> {
+        // A token that was relayed before the stream was resumed.
+      }
+      case StreamAction.Complete<SseEvent> complete ->
+          throw new IllegalStateException("a token cannot end a stream");
+    }
+  }
+
+  /** Events such as usage figures carry no index; a resumed run repeats none of them. */
+  private void relayUnnumbered(SseEvent event) {
+    noteAnswer();
+    startStream();
+    exchange.sink().sendPart(EventText.of(Optional.empty(), event.data()));
+  }
+
+  private void relayEnd() {
+    if (!(exchange.stream().endMarker(attemptId) instanceof StreamAction.Complete<SseEvent>)) {
+      failed(FailureKind.ANSWER_MISMATCH, runStateSoFar(), true);
+      return;
+    }
+    noteAnswer();
+    startStream();
+    end(AttemptEnd.COMPLETED);
+    exchange.sink().sendPart(EventText.of(Optional.empty(), SseEvent.DONE));
+    exchange.sink().endStream();
+    exchange.finish(new ExchangeEnd.Completed());
   }
 
   private void relayBody(byte[] body) {
-    over = true;
+    noteAnswer();
+    end(AttemptEnd.COMPLETED);
     exchange.sink().sendWhole(OK, headers("application/json"), body);
     exchange.finish(new ExchangeEnd.Completed());
   }
 
+  private void startStream() {
+    if (exchange.stream().started()) {
+      return;
+    }
+    exchange.stream().markStarted();
+    exchange.sink().startStream(OK, headers("text/event-stream").set("Cache-Control", "no-cache"));
+  }
+
+  /** Learns from the first token, or from the whole answer. */
+  private void noteAnswer() {
+    if (!answerNoted) {
+      answerNoted = true;
+      context.decisions().engineAnswered(choice, head);
+    }
+  }
+
+  private static OptionalLong index(SseEvent event) {
+    if (event.id().isEmpty()) {
+      return OptionalLong.empty();
+    }
+    try {
+      return OptionalLong.of(Long.parseLong(event.id().get()));
+    } catch (NumberFormatException e) {
+      return OptionalLong.empty();
+    }
+  }
+
   private HttpHeaders headers(String contentType) {
     return exchange
         .baseHeaders()
@@ -145,29 +279,74 @@
   }
 
   private void failed(EngineFailure failure) {
-    over = true;
-    RequestError error =
-        switch (failure) {
-          case EngineFailure.NotSent(RequestError cause) -> cause;
-          case EngineFailure.Broken(RequestError cause) -> cause;
-          case EngineFailure.IdentityDiffers differs -> refused("the identity differs");
-          case EngineFailure.Leaving leaving -> refused("the server is leaving");
-          case EngineFailure.Rejected rejected -> refused("status " + rejected.head().status());
-        };
-    exchange.fail(error);
+    switch (failure) {
+      case EngineFailure.NotSent notSent ->
+          failed(FailureKind.CONNECT_FAILED, RunState.NOT_RUN, false);
+      case EngineFailure.Broken broken ->
+          failed(FailureKind.CONNECTION_LOST, runStateSoFar(), true);
+      case EngineFailure.IdentityDiffers(EngineHead refusal) ->
+          refused(FailureKind.REFUSED_IDENTITY, refusal);
+      case EngineFailure.Leaving(EngineHead refusal) ->
+          refused(FailureKind.REFUSED_LEAVING, refusal);
+      case EngineFailure.Rejected rejected -> rejected(rejected);
+    }
   }
 
-  private RequestError refused(String message) {
-    return new RequestError.Refusal(
-        ErrorCode.SERVER_FAILED, Step.SEND, Optional.of(choice.engine().peer()), message);
+  private void rejected(EngineFailure.Rejected rejected) {
+    int status = rejected.head().status();
+    if (status == 429 || status == 503) {
+      refused(FailureKind.REFUSED_BUSY, rejected.head());
+      return;
+    }
+    boolean invalid = status >= 400 && status < 500 && status != 408;
+    if (!invalid || mode instanceof SendMode.Resume) {
+      failed(FailureKind.SERVER_ERROR, runStateSoFar(), true);
+      return;
+    }
+    end(AttemptEnd.REFUSED);
+    String message = rejected.message();
+    exchange.fail(
+        new RequestError.Refusal(
+            ErrorCode.MALFORMED_REQUEST,
+            Step.SEND,
+            Optional.of(choice.peer()),
+            "the engine refused the request: "
+                + message.substring(0, Math.min(message.length(), MAX_MESSAGE_CHARS))));
+  }
+
+  private void refused(FailureKind kind, EngineHead refusal) {
+    context.decisions().engineRefused(choice, refusal);
+    failed(kind, RunState.NOT_RUN, true);
+  }
+
+  private RunState runStateSoFar() {
+    return head == null ? RunState.UNKNOWN : RunState.RAN;
+  }
+
+  private void failed(FailureKind kind, RunState runState, boolean bytesMayHaveLeft) {
+    boolean refusal =
+        kind == FailureKind.REFUSED_IDENTITY
+            || kind == FailureKind.REFUSED_LEAVING
+            || kind == FailureKind.REFUSED_BUSY;
+    stop(refusal ? AttemptEnd.REFUSED : AttemptEnd.FAILED);
+    exchange.freshConnection(kind == FailureKind.TIMED_OUT);
+    if (call.streamed()) {
+      exchange.stream().broken(attemptId);
+    }
+    if (exchange.stream().started()) {
+      boolean sameFailed =
+          mode instanceof SendMode.Resume && !tokenRelayed || runState == RunState.NOT_RUN;
+      context.recovery().broken(exchange, choice, identity(), sameFailed);
+      return;
+    }
+    FailedAttempt failedAttempt =
+        new FailedAttempt(kind, choice.peer(), runState, bytesMayHaveLeft, 0);
+    context.recovery().failed(exchange, failedAttempt, true);
   }
 
-  private RequestError interrupted() {
-    return new RequestError.AfterRun(
-        ErrorCode.STREAM_INTERRUPTED,
-        Step.RELAY,
-        Optional.of(choice.engine().peer()),
-        "the stream ended without its end marker");
+  private Recovery.Identity identity() {
+    return new Recovery.Identity(
+        choice.placement().incarnation(), choice.placement().weights());
   }
 
   @Override
@@ -175,7 +354,9 @@
     if (over || work == null) {
       return;
     }
+    heldBack = !writable;
     if (writable) {
+      progressNanos = now();
       work.resume();
     } else {
       work.suspend();
@@ -184,9 +365,21 @@
 
   @Override
   public void cancel() {
-    if (!over && work != null) {
-      over = true;
-      work.cancel();
+    stop(AttemptEnd.CANCELLED);
+  }
+
+  private void stop(AttemptEnd how) {
+    if (!over) {
+      end(how);
+      if (work != null) {
+        work.cancel();
+      }
     }
   }
+
+  private void end(AttemptEnd how) {
+    over = true;
+    context.decisions().unwatch(choice.server(), watchId);
+    context.decisions().engineEnded(choice, how);
+  }
 }
--- a/router/src/main/java/org/pollenrock/router/filter/Exchange.java
+++ b/router/src/main/java/org/pollenrock/router/filter/Exchange.java
@@ -7,7 +7,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.pollenrock.core.error.ErrorCode;
@@ -15,12 +17,14 @@
 import org.pollenrock.core.error.RunState;
 import org.pollenrock.core.error.Step;
 import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.retry.RetryPolicy;
 import org.pollenrock.router.caller.CallerRequest;
 import org.pollenrock.router.caller.ResponseHeaders;
 import org.pollenrock.router.caller.ResponseListener;
 import org.pollenrock.router.caller.ResponseSink;
 import org.pollenrock.router.decision.Choice;
-import org.pollenrock.router.settings.CallerIdentity;
+import org.pollenrock.router.decision.EngineQuestion;
+import org.pollenrock.core.settings.ApiKeyOwner;
 import org.pollenrock.router.settings.RequestValues;
 import org.pollenrock.router.settings.RouterSettings;
 
@@ -36,19 +40,22 @@
   private final Optional<RouterSettings> settings;
   private final Set<BackendServerId> avoided = new HashSet<>();
   private final List<Runnable> atEnd = new ArrayList<>();
+  private final StreamRelay stream = new StreamRelay();
 
   private Step step = Step.READ;
   private ParsedCall call = new ParsedCall.Other();
-  private CallerIdentity caller;
+  private ApiKeyOwner caller;
   private RequestValues values;
   private Route route;
-  private byte[] prompt = new byte[0];
+  private PromptShape prompt;
   private long deadlineNanos;
   private Choice choice;
   private Attempt attempt;
   private int attempts;
   private RunState earlierRunState = RunState.NOT_RUN;
-  private boolean streaming;
+  private SendMode sendMode = new SendMode.Fresh();
+  private boolean freshConnection;
+  private OptionalLong retryAfterSeconds = OptionalLong.empty();
   private ExchangeEnd end;
 
   Exchange(
@@ -85,9 +92,14 @@
     }
   }
 
-  /** Ends the request with an error. */
+  /** Ends the request with an error that is true for all of its attempts together. */
   void fail(RequestError error) {
-    finish(new ExchangeEnd.Failed(error));
+    RunState all = RetryPolicy.combine(earlierRunState, error.runState());
+    RequestError combined =
+        all == error.runState()
+            ? error
+            : Errors.of(all, error.code(), error.step(), error.peer(), error.message());
+    finish(new ExchangeEnd.Failed(combined));
   }
 
   /** Refuses the request at the current step: it did not run. */
@@ -125,15 +137,28 @@
 
   /** Runs a task on the exchange's event loop, unless the request has ended by then. */
   void onLoop(Runnable task) {
+    onLoop(task, () -> {});
+  }
+
+  /** Runs a task on the exchange's event loop, or another one when the request has ended. */
+  void onLoop(Runnable task, Runnable whenEnded) {
     loop()
         .execute(
             () -> {
               if (end == null) {
                 runSafely(task);
+              } else {
+                whenEnded.run();
               }
             });
   }
 
+  /** Runs a task after a delay, unless the request ends before. */
+  void after(long delayNanos, Runnable task) {
+    var timer = loop().schedule(() -> onLoop(task), delayNanos, TimeUnit.NANOSECONDS);
+    atEnd(() -> timer.cancel(false));
+  }
+
   private void runSafely(Runnable task) {
     try {
       task.run();
@@ -214,15 +239,15 @@
     call = parsed;
   }
 
-  CallerIdentity caller() {
+  ApiKeyOwner caller() {
     return caller;
   }
 
-  Optional<CallerIdentity> knownCaller() {
+  Optional<ApiKeyOwner> knownCaller() {
     return Optional.ofNullable(caller);
   }
 
-  void caller(CallerIdentity identity) {
+  void caller(ApiKeyOwner identity) {
     caller = identity;
   }
 
@@ -242,12 +267,20 @@
     route = resolved;
   }
 
-  byte[] prompt() {
-    return prompt;
+  void prompt(PromptShape shape) {
+    prompt = shape;
   }
 
-  void prompt(byte[] canonical) {
-    prompt = canonical;
+  /** The question for an engine that avoids the servers that failed already. */
+  EngineQuestion engineQuestion() {
+    return new EngineQuestion(
+        requestId,
+        caller.customer(),
+        ((Route.Model) route).model(),
+        prompt.blocks(),
+        prompt.levelEnds(),
+        values,
+        avoided);
   }
 
   long deadlineNanos() {
@@ -292,13 +325,35 @@
     earlierRunState = combined;
   }
 
-  /** Whether a part of a streamed response was sent, so that its status cannot change. */
-  boolean streaming() {
-    return streaming;
+  /** The streamed response over all attempts. */
+  StreamRelay stream() {
+    return stream;
+  }
+
+  SendMode sendMode() {
+    return sendMode;
+  }
+
+  /** Sets how the next attempt is sent. */
+  void sendMode(SendMode mode) {
+    sendMode = mode;
+  }
+
+  /** Whether the next attempt must not use an open connection: one of them was found silent. */
+  boolean freshConnection() {
+    return freshConnection;
+  }
+
+  void freshConnection(boolean needed) {
+    freshConnection = needed;
+  }
+
+  void retryAfterSeconds(long seconds) {
+    retryAfterSeconds = OptionalLong.of(seconds);
   }
 
-  void streaming(boolean started) {
-    streaming = started;
+  OptionalLong retryAfterSeconds() {
+    return retryAfterSeconds;
   }
 
   ExchangeEnd end() {
--- a/router/src/main/java/org/pollenrock/router/filter/Filters.java
+++ b/router/src/main/java/org/pollenrock/router/filter/Filters.java
@@ -4,7 +4,8 @@
 import java.util.function.LongSupplier;
 import org.pollenrock.adapters.engine.EngineClient;
 import org.pollenrock.adapters.plain.PlainServiceClient;
-import org.pollenrock.router.RouterLimits;
+import org.pollenrock.core.stream.AnswerVerifier;
+import org.pollenrock.router.RouterTimes;
 import org.pollenrock.router.decision.Decisions;
 
 /** Assembly of the filters. */
@@ -18,7 +19,7 @@
    * @param engines client of engines
    * @param services client of plain services
    * @param attemptIds identities of attempts
-   * @param limits time limits
+   * @param times time limits
    * @param nanoClock monotonic clock
    * @return the chain
    */
@@ -27,9 +28,18 @@
       EngineClient engines,
       PlainServiceClient services,
       AttemptIds attemptIds,
-      RouterLimits limits,
+      RouterTimes times,
       LongSupplier nanoClock) {
-    AttemptContext context = new AttemptContext(engines, services, attemptIds, limits, nanoClock);
+    AttemptContext context =
+        new AttemptContext(
+            engines,
+            services,
+            attemptIds,
+            decisions,
+            new Recovery(decisions, nanoClock),
+            new AnswerVerifier(),
+            times,
+            nanoClock);
     return new FilterChain(
         List.of(
             new ReadFilter(),
@@ -37,7 +47,7 @@
             new IdentifyFilter(nanoClock),
             new ResolveFilter(),
             new ClaimFilter(),
-            new AdmitFilter(),
+            new AdmitFilter(decisions),
             new FingerprintFilter(),
             new ChooseFilter(decisions),
             new SendFilter(context),
--- a/router/src/main/java/org/pollenrock/router/filter/FinishFilter.java
+++ b/router/src/main/java/org/pollenrock/router/filter/FinishFilter.java
@@ -1,5 +1,6 @@
 package org.pollenrock.router.filter;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import org.pollenrock.core.error.RequestError;
 import org.pollenrock.core.error.Step;
 import org.pollenrock.router.caller.ErrorBody;
@@ -23,16 +24,15 @@
   }
 
   private static void answer(Exchange exchange, RequestError error) {
-    if (exchange.streaming()) {
+    if (exchange.stream().started()) {
       exchange.sink().sendPart(ErrorBody.event(error));
       exchange.sink().endStream();
       return;
     }
+    HttpHeaders headers = exchange.baseHeaders().set("Content-Type", "application/json");
     exchange
-        .sink()
-        .sendWhole(
-            error.code().httpStatus(),
-            exchange.baseHeaders().set("Content-Type", "application/json"),
-            ErrorBody.of(error));
+        .retryAfterSeconds()
+        .ifPresent(seconds -> headers.set("Retry-After", seconds));
+    exchange.sink().sendWhole(error.code().httpStatus(), headers, ErrorBody.of(error));
   }
 }
--- a/router/src/main/java/org/pollenrock/router/filter/IdentifyFilter.java
+++ b/router/src/main/java/org/pollenrock/router/filter/IdentifyFilter.java
@@ -1,20 +1,22 @@
 package org.pollenrock.router.filter;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.Step;
+import org.pollenrock.core.settings.RequestTraits;
 import org.pollenrock.router.settings.RequestValues;
-import org.pollenrock.router.settings.RouterSettings;
-import org.pollenrock.router.settings.ServiceRoute;
 
 /** Finds the kind of the request, the values in force for it, and its deadline. */
 final class IdentifyFilter implements Filter {
   private static final String DEADLINE_HEADER = "X-Request-Deadline-Ms";
 
+  private static final String KIND_HEADER = "X-Request-Kind";
+
   private final LongSupplier nanoClock;
 
   IdentifyFilter(LongSupplier nanoClock) {
@@ -39,7 +41,7 @@
       exchange.refuse(ErrorCode.MALFORMED_REQUEST, DEADLINE_HEADER + " is not a number");
       return;
     }
-    Duration most = values.deadline();
+    Duration most = Duration.ofNanos(values.effective().deadlineNanos());
     Duration left = asked.filter(duration -> duration.compareTo(most) < 0).orElse(most);
     exchange.deadlineNanos(exchange.arrivedNanos() + left.toNanos());
     if (exchange.deadlineNanos() - nanoClock.getAsLong() <= 0) {
@@ -60,17 +62,18 @@
     exchange.fail(Errors.deadlinePassed(exchange));
   }
 
-  private static RouterSettings.Traits traits(Exchange exchange) {
-    Optional<String> kind = Optional.ofNullable(exchange.request().headers().get("X-Request-Kind"));
+  private static RequestTraits traits(Exchange exchange) {
+    Optional<String> kind = Optional.ofNullable(exchange.request().headers().get(KIND_HEADER));
     if (exchange.call() instanceof ParsedCall.Completion completion) {
-      return new RouterSettings.Traits(
+      return new RequestTraits(
           kind, Optional.of(completion.model()), Optional.empty(), completion.maxTokens());
     }
     Optional<String> service =
         exchange
             .knownSettings()
-            .service(exchange.request().method().name(), exchange.request().path())
-            .map(ServiceRoute::service);
-    return new RouterSettings.Traits(kind, Optional.empty(), service, OptionalLong.empty());
+            .tree()
+            .serviceOf(exchange.request().path())
+            .map(Map.Entry::getKey);
+    return new RequestTraits(kind, Optional.empty(), service, OptionalLong.empty());
   }
 }
--- a/router/src/main/java/org/pollenrock/router/filter/ModelListBody.java
+++ b/router/src/main/java/org/pollenrock/router/filter/ModelListBody.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import org.pollenrock.core.model.ModelId;
 
 /** Body of the list of models. */
 final class ModelListBody {
@@ -13,12 +12,12 @@
 
   private ModelListBody() {}
 
-  static byte[] of(List<ModelId> models) {
+  static byte[] of(List<String> models) {
     ObjectNode root = MAPPER.createObjectNode();
     root.put("object", "list");
     ArrayNode data = root.putArray("data");
-    for (ModelId model : models) {
-      data.addObject().put("id", model.value()).put("object", "model");
+    for (String model : models) {
+      data.addObject().put("id", model).put("object", "model");
     }
     return root.toString().getBytes(StandardCharsets.UTF_8);
   }
--- a/router/src/main/java/org/pollenrock/router/filter/PlainAttempt.java
+++ b/router/src/main/java/org/pollenrock/router/filter/PlainAttempt.java
@@ -6,21 +6,33 @@
 import org.pollenrock.adapters.http.ConnectionUse;
 import org.pollenrock.adapters.plain.PlainAnswer;
 import org.pollenrock.adapters.plain.PlainCall;
-import org.pollenrock.core.error.ErrorCode;
-import org.pollenrock.core.error.Peer;
+import org.pollenrock.adapters.plain.PlainExchange;
 import org.pollenrock.core.error.RequestError;
 import org.pollenrock.core.error.Result;
-import org.pollenrock.core.error.Step;
+import org.pollenrock.core.error.RunState;
+import org.pollenrock.core.retry.FailedAttempt;
+import org.pollenrock.core.retry.FailureKind;
+import org.pollenrock.core.stream.AnswerIdentity;
+import org.pollenrock.core.stream.AttemptId;
+import org.pollenrock.core.stream.ExpectedAnswer;
 import org.pollenrock.router.caller.ResponseHeaders;
 import org.pollenrock.router.decision.Choice;
+import org.pollenrock.router.decision.ProgressDeadline;
+import org.pollenrock.router.decision.WatchedExchange;
 
 /** One send of a call to a plain service. */
-final class PlainAttempt implements Attempt {
+final class PlainAttempt implements Attempt, WatchedExchange {
+  private static final int UNAVAILABLE = 503;
+  private static final long LEAST_TIMEOUT_NANOS = 1_000_000L;
+
   private final Exchange exchange;
   private final Choice.Plain choice;
   private final AttemptContext context;
-  private final boolean idempotent;
-  private final String attemptId;
+  private final Route.Service route;
+  private final AttemptId attemptId;
+  private final long watchId;
+  private volatile long progressNanos;
+  private PlainExchange work;
   private PlainAnswer answer;
   private boolean over;
 
@@ -28,30 +40,68 @@
     this.exchange = exchange;
     this.choice = choice;
     this.context = context;
-    this.idempotent = ((Route.Service) exchange.route()).service().idempotent();
+    this.route = (Route.Service) exchange.route();
     this.attemptId = context.attemptIds().next();
+    this.watchId = context.decisions().nextTicket();
   }
 
   void send() {
-    long left = exchange.deadlineNanos() - context.nanoClock().getAsLong();
-    Duration timeout = Duration.ofNanos(Math.max(1_000_000L, left));
-    HttpHeaders headers = PlainHeaders.passed(exchange.request().headers());
-    headers.set("X-Attempt-Id", attemptId);
-    headers.set(ResponseHeaders.REQUEST_ID, exchange.requestId());
-    headers.set("X-Customer-Id", exchange.caller().customer().value());
-    headers.set("X-Caller-Id", exchange.caller().caller().value());
-    headers.set("X-Request-Deadline-Ms", timeout.toMillis());
+    progressNanos = now();
+    long left = Math.max(LEAST_TIMEOUT_NANOS, exchange.deadlineNanos() - progressNanos);
     PlainCall call =
         new PlainCall(
             choice.server(),
             choice.address(),
             exchange.request().method().name(),
             exchange.request().uri(),
-            headers,
+            headers(left),
             exchange.request().body(),
-            timeout,
-            idempotent ? ConnectionUse.ANY : ConnectionUse.proven(context.limits().provenLife()));
-    context.services().send(call).thenAccept(result -> exchange.onLoop(() -> answered(result)));
+            Duration.ofNanos(left),
+            connectionUse());
+    long silence = context.times().plainAnswer().toNanos();
+    context
+        .decisions()
+        .watch(choice.server(), watchId, this, new ProgressDeadline(silence, silence));
+    work =
+        context.services().send(call, result -> exchange.onLoop(() -> answered(result)));
+  }
+
+  private ConnectionUse connectionUse() {
+    if (exchange.freshConnection()) {
+      return ConnectionUse.FRESH;
+    }
+    return route.idempotent()
+        ? ConnectionUse.ANY
+        : ConnectionUse.proven(context.times().provenLife());
+  }
+
+  private HttpHeaders headers(long leftNanos) {
+    HttpHeaders headers = PlainHeaders.passed(exchange.request().headers());
+    headers.set("X-Attempt-Id", attemptId.headerValue());
+    headers.set(ResponseHeaders.REQUEST_ID, exchange.requestId());
+    headers.set("X-Customer-Id", exchange.caller().customer().value());
+    headers.set("X-Caller-Id", exchange.caller().caller().value());
+    headers.set("X-Request-Deadline-Ms", Duration.ofNanos(leftNanos).toMillis());
+    return headers;
+  }
+
+  private long now() {
+    return context.nanoClock().getAsLong();
+  }
+
+  @Override
+  public long lastProgressNanos() {
+    return progressNanos;
+  }
+
+  @Override
+  public void silent() {
+    exchange.onLoop(
+        () -> {
+          if (!over) {
+            failed(FailureKind.TIMED_OUT, RunState.UNKNOWN, true);
+          }
+        });
   }
 
   private void answered(Result<PlainAnswer> result) {
@@ -61,30 +111,44 @@
     switch (result) {
       case Result.Success<PlainAnswer>(PlainAnswer received) -> {
         answer = received;
+        if (isLeavingRefusal(received)) {
+          context.decisions().plainLeaving(choice.server());
+          failed(FailureKind.REFUSED_LEAVING, RunState.NOT_RUN, true);
+          return;
+        }
         exchange.proceed();
       }
-      case Result.Failure<PlainAnswer>(RequestError error) -> exchange.fail(error);
+      case Result.Failure<PlainAnswer>(RequestError.Refusal notSent) ->
+          failed(FailureKind.CONNECT_FAILED, RunState.NOT_RUN, false);
+      case Result.Failure<PlainAnswer>(RequestError error) ->
+          failed(FailureKind.CONNECTION_LOST, RunState.UNKNOWN, true);
     }
   }
 
+  private static boolean isLeavingRefusal(PlainAnswer answer) {
+    return answer.status() == UNAVAILABLE
+        && "leaving".equalsIgnoreCase(answer.headers().get("X-Server-State", ""));
+  }
+
   @Override
   public boolean verified() {
-    if (answer.headers().get("X-Attempt-Id", "").equals(attemptId)) {
+    ExpectedAnswer expected =
+        new ExpectedAnswer(attemptId, Optional.empty(), Optional.empty());
+    AnswerIdentity actual =
+        new AnswerIdentity(
+            AttemptId.parse(answer.headers().get("X-Attempt-Id", "")),
+            Optional.empty(),
+            Optional.empty());
+    if (context.verifier().verify(expected, actual).relayable()) {
       return true;
     }
-    over = true;
-    exchange.fail(
-        new RequestError.Uncertain(
-            ErrorCode.ANSWER_MISMATCH,
-            Step.VERIFY,
-            Optional.of(new Peer(Peer.Kind.PLAIN_SERVICE, choice.server().value())),
-            "the answer belongs to another request"));
+    failed(FailureKind.ANSWER_MISMATCH, RunState.UNKNOWN, true);
     return false;
   }
 
   @Override
   public void relay() {
-    over = true;
+    end(true);
     HttpHeaders headers = PlainHeaders.passed(answer.headers());
     headers.set(exchange.baseHeaders());
     headers.set(ResponseHeaders.SERVER, choice.server().value());
@@ -92,6 +156,15 @@
     exchange.finish(new ExchangeEnd.Completed());
   }
 
+  private void failed(FailureKind kind, RunState runState, boolean bytesMayHaveLeft) {
+    end(kind == FailureKind.REFUSED_LEAVING);
+    work.cancel();
+    exchange.freshConnection(kind == FailureKind.TIMED_OUT);
+    FailedAttempt failedAttempt =
+        new FailedAttempt(kind, choice.peer(), runState, bytesMayHaveLeft, 0);
+    context.recovery().failed(exchange, failedAttempt, route.idempotent());
+  }
+
   @Override
   public void callerWritable(boolean writable) {
     // The answer is bounded and sent as a whole.
@@ -99,6 +172,16 @@
 
   @Override
   public void cancel() {
+    if (!over) {
+      over = true;
+      context.decisions().unwatch(choice.server(), watchId);
+      work.cancel();
+    }
+  }
+
+  private void end(boolean success) {
     over = true;
+    context.decisions().unwatch(choice.server(), watchId);
+    context.decisions().plainEnded(route.backend(), choice.server(), success);
   }
 }
--- a/router/src/main/java/org/pollenrock/router/filter/ResolveFilter.java
+++ b/router/src/main/java/org/pollenrock/router/filter/ResolveFilter.java
@@ -1,12 +1,10 @@
 package org.pollenrock.router.filter;
 
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.Optional;
 import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.Step;
 import org.pollenrock.core.model.ModelId;
-import org.pollenrock.core.model.WeightsVersion;
-import org.pollenrock.router.settings.ServiceRoute;
+import org.pollenrock.core.settings.ServiceSettings;
 
 /** Finds the model or the plain service that serves the request. */
 final class ResolveFilter implements Filter {
@@ -27,7 +25,7 @@
   }
 
   private static void answerModels(Exchange exchange) {
-    byte[] body = ModelListBody.of(exchange.knownSettings().models());
+    byte[] body = ModelListBody.of(exchange.knownSettings().tree().models().names());
     HttpHeaders headers = exchange.baseHeaders().set("Content-Type", "application/json");
     exchange.sink().sendWhole(OK, headers, body);
     exchange.finish(new ExchangeEnd.Completed());
@@ -35,25 +33,24 @@
 
   private static void resolveModel(Exchange exchange, ParsedCall.Completion completion) {
     ModelId model = new ModelId(completion.model());
-    Optional<WeightsVersion> version = exchange.knownSettings().model(model);
-    if (version.isEmpty()) {
+    if (exchange.knownSettings().tree().model(model).isEmpty()) {
       exchange.refuse(ErrorCode.UNKNOWN_MODEL, "no model has this name");
       return;
     }
-    exchange.route(new Route.Model(model, version.get()));
+    exchange.route(new Route.Model(model));
     exchange.proceed();
   }
 
   private static void resolveService(Exchange exchange) {
-    Optional<ServiceRoute> service =
-        exchange
-            .knownSettings()
-            .service(exchange.request().method().name(), exchange.request().path());
-    if (service.isEmpty()) {
+    String path = exchange.request().path();
+    var found = exchange.knownSettings().tree().serviceOf(path);
+    if (found.isEmpty()) {
       exchange.refuse(ErrorCode.UNKNOWN_ROUTE, "no API or service has this method and path");
       return;
     }
-    exchange.route(new Route.Service(service.get()));
+    ServiceSettings service = found.get().getValue();
+    boolean idempotent = service.idempotent(exchange.request().method().name(), path);
+    exchange.route(new Route.Service(found.get().getKey(), service.backend(), idempotent));
     exchange.proceed();
   }
 }
--- a/router/src/main/java/org/pollenrock/router/filter/Route.java
+++ b/router/src/main/java/org/pollenrock/router/filter/Route.java
@@ -1,8 +1,6 @@
 package org.pollenrock.router.filter;
 
 import org.pollenrock.core.model.ModelId;
-import org.pollenrock.core.model.WeightsVersion;
-import org.pollenrock.router.settings.ServiceRoute;
 
 /** What serves a request. */
 public sealed interface Route {
@@ -10,14 +8,15 @@
    * A model on engines.
    *
    * @param model the model
-   * @param settingsVersion weights version that the settings name
    */
-  record Model(ModelId model, WeightsVersion settingsVersion) implements Route {}
+  record Model(ModelId model) implements Route {}
 
   /**
    * A plain service.
    *
-   * @param service the service and how the call is treated
+   * @param name name in the settings
+   * @param backend service name of its servers in the instance list
+   * @param idempotent whether the call may be repeated
    */
-  record Service(ServiceRoute service) implements Route {}
+  record Service(String name, String backend, boolean idempotent) implements Route {}
 }
--- /dev/null
+++ b/router/src/main/java/org/pollenrock/router/filter/StreamRelay.java
@@ -0,0 +1,91 @@
+package org.pollenrock.router.filter;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.pollenrock.adapters.engine.SseEvent;
+import org.pollenrock.core.stream.AttemptId;
+import org.pollenrock.core.stream.StreamAction;
+import org.pollenrock.core.stream.StreamAssembler;
+
+/** The streamed response of one request over all of its attempts. */
+final class StreamRelay {
+  /** Text kept for a continuation; a longer answer can only be resumed on its own server. */
+  private static final int MAX_KEPT_CHARS = 4 * 1024 * 1024;
+
+  private final StreamAssembler<SseEvent> assembler = new StreamAssembler<>();
+  private final List<String> relayed = new ArrayList<>();
+  private long keptChars;
+  private boolean started;
+  private int breaks;
+
+  void startAttempt(AttemptId attempt, long indexOffset) {
+    assembler.startAttempt(attempt, indexOffset);
+  }
+
+  /** Decides what an event of an attempt means; an event without an index is not decided here. */
+  StreamAction<SseEvent> event(AttemptId attempt, SseEvent event, long index) {
+    StreamAction<SseEvent> action = assembler.token(attempt, index, event);
+    if (action instanceof StreamAction.Relay<SseEvent>) {
+      keep(event.data());
+    }
+    return action;
+  }
+
+  StreamAction<SseEvent> endMarker(AttemptId attempt) {
+    return assembler.end(attempt, OptionalLong.empty());
+  }
+
+  /** Records that the attempt broke, whatever broke it. */
+  void broken(AttemptId attempt) {
+    assembler.connectionEnded(attempt);
+    breaks++;
+  }
+
+  private void keep(String data) {
+    keptChars += data.length();
+    if (keptChars <= MAX_KEPT_CHARS) {
+      relayed.add(data);
+    } else {
+      relayed.clear();
+    }
+  }
+
+  /** The text relayed so far, empty when another run cannot continue from text. */
+  Optional<String> text() {
+    if (keptChars > MAX_KEPT_CHARS) {
+      return Optional.empty();
+    }
+    StringBuilder text = new StringBuilder();
+    for (String data : relayed) {
+      Optional<String> part = CompletionBody.textOf(data);
+      if (part.isEmpty()) {
+        return Optional.empty();
+      }
+      text.append(part.get());
+    }
+    return Optional.of(text.toString());
+  }
+
+  /** Whether a part of the response was sent, so that its status cannot change. */
+  boolean started() {
+    return started;
+  }
+
+  void markStarted() {
+    started = true;
+  }
+
+  long nextIndex() {
+    return assembler.nextIndex();
+  }
+
+  long indexOffset() {
+    return assembler.indexOffset();
+  }
+
+  int breaks() {
+    return breaks;
+  }
+}
--- a/router/src/main/java/org/pollenrock/router/settings/RequestValues.java
+++ b/router/src/main/java/org/pollenrock/router/settings/RequestValues.java
@@ -1,30 +1,31 @@
 package org.pollenrock.router.settings;
 
-import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import org.pollenrock.core.model.Priority;
+import org.pollenrock.core.limits.ScopedLimits;
 import org.pollenrock.core.model.RequestKind;
+import org.pollenrock.core.placement.PlacementWeights;
+import org.pollenrock.core.settings.EffectiveSettings;
 
 /**
  * Values in force for one request.
  *
  * @param kind kind of the request, empty when none applies
- * @param priority class of the request
- * @param deadline longest time to the end of the response
- * @param attempts most attempts, the first included
- * @param blockSizeBytes prompt bytes of one cached block
+ * @param effective the values
+ * @param limits limits that the request is charged to
+ * @param weights weights of the placement cost
  */
 public record RequestValues(
     Optional<RequestKind> kind,
-    Priority priority,
-    Duration deadline,
-    int attempts,
-    int blockSizeBytes) {
+    EffectiveSettings effective,
+    List<ScopedLimits> limits,
+    PlacementWeights weights) {
   /** Checks that all parts are present. */
   public RequestValues {
     Objects.requireNonNull(kind, "kind");
-    Objects.requireNonNull(priority, "priority");
-    Objects.requireNonNull(deadline, "deadline");
+    Objects.requireNonNull(effective, "effective");
+    Objects.requireNonNull(weights, "weights");
+    limits = List.copyOf(limits);
   }
 }
--- a/router/src/main/java/org/pollenrock/router/settings/RouterSettings.java
+++ b/router/src/main/java/org/pollenrock/router/settings/RouterSettings.java
@@ -1,72 +1,98 @@
 package org.pollenrock.router.settings;
 
-import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
-import org.pollenrock.core.model.ModelId;
-import org.pollenrock.core.model.WeightsVersion;
+import java.util.concurrent.ConcurrentHashMap;
+import org.pollenrock.core.model.RequestKind;
+import org.pollenrock.core.placement.PlacementWeights;
+import org.pollenrock.core.settings.ApiKeyHash;
+import org.pollenrock.core.settings.ApiKeyOwner;
+import org.pollenrock.core.settings.EffectiveSettings;
+import org.pollenrock.core.settings.RequestTraits;
+import org.pollenrock.core.settings.SettingKey;
+import org.pollenrock.core.settings.SettingsTree;
 
-/** One accepted revision of the settings; immutable, so that a request sees one revision. */
-public interface RouterSettings {
-  /**
-   * The revision.
-   *
-   * @return position of the accepted change in the log
-   */
-  long revision();
+/**
+ * One accepted revision of the settings. A request keeps the object it began with, so that it is
+ * decided under one revision throughout.
+ */
+public final class RouterSettings {
+  private final long revision;
+  private final SettingsTree tree;
 
-  /**
-   * Finds the owner of an API key.
-   *
-   * @param apiKey the key as the caller sent it
-   * @return the owner, empty for an unknown key
-   */
-  Optional<CallerIdentity> identify(String apiKey);
+  /** Bounded by the tree: callers come from its keys and kinds from its kinds. */
+  private final Map<ValuesKey, RequestValues> values = new ConcurrentHashMap<>();
+
+  private record ValuesKey(ApiKeyOwner owner, Optional<RequestKind> kind) {}
 
   /**
-   * Values in force for a request.
+   * Creates the settings of a revision.
    *
-   * @param caller who sent it
-   * @param traits what is known of it
-   * @return the values
+   * @param revision position of the accepted change in the log
+   * @param tree the settings
    */
-  RequestValues values(CallerIdentity caller, Traits traits);
+  public RouterSettings(long revision, SettingsTree tree) {
+    this.revision = revision;
+    this.tree = Objects.requireNonNull(tree, "tree");
+  }
 
   /**
-   * Finds a model.
+   * The revision.
    *
-   * @param model its name
-   * @return the version to serve, empty for an unknown model
+   * @return position of the accepted change in the log
    */
-  Optional<WeightsVersion> model(ModelId model);
+  public long revision() {
+    return revision;
+  }
 
   /**
-   * Models that callers can name.
+   * The settings.
    *
-   * @return the names in ascending order
+   * @return the tree
    */
-  List<ModelId> models();
+  public SettingsTree tree() {
+    return tree;
+  }
 
   /**
-   * Finds the plain service for a call.
+   * Finds the owner of an API key.
    *
-   * @param method HTTP method
-   * @param path request path
-   * @return the service, empty when no service has this path
+   * @param apiKey the key as the caller sent it
+   * @return the owner, empty for an unknown key
    */
-  Optional<ServiceRoute> service(String method, String path);
+  public Optional<ApiKeyOwner> identify(String apiKey) {
+    return tree.ownerOf(ApiKeyHash.ofKey(apiKey));
+  }
 
   /**
-   * What is known of a request before its values are looked up.
+   * Values in force for a request.
    *
-   * @param kindHeader kind that the caller named
-   * @param model model that the caller named
-   * @param service plain service
-   * @param maxTokens bound on generated tokens
+   * @param owner who sent it
+   * @param traits what is known of it
+   * @return the values
    */
-  record Traits(
-      Optional<String> kindHeader,
-      Optional<String> model,
-      Optional<String> service,
-      OptionalLong maxTokens) {}
+  public RequestValues values(ApiKeyOwner owner, RequestTraits traits) {
+    return values.computeIfAbsent(new ValuesKey(owner, tree.kindOf(traits)), this::resolve);
+  }
+
+  private RequestValues resolve(ValuesKey key) {
+    EffectiveSettings effective =
+        EffectiveSettings.resolve(
+            tree,
+            Optional.of(key.owner().customer()),
+            Optional.of(key.owner().caller()),
+            key.kind());
+    return new RequestValues(
+        key.kind(), effective, LimitScopes.of(tree, key.owner(), key.kind()), weights(effective));
+  }
+
+  private static PlacementWeights weights(EffectiveSettings effective) {
+    double ttft = effective.decimal(SettingKey.TTFT_WEIGHT);
+    double hit = effective.decimal(SettingKey.HIT_WEIGHT);
+    long margin = effective.number(SettingKey.SPILL_MARGIN);
+    return ttft + hit > 0
+        ? new PlacementWeights(ttft, hit, margin)
+        : new PlacementWeights(1, 0, margin);
+  }
 }
--- /dev/null
+++ b/router/src/main/java/org/pollenrock/router/task/ReportConversion.java
@@ -0,0 +1,55 @@
+package org.pollenrock.router.task;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.pollenrock.adapters.engine.ServerReport;
+import org.pollenrock.core.model.AdapterId;
+import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.ModelId;
+import org.pollenrock.core.model.WeightsVersion;
+import org.pollenrock.core.placement.ReportedLoad;
+import org.pollenrock.core.placement.ServedModel;
+import org.pollenrock.router.decision.ServerEntry;
+
+/** Conversion of a report from its wire form to that of the decisions. */
+final class ReportConversion {
+  private ReportConversion() {}
+
+  static org.pollenrock.core.placement.ServerReport toCore(
+      ServerEntry entry, ServerReport report) {
+    return new org.pollenrock.core.placement.ServerReport(
+        entry.id(),
+        new Incarnation(report.incarnation()),
+        entry.dataCentre(),
+        report.state().equals("live"),
+        models(report),
+        new ReportedLoad(
+            report.queueTokens(),
+            report.running(),
+            report.slots(),
+            report.prefillTokensPerSecond(),
+            report.decodeTokensPerSecond(),
+            report.cacheCapacityBlocks(),
+            report.storedBlocksPerSecond()),
+        report.timeMillis());
+  }
+
+  private static List<ServedModel> models(ServerReport report) {
+    List<ServedModel> models = new ArrayList<>();
+    for (ServerReport.ServedModel served : report.models()) {
+      if (served.model().isBlank() || served.version().isBlank()) {
+        continue;
+      }
+      Set<AdapterId> adapters = new HashSet<>();
+      served.adapters().stream()
+          .filter(name -> !name.isBlank())
+          .forEach(name -> adapters.add(new AdapterId(name)));
+      models.add(
+          new ServedModel(
+              new ModelId(served.model()), new WeightsVersion(served.version()), adapters));
+    }
+    return models;
+  }
+}
