--- a/standin/src/main/java/org/pollenrock/standin/engine/EngineSettings.java
+++ b/standin/src/main/java/org/pollenrock/standin/engine/EngineSettings.java
@@ -62,6 +62,30 @@
         true);
   }
 
+  /**
+   * The same engine with another cache size.
+   *
+   * @param blocks capacity of the prefix cache
+   * @return a copy
+   */
+  public EngineSettings withCacheBlocks(int blocks) {
+    return new EngineSettings(
+        name,
+        model,
+        version,
+        slots,
+        prefillTokensPerSecond,
+        chunkTokens,
+        decodeStep,
+        blocks,
+        bytesPerBlock,
+        bytesPerToken,
+        reportLag,
+        eventLag,
+        checksIdentity,
+        checksFencing);
+  }
+
   /**
    * Tokens of one cache block.
    *
