--- a/standin/src/main/java/org/pollenrock/standin/engine/EngineBatch.java
+++ b/standin/src/main/java/org/pollenrock/standin/engine/EngineBatch.java
@@ -4,9 +4,11 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -15,7 +17,7 @@
  * Continuous batching: each step prefills a chunk of one sequence and decodes a token of the
  * others.
  *
- * <p>Confined to the engine's event loop, but for the two queries that the oracle uses.
+ * <p>Confined to the engine's event loop, but for the queries that the oracle uses.
  */
 final class EngineBatch {
   private static final int TOKENS_BEFORE_CUT = 3;
@@ -36,6 +38,7 @@
   private long incarnation;
   private String version = "";
   private volatile int queueTokens;
+  private volatile Set<String> pendingKeys = Set.of();
   private long rateSinceNanos = System.nanoTime();
   private long rateSinceStored;
   private double storedRate;
@@ -106,6 +109,15 @@
     }
   }
 
+  /** Leading keys that are cached, or will be when the sequences ahead have been prefilled. */
+  int expectedLeading(List<String> keys) {
+    int count = cachedLeading(keys);
+    while (count < keys.size() && pendingKeys.contains(keys.get(count))) {
+      count++;
+    }
+    return count;
+  }
+
   List<String> cachedKeys() {
     synchronized (cache) {
       return cache.keys();
@@ -162,6 +174,9 @@
       return;
     }
     EngineSequence prefill = nextPrefill();
+    if (prefill != null && !prefill.scheduled()) {
+      begin(prefill);
+    }
     int chunk = prefill == null ? 0 : Math.min(settings.chunkTokens(), prefill.remainingPrefill());
     boolean decoding = running.stream().anyMatch(sequence -> !sequence.prefilling());
     double prefillNanos = chunk * 1e9 / settings.prefillTokensPerSecond();
@@ -174,15 +189,14 @@
 
   private void admit() {
     while (running.size() < settings.slots() && !waiting.isEmpty()) {
-      EngineSequence sequence = waiting.pollFirst();
-      begin(sequence);
-      running.add(sequence);
+      running.add(waiting.pollFirst());
     }
   }
 
+  /** Looks up the cache only now, so that a prefix that an earlier sequence computed is found. */
   private void begin(EngineSequence sequence) {
     EnginePrompt prompt = sequence.prompt();
-    int promptTokens = Math.max(1, prompt.text().length() / settings.bytesPerToken());
+    int promptTokens = promptTokens(sequence);
     List<String> keys = prompt.blockKeys();
     int hits;
     synchronized (cache) {
@@ -241,13 +255,12 @@
     if (sequence.emitted() == 0 && faults.takeAnswerForOther()) {
       attempt = "other-1-1";
     }
-    int promptTokens = sequence.prompt().text().length() / settings.bytesPerToken();
     return Map.of(
         "X-Attempt-Id", attempt,
         "X-Incarnation", Long.toString(incarnation),
         "X-Weights-Version", version,
         "X-Cached-Tokens", Integer.toString(sequence.cachedTokens()),
-        "X-Prompt-Tokens", Integer.toString(promptTokens),
+        "X-Prompt-Tokens", Integer.toString(promptTokens(sequence)),
         "X-Queue-Tokens", Integer.toString(queueTokens));
   }
 
@@ -261,14 +274,29 @@
     evicted.forEach(key -> events.add(false, key, now));
   }
 
+  private int missing(EngineSequence sequence) {
+    int cachedTokens = cachedLeading(sequence.prompt().blockKeys()) * settings.blockTokens();
+    return Math.max(1, promptTokens(sequence) - cachedTokens);
+  }
+
+  private int promptTokens(EngineSequence sequence) {
+    return Math.max(1, sequence.prompt().text().length() / settings.bytesPerToken());
+  }
+
   private void countQueue() {
     int tokens = 0;
     for (EngineSequence sequence : running) {
-      tokens += Math.max(0, sequence.remainingPrefill());
+      tokens += sequence.scheduled() ? Math.max(0, sequence.remainingPrefill()) : missing(sequence);
     }
     for (EngineSequence sequence : waiting) {
-      tokens += sequence.prompt().text().length() / settings.bytesPerToken();
+      tokens += missing(sequence);
     }
     queueTokens = tokens;
+    Set<String> pending = new HashSet<>();
+    running.stream()
+        .filter(EngineSequence::prefilling)
+        .forEach(sequence -> pending.addAll(sequence.prompt().blockKeys()));
+    waiting.forEach(sequence -> pending.addAll(sequence.prompt().blockKeys()));
+    pendingKeys = pending;
   }
 }
--- a/standin/src/main/java/org/pollenrock/standin/engine/EngineSequence.java
+++ b/standin/src/main/java/org/pollenrock/standin/engine/EngineSequence.java
@@ -18,6 +18,7 @@
   private int cachedTokens;
   private List<String> missingKeys = List.of();
   private int emitted;
+  private boolean scheduled;
   private boolean begun;
 
   EngineSequence(
@@ -62,6 +63,7 @@
 
   /** Fixes what has to be prefilled. */
   void schedule(int promptTokens, int cached, List<String> missing, String version) {
+    scheduled = true;
     cachedTokens = cached;
     missingKeys = missing;
     remainingPrefill = Math.max(1, promptTokens - cached);
@@ -88,8 +90,12 @@
     remainingPrefill -= tokens;
   }
 
+  boolean scheduled() {
+    return scheduled;
+  }
+
   boolean prefilling() {
-    return remainingPrefill > 0;
+    return !scheduled || remainingPrefill > 0;
   }
 
   boolean finished() {
--- a/standin/src/main/java/org/pollenrock/standin/engine/EngineStandin.java
+++ b/standin/src/main/java/org/pollenrock/standin/engine/EngineStandin.java
@@ -163,13 +163,13 @@
   }
 
   /**
-   * Number of leading keys that are cached now.
+   * Number of leading keys that are cached, or will be when the requests ahead have been prefilled.
    *
    * @param keys block keys of a prompt, as hex text
    * @return blocks that would be a hit
    */
-  public int cachedLeading(List<String> keys) {
-    return batch.cachedLeading(keys);
+  public int expectedLeading(List<String> keys) {
+    return batch.expectedLeading(keys);
   }
 
   /**
