Test prefix keys and the cache index against plain models

The properties compare the chain with its definition, the event position with the highest sequence seen, and the index with one object per belief; another one checks the capacity and the customers' floors. An event about an expired entry is now handled like one about an absent entry, so the result does not depend on when expired entries are removed.

--- a/core/src/main/java/org/pollenrock/core/cache/CacheIndex.java
+++ b/core/src/main/java/org/pollenrock/core/cache/CacheIndex.java
@@ -434,11 +434,12 @@
 
   private void apply(ServerKnowledge knowledge, boolean stored, BlockKey key, long nowNanos) {
     int entry = store.find(knowledge, key.high(), key.low());
+    boolean believed = entry != NONE && store.confidence(entry, nowNanos) > 0;
     if (stored) {
-      boolean own = entry != NONE && entries.is(entry, BeliefSource.OWN);
+      boolean own = believed && entries.is(entry, BeliefSource.OWN);
       BeliefSource source = own ? BeliefSource.OWN : BeliefSource.EVENT;
       store.put(knowledge, key, source, nowNanos);
-    } else if (entry != NONE) {
+    } else if (believed) {
       store.put(knowledge, key, BeliefSource.EVICTED, nowNanos);
     }
   }
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/cache/CacheIndexPropertyTest.java
@@ -0,0 +1,288 @@
+package org.pollenrock.core.cache;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+import static org.pollenrock.core.cache.CacheFixture.SECOND_NANOS;
+import static org.pollenrock.core.cache.CacheFixture.chain;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.BlockKey;
+import org.pollenrock.core.model.CustomerId;
+import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.prefix.PrefixChain;
+
+/** Compares the index with a plain slow model and checks its bounds on generated schedules. */
+class CacheIndexPropertyTest {
+  private static final int STEPS = 60;
+  private static final List<BackendServerId> SERVERS =
+      List.of(new BackendServerId("s1"), new BackendServerId("s2"), new BackendServerId("s3"));
+  private static final List<PrefixChain> CHAINS =
+      List.of(
+          chain("a", 1, 0, 4),
+          chain("a", 2, 2, 5),
+          chain("a", 3, 2, 3),
+          chain("b", 1, 0, 4),
+          chain("b", 2, 2, 4));
+
+  /** Guards against any difference between the linked arrays and the written rules. */
+  @Property(seed = "4301", tries = 400, shrinking = ShrinkingMode.OFF)
+  void agreesWithThePlainModel(@ForAll long seed) {
+    Random random = new Random(seed);
+    CacheIndex index = new CacheIndex(1_000, 5);
+    PlainIndex model = new PlainIndex();
+    long now = 0;
+    for (int step = 0; step < STEPS; step++) {
+      now += random.nextInt(4) * SECOND_NANOS / 2;
+      BackendServerId server = SERVERS.get(random.nextInt(SERVERS.size()));
+      Incarnation incarnation = new Incarnation(1 + random.nextInt(step / 20 + 1));
+      PrefixChain chain = CHAINS.get(random.nextInt(CHAINS.size()));
+      switch (random.nextInt(5)) {
+        case 0 -> {
+          index.sent(server, incarnation, chain, now);
+          model.sent(server, incarnation, chain, now);
+        }
+        case 1 -> {
+          index.failed(server, incarnation, chain);
+          model.failed(server, incarnation, chain);
+        }
+        case 2 -> {
+          int cached = random.nextInt(chain.length() + 1);
+          index.observed(server, incarnation, chain, cached, now);
+          model.observed(server, incarnation, chain, cached, now);
+        }
+        default -> {
+          List<CacheEvent> events = events(random, chain, step);
+          index.apply(server, incarnation, events, now);
+          model.apply(server, incarnation, events, now);
+        }
+      }
+      compare(index, model, now);
+    }
+  }
+
+  private static List<CacheEvent> events(Random random, PrefixChain chain, int step) {
+    List<CacheEvent> events = new ArrayList<>();
+    long sequence = 1 + random.nextInt(step + 3);
+    for (int block = 0; block < chain.length(); block++) {
+      CacheEvent.Kind kind =
+          random.nextInt(3) == 0 ? CacheEvent.Kind.EVICTED : CacheEvent.Kind.STORED;
+      events.add(new CacheEvent(sequence, kind, chain.key(block)));
+      sequence += random.nextInt(8) == 0 ? 2 : 1;
+    }
+    return events;
+  }
+
+  private static void compare(CacheIndex index, PlainIndex model, long now) {
+    for (PrefixChain chain : CHAINS) {
+      ChainLookup lookup = index.lookup(chain);
+      Set<BackendServerId> holders = new HashSet<>(index.holders(lookup, 8, now));
+      for (BackendServerId server : SERVERS) {
+        for (long life = 1; life <= 3; life++) {
+          Incarnation incarnation = new Incarnation(life);
+          double expected = model.expectedBlocks(chain, server, incarnation, now);
+          assertThat(index.expectedBlocks(lookup, server, incarnation, now))
+              .isCloseTo(expected, within(1e-9));
+          assertThat(expected == 0 || holders.contains(server)).isTrue();
+        }
+      }
+    }
+  }
+
+  /** Guards against an index that outgrows its bound, or a customer below its floor. */
+  @Property(seed = "4302", tries = 100, shrinking = ShrinkingMode.OFF)
+  void staysBoundedAndKeepsFloors(@ForAll long seed) {
+    Random random = new Random(seed);
+    int capacity = 16 + random.nextInt(60);
+    int floor = random.nextInt(12);
+    CacheIndex index = new CacheIndex(capacity, floor);
+    Map<String, Integer> before = new HashMap<>();
+    for (int step = 0; step < 200; step++) {
+      String customer = "c" + random.nextInt(4);
+      BackendServerId server = SERVERS.get(random.nextInt(SERVERS.size()));
+      PrefixChain chain = chain(customer, random.nextInt(20), 1, 1 + random.nextInt(5));
+      index.observed(server, new Incarnation(1), chain, 0, step);
+      assertThat(index.size()).isLessThanOrEqualTo(capacity);
+      int effective = Math.min(floor, capacity / 4);
+      int total = 0;
+      for (int other = 0; other < 4; other++) {
+        String name = "c" + other;
+        int count = index.size(new CustomerId(name));
+        total += count;
+        if (!name.equals(customer)) {
+          int kept = Math.min(effective, before.getOrDefault(name, 0));
+          assertThat(count).isGreaterThanOrEqualTo(kept);
+        }
+        before.put(name, count);
+      }
+      assertThat(total).isEqualTo(index.size());
+    }
+  }
+
+  /** The rules of the index with one object per belief and no bound. */
+  private static final class PlainIndex {
+    private static final double LIFETIME = EvictionEstimator.DEFAULT_LIFETIME_NANOS;
+
+    private final Map<BackendServerId, Server> servers = new HashMap<>();
+
+    private Server current(BackendServerId id, Incarnation incarnation) {
+      Server server = servers.get(id);
+      if (server == null || incarnation.isAfter(server.incarnation)) {
+        server = new Server(incarnation);
+        servers.put(id, server);
+      }
+      return server.incarnation.equals(incarnation) ? server : null;
+    }
+
+    void sent(BackendServerId id, Incarnation incarnation, PrefixChain chain, long now) {
+      Server server = current(id, incarnation);
+      if (server == null) {
+        return;
+      }
+      for (BlockKey key : chain.keys()) {
+        Belief belief = server.beliefs.get(key);
+        boolean weak = belief == null || belief.kind.equals("evicted");
+        if (weak || server.confidence(belief, now) < Math.exp(-1)) {
+          server.beliefs.put(key, new Belief("pending", now, server.gaps));
+        }
+      }
+    }
+
+    void failed(BackendServerId id, Incarnation incarnation, PrefixChain chain) {
+      Server server = servers.get(id);
+      if (server != null && server.incarnation.equals(incarnation)) {
+        for (BlockKey key : chain.keys()) {
+          server.beliefs.computeIfPresent(
+              key, (known, belief) -> belief.kind.equals("pending") ? null : belief);
+        }
+      }
+    }
+
+    void observed(
+        BackendServerId id, Incarnation incarnation, PrefixChain chain, int cached, long now) {
+      Server server = current(id, incarnation);
+      if (server == null) {
+        return;
+      }
+      for (int block = cached; block < chain.length(); block++) {
+        Belief belief = server.beliefs.get(chain.key(block));
+        if (belief != null && (belief.kind.equals("own") || belief.kind.equals("event"))) {
+          server.missed = Math.max(server.missed, belief.used);
+        }
+      }
+      for (BlockKey key : chain.keys()) {
+        server.beliefs.put(key, new Belief("own", now, server.gaps));
+      }
+    }
+
+    void apply(BackendServerId id, Incarnation incarnation, List<CacheEvent> events, long now) {
+      Server server = current(id, incarnation);
+      if (server == null) {
+        return;
+      }
+      for (CacheEvent event : events) {
+        if (event.sequence() <= server.applied) {
+          continue;
+        }
+        if (server.applied > 0 && event.sequence() > server.applied + 1) {
+          server.gaps++;
+        }
+        server.applied = event.sequence();
+        Belief belief = server.beliefs.get(event.key());
+        boolean believed = belief != null && server.confidence(belief, now) > 0;
+        if (event.kind() == CacheEvent.Kind.STORED) {
+          String kind = believed && belief.kind.equals("own") ? "own" : "event";
+          server.beliefs.put(event.key(), new Belief(kind, now, server.gaps));
+        } else if (believed) {
+          server.beliefs.put(event.key(), new Belief("evicted", now, server.gaps));
+        }
+      }
+    }
+
+    double expectedBlocks(PrefixChain chain, BackendServerId id, Incarnation life, long now) {
+      Server server = servers.get(id);
+      if (server == null || !server.incarnation.equals(life)) {
+        return 0;
+      }
+      double sum = 0;
+      for (int block = 0; block < chain.length(); block++) {
+        if (server.cut(chain, block)) {
+          return sum;
+        }
+        double best = 0;
+        for (int later = block; later < chain.length(); later++) {
+          Belief belief = server.beliefs.get(chain.key(later));
+          boolean usable = belief != null && !belief.kind.equals("evicted");
+          if (usable && !server.hidden(chain, block, later)) {
+            best = Math.max(best, server.confidence(belief, now));
+          }
+        }
+        sum += best;
+      }
+      return sum;
+    }
+
+    private record Belief(String kind, long used, int gaps) {}
+
+    private static final class Server {
+      private final Incarnation incarnation;
+      private final Map<BlockKey, Belief> beliefs = new HashMap<>();
+      private long applied;
+      private int gaps;
+      private long missed = Long.MIN_VALUE;
+
+      Server(Incarnation incarnation) {
+        this.incarnation = incarnation;
+      }
+
+      double confidence(Belief belief, long now) {
+        double confidence = Math.exp(-(now - belief.used) / LIFETIME);
+        if (belief.kind.equals("event")) {
+          confidence *= Math.pow(0.5, gaps - belief.gaps);
+        }
+        if (belief.kind.equals("pending")) {
+          confidence *= 0.7;
+        }
+        if (belief.used <= missed) {
+          confidence *= 0.5;
+        }
+        return confidence < EvictionEstimator.MINIMUM_CONFIDENCE ? 0 : confidence;
+      }
+
+      /** True when this block was evicted and no later block was used after that. */
+      boolean cut(PrefixChain chain, int block) {
+        Belief belief = beliefs.get(chain.key(block));
+        if (belief == null || !belief.kind.equals("evicted")) {
+          return false;
+        }
+        for (int later = block + 1; later < chain.length(); later++) {
+          Belief deeper = beliefs.get(chain.key(later));
+          boolean usable = deeper != null && !deeper.kind.equals("evicted");
+          if (usable && deeper.used > belief.used) {
+            return false;
+          }
+        }
+        return true;
+      }
+
+      /** True when a block in between was cut, so that the later one says nothing. */
+      boolean hidden(PrefixChain chain, int from, int later) {
+        for (int between = from; between < later; between++) {
+          if (cut(chain, between)) {
+            return true;
+          }
+        }
+        return false;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/cache/CacheIndexTest.java
@@ -0,0 +1,198 @@
+package org.pollenrock.core.cache;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.within;
+import static org.pollenrock.core.cache.CacheFixture.FIRST;
+import static org.pollenrock.core.cache.CacheFixture.SECOND;
+import static org.pollenrock.core.cache.CacheFixture.SECOND_NANOS;
+import static org.pollenrock.core.cache.CacheFixture.SERVER;
+import static org.pollenrock.core.cache.CacheFixture.chain;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.CustomerId;
+import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.ModelId;
+import org.pollenrock.core.model.WeightsVersion;
+import org.pollenrock.core.prefix.PrefixChain;
+
+class CacheIndexTest {
+  private static final double EXACT = 1e-9;
+
+  private final CacheIndex index = new CacheIndex(1_000, 10);
+  private final PrefixChain chain = chain("c", 1, 2, 4);
+
+  private double expected(PrefixChain asked, Incarnation incarnation, long nowNanos) {
+    return index.expectedBlocks(index.lookup(asked), SERVER, incarnation, nowNanos);
+  }
+
+  private static List<CacheEvent> events(CacheEvent.Kind kind, long first, PrefixChain chain) {
+    List<CacheEvent> events = new ArrayList<>();
+    for (int block = 0; block < chain.length(); block++) {
+      events.add(new CacheEvent(first + block, kind, chain.key(block)));
+    }
+    return events;
+  }
+
+  /** Guards against reliance on the cache of an engine that crashed. */
+  @Test
+  void newerIncarnationDropsKnowledgeAndOlderIsIgnored() {
+    index.observed(SERVER, FIRST, chain, 0, 0);
+    assertThat(expected(chain, FIRST, 0)).isEqualTo(4);
+    assertThat(expected(chain, SECOND, 0)).isZero();
+    assertThat(index.accept(SERVER, SECOND)).isTrue();
+    index.observed(SERVER, FIRST, chain, 4, 0);
+    assertThat(index.apply(SERVER, FIRST, events(CacheEvent.Kind.STORED, 1, chain), 0)).isFalse();
+    assertThat(expected(chain, FIRST, 0)).isZero();
+    assertThat(expected(chain, SECOND, 0)).isZero();
+    assertThat(index.size()).isZero();
+  }
+
+  /** Guards against a belief that outlives the measured block lifetime, or starts too low. */
+  @Test
+  void confidenceDecaysWithTheMeasuredLifetimeAndReuseRefreshesIt() {
+    index.report(SERVER, FIRST, 100, 20);
+    assertThat(index.lifetimeNanos(SERVER)).isEqualTo(5.0 * SECOND_NANOS);
+    index.observed(SERVER, FIRST, chain, 0, 0);
+    assertThat(expected(chain, FIRST, 5 * SECOND_NANOS)).isCloseTo(4 * Math.exp(-1), within(EXACT));
+    assertThat(expected(chain, FIRST, 16 * SECOND_NANOS)).isZero();
+    index.observed(SERVER, FIRST, chain, 4, 5 * SECOND_NANOS);
+    assertThat(expected(chain, FIRST, 5 * SECOND_NANOS)).isEqualTo(4);
+  }
+
+  /** Guards against trust in events around a gap, and against doubt about own observations. */
+  @Test
+  void gapHalvesEventBasedEntriesOnlyAndObservationRepairsThem() {
+    PrefixChain own = chain("c", 2, 0, 3);
+    index.observed(SERVER, FIRST, own, 0, 0);
+    index.apply(SERVER, FIRST, events(CacheEvent.Kind.STORED, 1, chain), 0);
+    CacheEvent later = new CacheEvent(9, CacheEvent.Kind.STORED, chain("c", 3, 0, 1).key(0));
+    index.apply(SERVER, FIRST, List.of(later), 0);
+    assertThat(expected(chain, FIRST, 0)).isCloseTo(2, within(EXACT));
+    assertThat(expected(own, FIRST, 0)).isEqualTo(3);
+    index.observed(SERVER, FIRST, chain, 4, 0);
+    assertThat(expected(chain, FIRST, 0)).isEqualTo(4);
+  }
+
+  /**
+   * Guards against suspect entries that stay suspect although a digest confirms or refutes them.
+   */
+  @Test
+  void digestRepairsSuspectEntries() {
+    PrefixChain evicted = chain("c", 2, 0, 3);
+    index.apply(SERVER, FIRST, events(CacheEvent.Kind.STORED, 1, chain), 0);
+    index.apply(SERVER, FIRST, events(CacheEvent.Kind.STORED, 9, evicted), 0);
+    assertThat(index.applyDigest(SERVER, FIRST, 10, chain.keys(), 0)).isFalse();
+    assertThat(index.applyDigest(SERVER, FIRST, 20, chain.keys(), 0)).isTrue();
+    assertThat(expected(chain, FIRST, 0)).isEqualTo(4);
+    assertThat(expected(evicted, FIRST, 0)).isZero();
+  }
+
+  /** Guards against blocks counted as usable although an earlier block of the chain was evicted. */
+  @Test
+  void evictionOfAnEarlierBlockCutsTheChain() {
+    index.observed(SERVER, FIRST, chain, 0, 0);
+    CacheEvent evicted = new CacheEvent(5, CacheEvent.Kind.EVICTED, chain.key(1));
+    index.apply(SERVER, FIRST, List.of(evicted), 1);
+    assertThat(expected(chain, FIRST, 1)).isCloseTo(1, within(1e-6));
+    index.observed(SERVER, FIRST, chain, 1, 2);
+    assertThat(expected(chain, FIRST, 2)).isEqualTo(4);
+  }
+
+  /** Guards against a router that saw only the event of the last block expecting a full miss. */
+  @Test
+  void laterBlockImpliesTheBlocksBeforeIt() {
+    CacheEvent last = new CacheEvent(5, CacheEvent.Kind.STORED, chain.key(3));
+    index.apply(SERVER, FIRST, List.of(last), 0);
+    assertThat(expected(chain, FIRST, 0)).isEqualTo(4);
+  }
+
+  /** Guards against a request in flight counting for nothing, or for more after it failed. */
+  @Test
+  void sentRequestCountsUntilItFails() {
+    index.sent(SERVER, FIRST, chain, 0);
+    assertThat(expected(chain, FIRST, 0)).isCloseTo(4 * 0.7, within(EXACT));
+    index.failed(SERVER, FIRST, chain);
+    assertThat(expected(chain, FIRST, 0)).isZero();
+    index.observed(SERVER, FIRST, chain, 0, 0);
+    index.sent(SERVER, FIRST, chain, 1);
+    index.failed(SERVER, FIRST, chain);
+    assertThat(expected(chain, FIRST, 1)).isGreaterThan(3.9);
+  }
+
+  /** Guards against full trust in blocks that are older than one that was found evicted. */
+  @Test
+  void unexpectedMissMakesOlderEntriesSuspect() {
+    PrefixChain older = chain("c", 2, 0, 3);
+    PrefixChain newer = chain("c", 3, 0, 3);
+    index.observed(SERVER, FIRST, older, 0, 0);
+    index.observed(SERVER, FIRST, chain, 0, 1);
+    index.observed(SERVER, FIRST, newer, 0, 2);
+    index.observed(SERVER, FIRST, chain, 0, 3);
+    assertThat(expected(older, FIRST, 3)).isCloseTo(1.5, within(1e-6));
+    assertThat(expected(newer, FIRST, 3)).isCloseTo(3, within(1e-6));
+    assertThat(expected(chain, FIRST, 3)).isEqualTo(4);
+  }
+
+  /** Guards against reliance on blocks that were computed under older weights. */
+  @Test
+  void retainWeightsDropsBlocksOfOtherVersions() {
+    PrefixChain newer = chain("c", "v2", 1, 2, 4);
+    index.observed(SERVER, FIRST, chain, 0, 0);
+    assertThat(expected(newer, FIRST, 0)).isZero();
+    index.observed(SERVER, FIRST, newer, 0, 0);
+    index.retainWeights(SERVER, new ModelId("m"), Set.of(new WeightsVersion("v2")));
+    assertThat(expected(chain, FIRST, 0)).isZero();
+    assertThat(expected(newer, FIRST, 0)).isEqualTo(4);
+  }
+
+  /** Guards against a flood of one customer that pushes another's hot prefixes out of the index. */
+  @Test
+  void customerKeepsItsFloorWhenAnotherFillsTheIndex() {
+    CacheIndex small = new CacheIndex(100, 10);
+    PrefixChain quiet = chain("quiet", 0, 0, 10);
+    small.observed(SERVER, FIRST, quiet, 0, 0);
+    for (int prompt = 0; prompt < 50; prompt++) {
+      small.observed(SERVER, FIRST, chain("loud", prompt, 0, 8), 0, prompt + 1);
+    }
+    assertThat(small.size()).isEqualTo(100);
+    assertThat(small.size(new CustomerId("quiet"))).isEqualTo(10);
+    assertThat(small.expectedBlocks(small.lookup(quiet), SERVER, FIRST, 60)).isGreaterThan(9.9);
+  }
+
+  /** Guards against events about blocks that nobody asks for replacing what requests need. */
+  @Test
+  void eventsOfUnknownBlocksNeverEvictACustomersEntries() {
+    CacheIndex small = new CacheIndex(16, 0);
+    small.observed(SERVER, FIRST, chain("c", 1, 0, 12), 0, 0);
+    small.apply(SERVER, FIRST, events(CacheEvent.Kind.STORED, 1, chain("other", 7, 0, 40)), 1);
+    assertThat(small.size(new CustomerId("c"))).isEqualTo(12);
+    assertThat(small.size()).isEqualTo(16);
+  }
+
+  /** Guards against holders that are missing, repeated or beyond the limit. */
+  @Test
+  void holdersStartWithTheDeepestBlocks() {
+    PrefixChain sibling = chain("c", 2, 2, 4);
+    index.observed(new BackendServerId("shallow"), FIRST, sibling, 0, 0);
+    index.observed(new BackendServerId("deep"), FIRST, chain, 0, 0);
+    index.observed(new BackendServerId("none"), FIRST, chain("c", 9, 0, 4), 0, 0);
+    assertThat(index.holders(index.lookup(chain), 8, 0))
+        .containsExactly(new BackendServerId("deep"), new BackendServerId("shallow"));
+    assertThat(index.holders(index.lookup(chain), 1, 0))
+        .containsExactly(new BackendServerId("deep"));
+  }
+
+  /** Guards against a lookup whose positions point at other blocks after a change. */
+  @Test
+  void lookupIsRejectedAfterAChange() {
+    ChainLookup lookup = index.lookup(chain);
+    index.observed(SERVER, FIRST, chain, 0, 0);
+    assertThatThrownBy(() -> index.expectedBlocks(lookup, SERVER, FIRST, 0))
+        .isInstanceOf(IllegalStateException.class);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/prefix/PrefixFingerprinterTest.java
@@ -0,0 +1,136 @@
+package org.pollenrock.core.prefix;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.pollenrock.core.model.AdapterId;
+import org.pollenrock.core.model.BlockKey;
+import org.pollenrock.core.model.CustomerId;
+import org.pollenrock.core.model.ModelId;
+import org.pollenrock.core.model.WeightsVersion;
+
+class PrefixFingerprinterTest {
+  private static final int BLOCK = 64;
+
+  private final PrefixFingerprinter fingerprinter = new PrefixFingerprinter();
+
+  private static CacheScope scope(String customer, String model, String adapter, String weights) {
+    Optional<AdapterId> loaded = Optional.ofNullable(adapter).map(AdapterId::new);
+    return new CacheScope(
+        new CustomerId(customer), new ModelId(model), loaded, new WeightsVersion(weights));
+  }
+
+  private static byte[] prompt(long seed, int length) {
+    byte[] bytes = new byte[length];
+    new Random(seed).nextBytes(bytes);
+    return bytes;
+  }
+
+  private PrefixChain chain(byte[] prompt, CacheScope scope) {
+    return fingerprinter.chain(fingerprinter.blocks(prompt, BLOCK), scope);
+  }
+
+  /** Guards against a chain that differs from its definition, for example by a reused buffer. */
+  @Property(seed = "4101", tries = 100, shrinking = ShrinkingMode.FULL)
+  void chainEqualsDefinition(@ForAll long seed, @ForAll @IntRange(min = 0, max = 600) int length)
+      throws NoSuchAlgorithmException {
+    byte[] prompt = prompt(seed, length);
+    CacheScope scope = scope("c", "m", seed % 2 == 0 ? "a" : null, "v1");
+    MessageDigest sha = MessageDigest.getInstance("SHA-256");
+    byte[] parent = definedScopeDigest(scope);
+    List<BlockKey> expected = new ArrayList<>();
+    for (int at = 0; at + BLOCK <= length; at += BLOCK) {
+      byte[] content = sha.digest(Arrays.copyOfRange(prompt, at, at + BLOCK));
+      sha.update(parent);
+      BlockKey key = BlockKey.of(sha.digest(content));
+      expected.add(key);
+      parent = key.toBytes();
+    }
+    assertThat(chain(prompt, scope).keys()).isEqualTo(expected);
+  }
+
+  private static byte[] definedScopeDigest(CacheScope scope) throws NoSuchAlgorithmException {
+    ByteBuffer encoded = ByteBuffer.allocate(200);
+    put(encoded, scope.customer().value());
+    put(encoded, scope.model().value());
+    encoded.put((byte) (scope.adapter().isPresent() ? 1 : 0));
+    put(encoded, scope.adapter().map(AdapterId::value).orElse(""));
+    put(encoded, scope.weights().value());
+    byte[] bytes = Arrays.copyOf(encoded.array(), encoded.position());
+    return MessageDigest.getInstance("SHA-256").digest(bytes);
+  }
+
+  private static void put(ByteBuffer buffer, String value) {
+    buffer.putInt(value.length()).put(value.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Guards against prefixes that share keys beyond or short of their common content. */
+  @Property(seed = "4102", tries = 100, shrinking = ShrinkingMode.FULL)
+  void keysAreEqualExactlyUpToTheFirstDifference(
+      @ForAll long seed, @ForAll @IntRange(min = 0, max = 639) int changed) {
+    byte[] left = prompt(seed, 640);
+    byte[] right = left.clone();
+    right[changed] ^= 1;
+    CacheScope scope = scope("c", "m", null, "v1");
+    List<BlockKey> leftKeys = chain(left, scope).keys();
+    List<BlockKey> rightKeys = chain(right, scope).keys();
+    for (int block = 0; block < leftKeys.size(); block++) {
+      boolean shared = (block + 1) * BLOCK <= changed;
+      assertThat(leftKeys.get(block).equals(rightKeys.get(block))).isEqualTo(shared);
+    }
+  }
+
+  /** Guards against a customer that chooses names so that its keys equal another customer's. */
+  @Test
+  void noFieldOfTheScopeCanRunIntoTheNext() {
+    byte[] prompt = prompt(1, 4 * BLOCK);
+    List<CacheScope> scopes =
+        List.of(
+            scope("ab", "c", null, "v"),
+            scope("a", "bc", null, "v"),
+            scope("ab", "c", "v", "v"),
+            scope("ab", "cv", null, "v"),
+            scope("ab", "c", null, "v2"),
+            scope("ab", "c", "x", "v"),
+            scope("ab\0c", "c", null, "v"),
+            scope("b", "c", null, "v"));
+    List<BlockKey> all = new ArrayList<>();
+    scopes.forEach(scope -> all.addAll(chain(prompt, scope).keys()));
+    assertThat(all).hasSize(scopes.size() * 4).doesNotHaveDuplicates();
+  }
+
+  /** Guards against keys for a partial block, which an engine does not cache. */
+  @Test
+  void lastPartialBlockHasNoKey() {
+    assertThat(fingerprinter.blocks(new byte[BLOCK - 1], BLOCK).count()).isZero();
+    assertThat(fingerprinter.blocks(new byte[2 * BLOCK + 1], BLOCK).count()).isEqualTo(2);
+  }
+
+  /** Guards against equal content at two positions being taken for the same block. */
+  @Test
+  void equalBlocksAtDifferentPositionsHaveDifferentKeys() {
+    PrefixChain chain = chain(new byte[4 * BLOCK], scope("c", "m", null, "v"));
+    assertThat(chain.keys()).doesNotHaveDuplicates();
+  }
+
+  /** Guards against a division by zero on a faulty setting. */
+  @Test
+  void blockSizeMustBePositive() {
+    assertThatThrownBy(() -> fingerprinter.blocks(new byte[1], 0))
+        .isInstanceOf(IllegalArgumentException.class);
+  }
+}
