Rank prefixes by their deepest level under load and test the placement rules

A cost that counts every missing block sent all dossiers of a customer to the server of the first one, and a restarted router disagreed with its peers. A home is no longer charged for shared levels that every server sees within a block lifetime; a holder of shared levels only counts as a stray copy.

--- a/core/src/main/java/org/pollenrock/core/placement/CostModel.java
+++ b/core/src/main/java/org/pollenrock/core/placement/CostModel.java
@@ -16,6 +16,8 @@
    */
   private static final double STRAY_COPY_FACTOR = 2;
 
+  private static final double NANOS_PER_SECOND = 1e9;
+
   private final PlacerState state;
 
   CostModel(PlacerState state) {
@@ -57,19 +59,42 @@
     double queue = load.prefillNanos(queueTokens);
     double slot = slotNanos(request.priority(), load);
     double urgent = urgentNanos(request.priority(), load, queueTokens);
+    double shared = origin == CandidateOrigin.HOME ? sharedNanos(context, server, cachedTokens) : 0;
     double eviction = load.prefillNanos(missing);
-    if (isStray(origin)) {
+    if (isStray(context, origin, cachedTokens)) {
       eviction *= STRAY_COPY_FACTOR;
     }
     double ttft = prefill + queue + slot + server.roundTripNanos() + urgent;
     PlacementWeights weights = request.tuning();
-    double total = weights.ttftWeight() * ttft + weights.hitWeight() * eviction;
+    double total =
+        weights.ttftWeight() * (ttft - shared) + weights.hitWeight() * (eviction - shared);
     return new CostTerms(
-        missing, prefill, queue, slot, server.roundTripNanos(), urgent, eviction, total);
+        missing, prefill, queue, slot, server.roundTripNanos(), urgent, eviction, shared, total);
+  }
+
+  /** A holder of the shared levels only is no better a place for a copy than any other server. */
+  private static boolean isStray(
+      PlacementContext context, CandidateOrigin origin, double cachedTokens) {
+    return switch (origin) {
+      case SAMPLED, REMOTE -> true;
+      case HOLDER -> cachedTokens <= context.sharedTokens();
+      case HOME, ELIGIBLE -> false;
+    };
   }
 
-  private static boolean isStray(CandidateOrigin origin) {
-    return origin == CandidateOrigin.SAMPLED || origin == CandidateOrigin.REMOTE;
+  /**
+   * Prefill of shared levels that a home lacks, as far as that serves later requests: a level that
+   * every server sees within a block lifetime is cached everywhere anyway. Without this, all
+   * prefixes below a level would follow the first one to its server.
+   */
+  private double sharedNanos(PlacementContext context, EligibleServer server, double cachedTokens) {
+    double missing = context.sharedTokens() - cachedTokens;
+    if (missing <= 0) {
+      return 0;
+    }
+    double lifetimeSeconds = state.cache().lifetimeNanos(server.server()) / NANOS_PER_SECOND;
+    double uses = context.parentRate() * lifetimeSeconds / context.eligible().local().size();
+    return server.load().prefillNanos(missing) * Math.min(1, uses);
   }
 
   private static double importedTokens(PlacementRequest request, KvImport kvImport) {
--- a/core/src/main/java/org/pollenrock/core/placement/CostTerms.java
+++ b/core/src/main/java/org/pollenrock/core/placement/CostTerms.java
@@ -11,6 +11,7 @@
  * @param urgentNanos time that a prefill chunk which cannot be interrupted adds for urgent requests
  * @param evictionNanos time that other requests lose because new blocks evict theirs, before the
  *     hit weight
+ * @param sharedNanos prefill of widely shared levels that a home lacks; not counted in the total
  * @param totalNanos the weighted sum that is compared
  */
 public record CostTerms(
@@ -21,6 +22,7 @@
     double networkNanos,
     double urgentNanos,
     double evictionNanos,
+    double sharedNanos,
     double totalNanos) {
   /**
    * Expected time to first token.
--- a/core/src/main/java/org/pollenrock/core/placement/PlacementContext.java
+++ b/core/src/main/java/org/pollenrock/core/placement/PlacementContext.java
@@ -1,6 +1,7 @@
 package org.pollenrock.core.placement;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.pollenrock.core.cache.CacheIndex;
@@ -23,6 +24,8 @@
   private final EligibleServers eligible;
   private final PlacerState state;
   private final PlacementLevels levels;
+  private final double sharedTokens;
+  private final double parentRate;
   private final Map<WeightsVersion, ChainLookup> lookups = new HashMap<>(4);
 
   PlacementContext(
@@ -32,6 +35,12 @@
     this.eligible = eligible;
     this.state = state;
     this.levels = PlacementLevels.of(request);
+    List<Integer> ends = request.levelEnds();
+    int sharedBlocks = ends.size() < 2 ? 0 : ends.get(ends.size() - 2);
+    sharedTokens = sharedBlocks * request.tokensPerBlock();
+    parentRate =
+        levels.parent().map(parent -> state.hot().rate(parent, nowNanos)).orElse(0.0)
+            * state.routers();
   }
 
   /**
@@ -129,6 +138,16 @@
     return levels;
   }
 
+  /** Prompt tokens of the levels above the deepest one. */
+  double sharedTokens() {
+    return sharedTokens;
+  }
+
+  /** Requests per second of all routers for the level above the deepest one. */
+  double parentRate() {
+    return parentRate;
+  }
+
   /** True when this router had not seen the deepest prefix level recently. */
   boolean isNewPrefix() {
     return state.hot().rate(levels.deepest(), nowNanos) * state.routers() < NEW_PREFIX_RATE;
--- a/core/src/test/java/org/pollenrock/core/cache/EventStreamStateTest.java
+++ b/core/src/test/java/org/pollenrock/core/cache/EventStreamStateTest.java
@@ -3,12 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
-import org.junit.jupiter.api.Test;
 
 class EventStreamStateTest {
   /** Guards against an event being applied twice, out of order, or a gap that goes unnoticed. */
@@ -31,7 +31,7 @@
   }
 
   /** Guards against a digest that undoes events which were applied after it was made. */
-  @Test
+  @Example
   void outdatedDigestDoesNotMoveThePositionBack() {
     EventStreamState state = new EventStreamState();
     state.accept(10);
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/placement/HotPrefixTrackerTest.java
@@ -0,0 +1,67 @@
+package org.pollenrock.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+import static org.pollenrock.core.placement.PlacementFixture.MILLI;
+import static org.pollenrock.core.placement.PlacementFixture.SECOND;
+
+import org.junit.jupiter.api.Test;
+import org.pollenrock.core.model.BlockKey;
+
+class HotPrefixTrackerTest {
+  private static final BlockKey HOT = new BlockKey(1, 1);
+
+  private final HotPrefixTracker tracker = new HotPrefixTracker(4);
+
+  private void observe(double perSecond, long fromNanos, long toNanos) {
+    for (long now = fromNanos; now < toNanos; now += (long) (SECOND / perSecond)) {
+      tracker.observe(HOT, now);
+    }
+  }
+
+  /** Guards against a rate that does not follow the traffic, or does not halve in a half-life. */
+  @Test
+  void rateFollowsTheTrafficAndDecays() {
+    observe(20, 0, 20 * SECOND);
+    double steady = tracker.rate(HOT, 20 * SECOND);
+    assertThat(steady).isCloseTo(20, within(1.0));
+    assertThat(tracker.rate(HOT, 22 * SECOND)).isCloseTo(steady / 2, within(0.3));
+    assertThat(tracker.rate(HOT, 60 * SECOND)).isLessThan(0.001);
+  }
+
+  /** Guards against homes that are not added under load, or are kept after it. */
+  @Test
+  void homesGrowWithTheRateAndShrinkAgain() {
+    observe(20, 0, 20 * SECOND);
+    double hot = tracker.rate(HOT, 20 * SECOND);
+    double cooled = tracker.rate(HOT, 32 * SECOND);
+    assertThat(HotPrefixTracker.homes(hot, 0.1, 0.5, 13)).isBetween(4, 5);
+    assertThat(HotPrefixTracker.homes(hot, 0.1, 0.5, 3)).isEqualTo(3);
+    assertThat(HotPrefixTracker.homes(cooled, 0.1, 0.5, 13)).isEqualTo(1);
+    assertThat(HotPrefixTracker.homes(0, 0.1, 0.5, 13)).isEqualTo(1);
+  }
+
+  /** Guards against unbounded memory, and against a hot level that rare ones push out. */
+  @Test
+  void rareLevelsAreDroppedFirst() {
+    for (int level = 0; level < 100; level++) {
+      tracker.observe(HOT, level * MILLI);
+      tracker.observe(new BlockKey(2, level), level * MILLI);
+    }
+    assertThat(tracker.size()).isEqualTo(4);
+    assertThat(tracker.rate(HOT, 100 * MILLI)).isGreaterThan(30);
+  }
+
+  /** Guards against ordinary traffic being taken for long-tail traffic. */
+  @Test
+  void onlyALevelWhoseNewPrefixesAreNearlyAllMissesHasAColdTail() {
+    tracker.observe(HOT, 0);
+    for (int miss = 0; miss < 40; miss++) {
+      tracker.outcome(HOT, false);
+    }
+    assertThat(tracker.hasColdTail(HOT)).isTrue();
+    tracker.outcome(HOT, true);
+    tracker.outcome(HOT, true);
+    assertThat(tracker.hasColdTail(HOT)).isFalse();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/placement/LoadTableTest.java
@@ -0,0 +1,140 @@
+package org.pollenrock.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+import static org.pollenrock.core.placement.PlacementFixture.FIRST;
+import static org.pollenrock.core.placement.PlacementFixture.MILLI;
+import static org.pollenrock.core.placement.PlacementFixture.MODEL;
+import static org.pollenrock.core.placement.PlacementFixture.NEAR;
+import static org.pollenrock.core.placement.PlacementFixture.SECOND;
+import static org.pollenrock.core.placement.PlacementFixture.V1;
+import static org.pollenrock.core.placement.PlacementFixture.V2;
+import static org.pollenrock.core.placement.PlacementFixture.place;
+import static org.pollenrock.core.placement.PlacementFixture.placer;
+import static org.pollenrock.core.placement.PlacementFixture.report;
+import static org.pollenrock.core.placement.PlacementFixture.request;
+import static org.pollenrock.core.placement.PlacementFixture.server;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.pollenrock.core.model.AdapterId;
+import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.ModelId;
+
+class LoadTableTest {
+  private final LoadTable table = new LoadTable(PlacerConfig.of(NEAR));
+
+  private static ServerReport notAccepting() {
+    ServerReport report = report(1, 1, V1, 0);
+    return new ServerReport(report.server(), FIRST, NEAR, false, report.models(), report.load(), 0);
+  }
+
+  /** Guards against a late report that revives a dead incarnation or older figures. */
+  @Test
+  void outdatedReportsAreIgnored() {
+    assertThat(table.report(report(1, 2, NEAR, V1, 100, 10), 0)).isTrue();
+    assertThat(table.report(report(1, 1, NEAR, V1, 0, 99), 0)).isFalse();
+    assertThat(table.report(report(1, 2, NEAR, V1, 0, 9), 0)).isFalse();
+    assertThat(table.server(server(1)).orElseThrow().queueTokens(0)).isEqualTo(100);
+    table.gone(server(1));
+    assertThat(table.report(report(1, 1, NEAR, V1, 0, 99), 0)).isFalse();
+    assertThat(table.size()).isZero();
+  }
+
+  /** Guards against a leaving server that returns with a late report of the same life. */
+  @Test
+  void leavingIsFinalForAnIncarnationAndNoLonger() {
+    table.report(report(1, 1, V1, 0), 0);
+    table.leaving(server(1), FIRST);
+    table.report(report(1, 1, V1, 0), 0);
+    assertThat(table.eligible(request("c", 1)).all()).isEmpty();
+    table.report(report(1, 2, V1, 0), 0);
+    assertThat(table.eligible(request("c", 1)).all()).hasSize(1);
+  }
+
+  /** Guards against a restarted server that is used under what its previous life served. */
+  @Test
+  void restartedServerIsNotUsedBeforeItsFirstReport() {
+    table.report(report(1, 1, V1, 0), 0);
+    assertThat(table.accept(server(1), new Incarnation(2))).isTrue();
+    assertThat(table.eligible(request("c", 1)).all()).isEmpty();
+    table.report(report(1, 2, V1, 0), 0);
+    assertThat(table.eligible(request("c", 1)).all()).hasSize(1);
+  }
+
+  /** Guards against a refusal that names the wrong reason. */
+  @Test
+  void reasonNamesTheFirstConditionThatNoServerFulfils() {
+    PlacementRequest request = request("c", 1);
+    assertThat(table.reason(request)).isEqualTo(NoServerReason.MODEL_NOT_SERVED);
+    table.report(notAccepting(), 0);
+    assertThat(table.reason(request)).isEqualTo(NoServerReason.NONE_ACCEPTING);
+    table.report(report(1, 1, V1, 0), 0);
+    assertThat(table.reason(request.requiring(V2))).isEqualTo(NoServerReason.WEIGHTS_NOT_SERVED);
+    assertThat(table.reason(request.excluding(Set.of(server(1)))))
+        .isEqualTo(NoServerReason.ALL_EXCLUDED);
+    assertThat(table.reason(adapted(request, "none"))).isEqualTo(NoServerReason.ADAPTER_NOT_LOADED);
+    assertThat(table.eligible(adapted(request, "lora")).all()).hasSize(1);
+  }
+
+  private static PlacementRequest adapted(PlacementRequest request, String adapter) {
+    return new PlacementRequest(
+        request.customer(),
+        request.model(),
+        Optional.of(new AdapterId(adapter)),
+        request.blocks(),
+        request.levelEnds(),
+        request.promptTokens(),
+        request.priority(),
+        request.requiredWeights(),
+        request.excluded(),
+        request.tuning());
+  }
+
+  /** Guards against a cached selection that outlives a change of what a server serves. */
+  @Test
+  void selectionFollowsTheReports() {
+    table.report(report(1, 1, V1, 0), 0);
+    assertThat(table.eligible(request("c", 1).requiring(V1)).all()).hasSize(1);
+    table.report(report(1, 1, V2, 0), 0);
+    assertThat(table.eligible(request("c", 1).requiring(V1)).all()).isEmpty();
+    assertThat(table.eligible(request("c", 1).requiring(V2)).all()).hasSize(1);
+    table.report(
+        new ServerReport(
+            server(1),
+            FIRST,
+            NEAR,
+            true,
+            List.of(new ServedModel(new ModelId("x"), V1, Set.of())),
+            report(1, 1, V1, 0).load(),
+            0),
+        0);
+    assertThat(table.reason(request("c", 1))).isEqualTo(NoServerReason.MODEL_NOT_SERVED);
+    assertThat(MODEL.value()).isNotEqualTo("x");
+  }
+
+  /** Guards against queue figures that forget own requests or count them twice. */
+  @Test
+  void queueIsTheAgedReportPlusOwnTokensSince() {
+    Placer placer = placer(1);
+    placer.report(report(1, 1, V1, 20_000), 0);
+    ServerLoad load = placer.load(server(1)).orElseThrow();
+    assertThat(load.queueTokens(SECOND)).isEqualTo(10_000);
+    PlacementResult.Chosen chosen = place(placer, request("c", 1), SECOND);
+    placer.sent(chosen, SECOND);
+    int own = chosen.request().promptTokens() - chosen.expectedCachedTokens();
+    assertThat(load.queueTokens(SECOND)).isEqualTo(10_000 + own);
+    assertThat(load.running()).isEqualTo(1);
+    placer.report(report(1, 1, V1, own), SECOND + 20 * MILLI);
+    assertThat(load.queueTokens(SECOND + 20 * MILLI)).isEqualTo(2 * own);
+    placer.report(report(1, 1, V1, own), SECOND + 100 * MILLI);
+    assertThat(load.queueTokens(SECOND + 100 * MILLI)).isEqualTo(own);
+    placer.firstToken(chosen.id(), FIRST, V1, 0, SECOND + 200 * MILLI);
+    assertThat(load.queueTokens(SECOND + 200 * MILLI)).isCloseTo(0, within(1e-6));
+    placer.finished(chosen.id(), 2 * SECOND);
+    assertThat(load.ownInFlight()).isZero();
+    assertThat(placer.inFlight()).isZero();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/placement/PlacerTest.java
@@ -0,0 +1,325 @@
+package org.pollenrock.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.pollenrock.core.placement.PlacementFixture.FAR;
+import static org.pollenrock.core.placement.PlacementFixture.FIRST;
+import static org.pollenrock.core.placement.PlacementFixture.MILLI;
+import static org.pollenrock.core.placement.PlacementFixture.NEAR;
+import static org.pollenrock.core.placement.PlacementFixture.SECOND;
+import static org.pollenrock.core.placement.PlacementFixture.V1;
+import static org.pollenrock.core.placement.PlacementFixture.V2;
+import static org.pollenrock.core.placement.PlacementFixture.place;
+import static org.pollenrock.core.placement.PlacementFixture.placer;
+import static org.pollenrock.core.placement.PlacementFixture.report;
+import static org.pollenrock.core.placement.PlacementFixture.reportAll;
+import static org.pollenrock.core.placement.PlacementFixture.request;
+import static org.pollenrock.core.placement.PlacementFixture.serve;
+import static org.pollenrock.core.placement.PlacementFixture.server;
+import static org.pollenrock.core.placement.PlacementFixture.servers;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.Priority;
+
+class PlacerTest {
+  private static final int SERVERS = 13;
+
+  private final Placer placer = placer(1);
+
+  /** Guards against a repeated prompt that is sent away from the server that cached it. */
+  @Test
+  void repeatedPrefixGoesToItsHolder() {
+    reportAll(placer, SERVERS, 0, 0);
+    PlacementResult.Chosen first = serve(placer, request("c", 1), 0);
+    PlacementResult.Chosen second = serve(placer, request("c", 1), SECOND);
+    assertThat(second.server()).isEqualTo(first.server());
+    assertThat(first.expectedCachedTokens()).isZero();
+    assertThat(second.expectedCachedTokens()).isGreaterThan(7_000);
+    assertThat(second.candidates()).isNotEmpty();
+    assertThat(second.candidates().get(0).server()).isEqualTo(second.server());
+  }
+
+  /** Guards against a queue on the holder that costs more than computing the prefix again. */
+  @Test
+  void longQueueOnTheHolderOutweighsItsCache() {
+    reportAll(placer, SERVERS, 0, 0);
+    PlacementResult.Chosen first = serve(placer, request("c", 1), 0);
+    int holder = Integer.parseInt(first.server().value().substring(1));
+    placer.report(report(holder, 1, V1, 500_000), MILLI);
+    assertThat(place(placer, request("c", 1), 2 * MILLI).server()).isNotEqualTo(first.server());
+  }
+
+  /** Guards against reliance on a dead engine after any message names its next life. */
+  @Test
+  void restartedHolderIsAvoidedUntilItReports() {
+    reportAll(placer, SERVERS, 0, 0);
+    PlacementResult.Chosen first = serve(placer, request("c", 1), 0);
+    placer.incarnationSeen(first.server(), new Incarnation(2));
+    PlacementResult.Chosen second = place(placer, request("c", 1), MILLI);
+    assertThat(second.server()).isNotEqualTo(first.server());
+    int holder = Integer.parseInt(first.server().value().substring(1));
+    placer.report(report(holder, 2, V1, 0), MILLI);
+    PlacementResult.Chosen third = place(placer, request("c", 1), MILLI);
+    assertThat(third.expectedCachedTokens()).isZero();
+    assertThat(third.incarnation())
+        .isEqualTo(new Incarnation(third.server().equals(first.server()) ? 2 : 1));
+  }
+
+  /** Guards against learning from a response of another life or other weights. */
+  @Test
+  void responseWithAnotherIdentityTeachesNothing() {
+    reportAll(placer, 1, 0, 0);
+    PlacementResult.Chosen chosen = place(placer, request("c", 1), 0);
+    placer.sent(chosen, 0);
+    assertThat(placer.firstToken(chosen.id(), FIRST, V2, 8_000, 0)).isFalse();
+    assertThat(place(placer, request("c", 1), 0).expectedCachedTokens()).isZero();
+    placer.failed(chosen.id());
+    assertThat(placer.inFlight()).isZero();
+  }
+
+  /** Guards against a continued stream that is sent to a server with other weights. */
+  @Test
+  void requiredWeightsAndExclusionsAreRespected() {
+    placer.report(report(1, 1, V1, 90_000), 0);
+    placer.report(report(2, 1, V2, 0), 0);
+    PlacementRequest request = request("c", 1);
+    assertThat(place(placer, request.requiring(V1), 0).server()).isEqualTo(server(1));
+    assertThat(place(placer, request.requiring(V2), 0).weights()).isEqualTo(V2);
+    assertThat(place(placer, request.excluding(Set.of(server(2))), 0).server())
+        .isEqualTo(server(1));
+    assertThat(placer.place(request.excluding(Set.of(server(1), server(2))), 0))
+        .isEqualTo(new PlacementResult.NoServer(NoServerReason.ALL_EXCLUDED));
+  }
+
+  /** Guards against blocks of older weights that count after a reload and a rollback. */
+  @Test
+  void reloadDropsTheCacheOfOlderWeights() {
+    placer.report(report(1, 1, V1, 0), 0);
+    serve(placer, request("c", 1), 0);
+    placer.report(report(1, 1, V2, 0), MILLI);
+    assertThat(place(placer, request("c", 1), MILLI).expectedCachedTokens()).isZero();
+    placer.report(report(1, 1, V1, 0), 2 * MILLI);
+    assertThat(place(placer, request("c", 1), 2 * MILLI).expectedCachedTokens()).isZero();
+  }
+
+  /** Guards against urgent requests that wait behind a prefill chunk they cannot interrupt. */
+  @Test
+  void urgentRequestAvoidsALongPrefillAhead() {
+    reportAll(placer, 2, 0, 0);
+    PlacementRequest urgent = request("c", 1, 2, Priority.URGENT);
+    PlacementRequest patient = request("c", 1, 2, Priority.INTERACTIVE);
+    PlacementResult.Chosen home = serve(placer, patient, 0);
+    int busy = Integer.parseInt(home.server().value().substring(1));
+    placer.report(report(busy, 1, V1, 3_900), MILLI);
+    CostTerms urgentCost = costOn(place(placer, urgent, MILLI), home.server());
+    CostTerms patientCost = costOn(place(placer, patient, MILLI), home.server());
+    assertThat(urgentCost.urgentNanos()).isZero();
+    assertThat(patientCost.urgentNanos()).isZero();
+    placer.report(report(busy, 1, V1, 4_100), MILLI);
+    assertThat(costOn(place(placer, urgent, MILLI), home.server()).urgentNanos()).isPositive();
+    assertThat(costOn(place(placer, patient, MILLI), home.server()).urgentNanos()).isZero();
+  }
+
+  private static CostTerms costOn(PlacementResult.Chosen chosen, BackendServerId server) {
+    return chosen.candidates().stream()
+        .filter(candidate -> candidate.server().equals(server))
+        .findFirst()
+        .orElseThrow()
+        .cost();
+  }
+
+  /** Guards against ordinary requests that take the slot kept for urgent ones. */
+  @Test
+  void lastSlotIsFreeForUrgentRequestsOnly() {
+    placer.report(report(1, 1, V1, 0), 0);
+    for (int running = 1; running < PlacementFixture.SLOTS; running++) {
+      placer.sent(place(placer, request("c", running), 0), 0);
+    }
+    PlacementResult.Chosen patient = place(placer, request("c", 90), 0);
+    PlacementResult.Chosen urgent = place(placer, request("c", 91, 2, Priority.URGENT), 0);
+    assertThat(costOn(patient, server(1)).slotNanos()).isPositive();
+    assertThat(costOn(urgent, server(1)).slotNanos()).isZero();
+  }
+
+  /** Guards against one prefix that overloads its home, and against homes that never shrink. */
+  @Test
+  void hotPrefixGainsHomesAndLosesThemAgain() {
+    reportAll(placer, SERVERS, 0, 0);
+    assertThat(homes(placer, 0)).hasSize(1);
+    for (int request = 0; request < 400; request++) {
+      serve(placer, request("c", 1), request * 10 * MILLI);
+    }
+    assertThat(homes(placer, 4 * SECOND).size()).isGreaterThanOrEqualTo(4);
+    assertThat(homes(placer, 34 * SECOND)).hasSize(1);
+  }
+
+  private static Set<BackendServerId> homes(Placer placer, long nowNanos) {
+    Set<BackendServerId> homes = new HashSet<>();
+    for (Candidate candidate : place(placer, request("c", 1), nowNanos).candidates()) {
+      if (candidate.origin() == CandidateOrigin.HOME) {
+        homes.add(candidate.server());
+      }
+    }
+    return homes;
+  }
+
+  /** Guards against a restarted router that sends known prefixes elsewhere. */
+  @Test
+  void newRouterAgreesWithItsPeers() {
+    reportAll(placer, SERVERS, 0, 0);
+    placer.routers(4);
+    Placer restarted = placer(2);
+    restarted.routers(4);
+    reportAll(restarted, SERVERS, 0, 20 * SECOND);
+    for (int request = 0; request < 60; request++) {
+      serve(placer, request("c", request % 15), request * 100 * MILLI);
+    }
+    for (int dossier = 0; dossier < 15; dossier++) {
+      PlacementResult.Chosen known = place(placer, request("c", dossier), 7 * SECOND);
+      PlacementResult.Chosen fresh = place(restarted, request("c", dossier), 20 * SECOND);
+      assertThat(known.expectedCachedTokens()).isPositive();
+      assertThat(fresh.server()).isEqualTo(known.server());
+    }
+  }
+
+  /** Guards against long-tail traffic that spreads over all servers and evicts shared blocks. */
+  @Test
+  void coldPrefixesOfOneCustomerShareFewServers() {
+    reportAll(placer, SERVERS, 0, 0);
+    Set<BackendServerId> early = new HashSet<>();
+    Set<BackendServerId> late = new HashSet<>();
+    for (int dossier = 0; dossier < 200; dossier++) {
+      PlacementResult.Chosen chosen =
+          serve(placer, request("c", 1_000 + dossier), dossier * 700 * MILLI);
+      (dossier < 20 ? early : late).add(chosen.server());
+      if (dossier == 40) {
+        late.clear();
+      }
+    }
+    assertThat(early.size()).isGreaterThan(6);
+    assertThat(late.size()).isLessThanOrEqualTo(PlacerConfig.of(NEAR).coldHomes());
+  }
+
+  /** Guards against a spill for a gain that the network delay and margin do not justify. */
+  @Test
+  void remoteServerIsUsedOnlyBeyondTheMargin() {
+    Placer split = placer(PlacementFixture.twoDataCentres(), 1);
+    split.report(report(1, 1, V1, 0), 0);
+    split.report(report(2, 1, FAR, V1, 0, 0), 0);
+    assertThat(place(split, request("c", 1), 0).server()).isEqualTo(server(1));
+    split.report(report(1, 1, V1, 300), 0);
+    assertThat(place(split, request("c", 1), 0).server()).isEqualTo(server(1));
+    split.report(report(1, 1, V1, 60_000), 0);
+    assertThat(place(split, request("c", 1), 0).server()).isEqualTo(server(2));
+  }
+
+  /**
+   * Guards against a prefix that alternates between data centres while the gain is near the margin.
+   */
+  @Test
+  void spillDoesNotOscillate() {
+    Placer split = placer(PlacementFixture.twoDataCentres(), 1);
+    split.report(report(2, 1, FAR, V1, 0, 0), 0);
+    int changes = 0;
+    BackendServerId previous = null;
+    long copies = 9_000;
+    for (int round = 0; round < 100; round++) {
+      split.report(report(1, 1, V1, copies + (round % 2 == 0 ? 100 : -100)), 0);
+      BackendServerId chosen = place(split, request("c", 1), 0).server();
+      changes += previous == null || previous.equals(chosen) ? 0 : 1;
+      previous = chosen;
+      copies -= copies > 4_500 ? 90 : 0;
+    }
+    assertThat(changes).isLessThanOrEqualTo(1);
+  }
+
+  /** Guards against imports that take longer than computing, and against missed faster ones. */
+  @Test
+  void blocksAreImportedOnlyWhenThatIsFaster() {
+    BackendServerId store = new BackendServerId("kv");
+    KvTransfer fast = new KvTransfer(Optional.of(store), false, 1_000_000, 1e9, 5 * MILLI);
+    KvTransfer slow = new KvTransfer(Optional.of(store), false, 1_000_000, 1e6, 5 * MILLI);
+    assertThat(importAfterStoring(fast)).isPresent();
+    assertThat(importAfterStoring(fast).orElseThrow().source()).isEqualTo(store);
+    assertThat(importAfterStoring(fast).orElseThrow().endBlock()).isEqualTo(8);
+    assertThat(importAfterStoring(slow)).isEmpty();
+  }
+
+  private static Optional<KvImport> importAfterStoring(KvTransfer transfer) {
+    Placer importing = placer(PlacerConfig.of(NEAR).withKvTransfer(transfer), 1);
+    reportAll(importing, 3, 0, 0);
+    importing.storeHolds(place(importing, request("c", 1), 0).chain(), 0);
+    return place(importing, request("c", 1), 0).kvImport();
+  }
+
+  /** Guards against an import from an engine that no longer holds the blocks. */
+  @Test
+  void engineIsASourceOnlyInItsCurrentLife() {
+    KvTransfer engines = new KvTransfer(Optional.empty(), true, 1_000_000, 1e9, MILLI);
+    Placer importing = placer(PlacerConfig.of(NEAR).withKvTransfer(engines), 1);
+    reportAll(importing, 2, 0, 0);
+    BackendServerId holder = serve(importing, request("c", 1), 0).server();
+    PlacementRequest elsewhere = request("c", 1).excluding(Set.of(holder));
+    Optional<KvImport> live = place(importing, elsewhere, 0).kvImport();
+    assertThat(live.map(KvImport::source)).contains(holder);
+    importing.incarnationSeen(holder, new Incarnation(2));
+    assertThat(place(importing, elsewhere, 0).kvImport()).isEmpty();
+  }
+
+  /** Guards against a strategy that the facade cannot run, and against wrong baselines. */
+  @Test
+  void everyStrategyWorksBehindTheFacade() {
+    List<PlacementStrategy> strategies =
+        List.of(
+            new ExpectedCostStrategy(),
+            new RandomStrategy(),
+            new LeastLoadedStrategy(),
+            new ConsistentHashStrategy(),
+            (CustomPlacementStrategy)
+                context ->
+                    List.of(
+                        context.candidate(
+                            context.eligible().all().get(0), CandidateOrigin.ELIGIBLE)));
+    for (PlacementStrategy strategy : strategies) {
+      Placer any = new Placer(PlacerConfig.of(NEAR), strategy, new Random(3));
+      reportAll(any, SERVERS, 10_000, 0);
+      any.report(report(4, 1, V1, 0), 0);
+      Set<BackendServerId> used = new HashSet<>();
+      for (int round = 0; round < 200; round++) {
+        used.add(place(any, request("c", 1), 0).server());
+      }
+      switch (strategy) {
+        case RandomStrategy random -> assertThat(used).hasSize(SERVERS);
+        case LeastLoadedStrategy least -> assertThat(used).containsExactly(server(4));
+        case ConsistentHashStrategy hash -> assertThat(used).hasSize(1);
+        case CustomPlacementStrategy custom -> assertThat(used).containsExactly(server(1));
+        case ExpectedCostStrategy cost -> assertThat(servers(SERVERS)).containsAll(used);
+      }
+    }
+  }
+
+  /** Guards against levels outside the prompt, which would read foreign keys. */
+  @Test
+  void levelsMustAscendWithinThePrompt() {
+    assertThatThrownBy(() -> request("c", 1).withLevels(List.of(4, 4)))
+        .isInstanceOf(IllegalArgumentException.class);
+    assertThatThrownBy(() -> request("c", 1).withLevels(List.of(9)))
+        .isInstanceOf(IllegalArgumentException.class);
+  }
+
+  /** Guards against a prompt shorter than a block that cannot be placed. */
+  @Test
+  void promptWithoutFullBlockIsPlaced() {
+    reportAll(placer, SERVERS, 0, 0);
+    PlacementResult.Chosen chosen = serve(placer, request("c", 1, 0, Priority.URGENT), 0);
+    assertThat(chosen.chain().length()).isZero();
+    assertThat(chosen.expectedCachedTokens()).isZero();
+  }
+}
--- a/core/src/test/java/org/pollenrock/core/prefix/PrefixFingerprinterTest.java
+++ b/core/src/test/java/org/pollenrock/core/prefix/PrefixFingerprinterTest.java
@@ -12,11 +12,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.constraints.IntRange;
-import org.junit.jupiter.api.Test;
 import org.pollenrock.core.model.AdapterId;
 import org.pollenrock.core.model.BlockKey;
 import org.pollenrock.core.model.CustomerId;
@@ -95,7 +95,7 @@
   }
 
   /** Guards against a customer that chooses names so that its keys equal another customer's. */
-  @Test
+  @Example
   void noFieldOfTheScopeCanRunIntoTheNext() {
     byte[] prompt = prompt(1, 4 * BLOCK);
     List<CacheScope> scopes =
@@ -114,21 +114,21 @@
   }
 
   /** Guards against keys for a partial block, which an engine does not cache. */
-  @Test
+  @Example
   void lastPartialBlockHasNoKey() {
     assertThat(fingerprinter.blocks(new byte[BLOCK - 1], BLOCK).count()).isZero();
     assertThat(fingerprinter.blocks(new byte[2 * BLOCK + 1], BLOCK).count()).isEqualTo(2);
   }
 
   /** Guards against equal content at two positions being taken for the same block. */
-  @Test
+  @Example
   void equalBlocksAtDifferentPositionsHaveDifferentKeys() {
     PrefixChain chain = chain(new byte[4 * BLOCK], scope("c", "m", null, "v"));
     assertThat(chain.keys()).doesNotHaveDuplicates();
   }
 
   /** Guards against a division by zero on a faulty setting. */
-  @Test
+  @Example
   void blockSizeMustBePositive() {
     assertThatThrownBy(() -> fingerprinter.blocks(new byte[1], 0))
         .isInstanceOf(IllegalArgumentException.class);
