Test stream, connection, retry, limit table and share loans

Change: unit tests for each rule; property tests with fixed seeds over generated schedules (interleaved attempts, silences, loans under loss, duplication, delay, restart, partition and clock advance).

--- a/core/src/main/java/org/pollenrock/core/limits/FairClass.java
+++ b/core/src/main/java/org/pollenrock/core/limits/FairClass.java
@@ -39,8 +39,7 @@
 
   QueuedRequest add(AdmissionRequest request) {
     CustomerFlow flow =
-        flows.computeIfAbsent(
-            request.customer(), added -> new CustomerFlow(flowCounter++));
+        flows.computeIfAbsent(request.customer(), added -> new CustomerFlow(flowCounter++));
     QueuedRequest added = new QueuedRequest(request, flow);
     detach(flow);
     flow.add(added, virtualTime);
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/limits/LoanNetwork.java
@@ -0,0 +1,232 @@
+package org.pollenrock.core.limits;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.pollenrock.core.model.CustomerId;
+import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.InstanceId;
+
+/**
+ * A few ledgers with clocks of unequal origin and pace, and a network that loses, delays, reorders
+ * and duplicates; driven by generated numbers.
+ */
+final class LoanNetwork {
+  static final long MS = 1_000_000L;
+  static final ShareSettings SETTINGS = new ShareSettings(2_000 * MS, 100 * MS, 250 * MS, 50, 64);
+  static final LimitKey KEY =
+      new LimitKey(LimitScope.of(new CustomerId("alpha")), LimitDimension.CONCURRENT_REQUESTS);
+
+  /** Clocks differ by up to this part from real time, which the margin must cover. */
+  private static final double PACE = 0.01;
+
+  private final long limit;
+  private final List<Node> nodes = new ArrayList<>();
+  private final List<InFlight> inFlight = new ArrayList<>();
+  private long now;
+  private int cut;
+  private int grants;
+
+  private record InFlight(int from, int to, LoanMessage message) {}
+
+  private static final class Node implements LimitUsage {
+    private final long limit;
+    private final long offset;
+    private final double pace;
+    private ShareLedger ledger;
+    private long lives;
+    private long startedAt = Long.MIN_VALUE / 2;
+    private long demand;
+
+    private Node(long limit, long offset, double pace) {
+      this.limit = limit;
+      this.offset = offset;
+      this.pace = pace;
+    }
+
+    private long clock(long now) {
+      return offset + (long) (now * pace);
+    }
+
+    @Override
+    public long limit(LimitKey key) {
+      return limit;
+    }
+
+    @Override
+    public long demand(LimitKey key, long nowNanos) {
+      return demand;
+    }
+  }
+
+  /** Starts routers of which every second one needs the whole limit. */
+  LoanNetwork(int routers, long limit) {
+    this.limit = limit;
+    for (int i = 0; i < routers; i++) {
+      double pace = 1 + (i % 3 - 1) * PACE;
+      nodes.add(new Node(limit, (i - 1) * 77_777 * MS, pace));
+      start(i);
+      demand(i, i % 2 == 0 ? limit : 0);
+    }
+    // Ledgers that have just started lend nothing.
+    now = 2 * SETTINGS.withheldNanos();
+  }
+
+  private static InstanceId name(int node) {
+    return new InstanceId("router-" + node);
+  }
+
+  private static List<InstanceId> names(int count) {
+    List<InstanceId> names = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      names.add(name(i));
+    }
+    return names;
+  }
+
+  private void start(int index) {
+    Node node = nodes.get(index);
+    node.lives++;
+    node.ledger =
+        new ShareLedger(
+            name(index),
+            new Incarnation(node.lives),
+            SETTINGS,
+            new SplittableRandom(31 * index + node.lives),
+            node.clock(now));
+    node.ledger.setRouters(names(Math.max(nodes.size(), index + 1)));
+    if (nodes.size() > index) {
+      nodes.forEach(known -> known.ledger.setRouters(names(nodes.size())));
+    }
+  }
+
+  void run(int step) {
+    int argument = step / 16;
+    int chosen = argument % nodes.size();
+    switch (step % 16) {
+      case 0, 1 -> advance(argument % 600 * MS);
+      case 2, 3, 4, 5, 6 -> deliver(argument, true);
+      case 7 -> deliver(argument, false);
+      case 8 -> dropOne(argument);
+      case 9, 10 -> nodes.get(chosen).demand = demandLevel(argument / nodes.size() % 4);
+      case 11, 12, 13 -> borrow(chosen);
+      case 14 -> tick(chosen);
+      default -> cut = argument % 3 == 0 ? argument / 3 % nodes.size() : 0;
+    }
+  }
+
+  /** Half of the routers need nothing, so that there is something to lend. */
+  private long demandLevel(int level) {
+    return limit * Math.max(0, level - 1) / 2;
+  }
+
+  void advance(long nanos) {
+    now += nanos;
+  }
+
+  void demand(int index, long amount) {
+    nodes.get(index).demand = amount;
+  }
+
+  void borrow(int index) {
+    Node node = nodes.get(index);
+    long missing = node.demand - share(index);
+    if (missing > 0) {
+      send(index, node.ledger.borrow(KEY, missing, node, node.clock(now)));
+    }
+  }
+
+  void tick(int index) {
+    Node node = nodes.get(index);
+    send(index, node.ledger.tick(node, node.clock(now)));
+  }
+
+  void restart(int index) {
+    start(index);
+    nodes.get(index).startedAt = now;
+  }
+
+  /** Makes one router believe in a number of routers. */
+  void believe(int index, int routers) {
+    nodes.get(index).ledger.setRouters(names(routers));
+  }
+
+  void deliverAll() {
+    while (!inFlight.isEmpty()) {
+      deliver(0, true);
+    }
+  }
+
+  void loseAll() {
+    inFlight.clear();
+  }
+
+  private void deliver(int argument, boolean once) {
+    if (inFlight.isEmpty()) {
+      return;
+    }
+    int index = argument % inFlight.size();
+    InFlight message = once ? inFlight.remove(index) : inFlight.get(index);
+    if ((message.from() < cut) != (message.to() < cut)) {
+      return;
+    }
+    Node node = nodes.get(message.to());
+    grants += message.message() instanceof LoanMessage.Grant ? 1 : 0;
+    send(
+        message.to(),
+        node.ledger.receive(name(message.from()), message.message(), node, node.clock(now)));
+  }
+
+  private void dropOne(int argument) {
+    if (!inFlight.isEmpty()) {
+      inFlight.remove(argument % inFlight.size());
+    }
+  }
+
+  private void send(int from, List<OutgoingLoanMessage> messages) {
+    for (OutgoingLoanMessage message : messages) {
+      inFlight.add(
+          new InFlight(from, names(nodes.size()).indexOf(message.to()), message.message()));
+    }
+  }
+
+  long share(int index) {
+    Node node = nodes.get(index);
+    return node.ledger.share(KEY, limit, node.clock(now));
+  }
+
+  long sum() {
+    long sum = 0;
+    for (int i = 0; i < nodes.size(); i++) {
+      sum += share(i);
+    }
+    return sum;
+  }
+
+  /** Largest sum that restarts within one loan duration allow. */
+  long allowedSum() {
+    long duration = (long) (SETTINGS.loanDurationNanos() / (1 - PACE));
+    long restarted = nodes.stream().filter(node -> now - node.startedAt <= duration).count();
+    long largestBase = (limit + nodes.size() - 1) / nodes.size();
+    return limit + restarted * largestBase;
+  }
+
+  /** Longest real time until an amount is no longer withheld. */
+  static long withheldNanos() {
+    return (long) (SETTINGS.withheldNanos() / (1 - PACE)) + 1;
+  }
+
+  int loans() {
+    return nodes.stream()
+        .mapToInt(node -> node.ledger.lentCount() + node.ledger.borrowedCount())
+        .sum();
+  }
+
+  int grants() {
+    return grants;
+  }
+
+  int size() {
+    return nodes.size();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/retry/RetryPolicyTest.java
@@ -0,0 +1,138 @@
+package org.pollenrock.core.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.pollenrock.core.error.ErrorCode;
+import org.pollenrock.core.error.Peer;
+import org.pollenrock.core.error.RequestError;
+import org.pollenrock.core.error.RunState;
+import org.pollenrock.core.model.CustomerId;
+
+/** Guards against repeated non-idempotent calls, retry storms and untruthful refusals. */
+class RetryPolicyTest {
+  private static final CustomerId ALPHA = new CustomerId("alpha");
+  private static final CustomerId BETA = new CustomerId("beta");
+  private static final Peer PEER = new Peer(Peer.Kind.ENGINE, "a");
+  private static final long SECOND = 1_000_000_000L;
+
+  private final RetryBudget budget = new RetryBudget(new RetryBudgetSettings(10, 3, 100, 2));
+  private final RetryPolicy policy =
+      new RetryPolicy(3, new Backoff(1_000_000, 16_000_000, new SplittableRandom(5)), budget);
+
+  private static FailedAttempt lost(RunState state, boolean left, long tokens) {
+    return new FailedAttempt(FailureKind.CONNECTION_LOST, PEER, state, left, tokens);
+  }
+
+  private static CallProgress call(boolean idempotent, int attempts, RunState earlier) {
+    return new CallProgress(ALPHA, idempotent, attempts, earlier, SECOND);
+  }
+
+  private RequestError error(FailedAttempt failed, CallProgress call) {
+    RetryDecision decision = policy.decide(failed, call, 1_000_000);
+    assertThat(decision).isInstanceOf(RetryDecision.GiveUp.class);
+    return ((RetryDecision.GiveUp) decision).error();
+  }
+
+  @Test
+  void nonIdempotentCallIsNeverRepeatedOnceBytesMayHaveLeft() {
+    RequestError error = error(lost(RunState.UNKNOWN, true, 0), call(false, 1, RunState.NOT_RUN));
+    assertThat(error.runState()).isEqualTo(RunState.UNKNOWN);
+    assertThat(error.code()).isEqualTo(ErrorCode.OUTCOME_UNKNOWN);
+    FailedAttempt refused =
+        new FailedAttempt(FailureKind.REFUSED_LEAVING, PEER, RunState.NOT_RUN, true, 0);
+    assertThat(error(refused, call(false, 1, RunState.NOT_RUN)))
+        .isInstanceOf(RequestError.Refusal.class);
+    FailedAttempt unsent =
+        new FailedAttempt(FailureKind.CONNECT_FAILED, PEER, RunState.NOT_RUN, false, 0);
+    assertThat(policy.decide(unsent, call(false, 1, RunState.NOT_RUN), 0))
+        .isInstanceOf(RetryDecision.RetryAfter.class);
+  }
+
+  @Test
+  void errorCoversAllAttemptsNotOnlyTheLast() {
+    FailedAttempt refused =
+        new FailedAttempt(FailureKind.REFUSED_BUSY, PEER, RunState.NOT_RUN, true, 0);
+    assertThat(error(refused, call(true, 3, RunState.UNKNOWN)).runState())
+        .isEqualTo(RunState.UNKNOWN);
+    assertThat(error(refused, call(true, 3, RunState.RAN)).runState()).isEqualTo(RunState.RAN);
+    assertThat(error(refused, call(true, 3, RunState.NOT_RUN)).runState())
+        .isEqualTo(RunState.NOT_RUN);
+    assertThat(RetryPolicy.combine(RunState.UNKNOWN, RunState.RAN)).isEqualTo(RunState.RAN);
+  }
+
+  @Test
+  void brokenStreamIsResumedWithoutChargeUntilItsDeadline() {
+    long before = budget.available(ALPHA);
+    assertThat(policy.decide(lost(RunState.RAN, true, 12), call(true, 1, RunState.NOT_RUN), 0))
+        .isEqualTo(new RetryDecision.Resume(12));
+    assertThat(budget.available(ALPHA)).isEqualTo(before);
+    CallProgress late = new CallProgress(ALPHA, true, 1, RunState.NOT_RUN, 0);
+    assertThat(error(lost(RunState.RAN, true, 12), late).code())
+        .isEqualTo(ErrorCode.STREAM_INTERRUPTED);
+  }
+
+  @Test
+  void givesUpWhenInvalidOrTheDeadlineIsTooCloseOrTheBudgetIsUsedUp() {
+    FailedAttempt invalid =
+        new FailedAttempt(FailureKind.REFUSED_INVALID, PEER, RunState.NOT_RUN, true, 0);
+    assertThat(error(invalid, call(true, 1, RunState.NOT_RUN)).code())
+        .isEqualTo(ErrorCode.MALFORMED_REQUEST);
+    CallProgress close = new CallProgress(ALPHA, true, 1, RunState.NOT_RUN, 1_000_000);
+    assertThat(error(lost(RunState.UNKNOWN, true, 0), close).code())
+        .isEqualTo(ErrorCode.DEADLINE_UNREACHABLE);
+    while (budget.tryRetry(ALPHA)) {
+      assertThat(budget.available(ALPHA)).isNotNegative();
+    }
+    assertThat(error(lost(RunState.UNKNOWN, true, 0), call(true, 1, RunState.NOT_RUN)).message())
+        .contains("budget");
+  }
+
+  @Test
+  void customerWhoseRequestsFailDoesNotUseUpTheRetriesOfOthers() {
+    RetryBudget shared = new RetryBudget(new RetryBudgetSettings(10, 3, 100, 2));
+    for (int i = 0; i < 100; i++) {
+      shared.firstAttempt(BETA);
+    }
+    assertThat(shared.tryRetry(ALPHA) && shared.tryRetry(ALPHA) && shared.tryRetry(ALPHA)).isTrue();
+    assertThat(shared.tryRetry(ALPHA)).isFalse();
+    assertThat(shared.available(BETA)).isEqualTo(10);
+    shared.firstAttempt(new CustomerId("gamma"));
+    assertThat(shared.size()).isEqualTo(2);
+  }
+
+  @Property(seed = "4105", tries = 2_000, shrinking = ShrinkingMode.BOUNDED)
+  void retriesNeverExceedTheRatioOfFirstAttempts(
+      @ForAll @Size(max = 400) List<@IntRange(min = 0, max = 5) Integer> program) {
+    RetryBudget checked = new RetryBudget(new RetryBudgetSettings(10, 3, 50, 4));
+    int first = 0;
+    int retries = 0;
+    for (int step : program) {
+      CustomerId customer = new CustomerId("c" + step % 3);
+      if (step < 3) {
+        checked.firstAttempt(customer);
+        first++;
+      } else if (checked.tryRetry(customer)) {
+        retries++;
+      }
+      assertThat(retries * 10).isLessThanOrEqualTo(first + 30);
+    }
+  }
+
+  @Test
+  void backoffGrowsWithinItsBoundsAndNeverOverflows() {
+    Backoff backoff = new Backoff(1_000, Long.MAX_VALUE / 2, new SplittableRandom(6));
+    for (int retry = 1; retry < 200; retry++) {
+      long ceiling = retry < 40 ? 1_000L << (retry - 1) : Long.MAX_VALUE / 2;
+      assertThat(backoff.delayNanos(retry))
+          .isBetween(retry < 40 ? ceiling / 2 : 0, Math.min(ceiling, Long.MAX_VALUE / 2));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/stream/ResumePlannerTest.java
@@ -0,0 +1,120 @@
+package org.pollenrock.core.stream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.pollenrock.core.error.ErrorCode;
+import org.pollenrock.core.error.RunState;
+import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.InstanceId;
+import org.pollenrock.core.model.WeightsVersion;
+
+/** Guards against joining two runs that do not fit, and against responses of other requests. */
+class ResumePlannerTest {
+  private static final BackendServerId A = new BackendServerId("a");
+  private static final BackendServerId B = new BackendServerId("b");
+  private static final WeightsVersion V1 = new WeightsVersion("v1");
+  private static final WeightsVersion V2 = new WeightsVersion("v2");
+  private static final Incarnation FIRST = new Incarnation(1);
+  private static final Incarnation SECOND = new Incarnation(2);
+
+  private final ResumePlanner planner = new ResumePlanner(3);
+
+  private static BrokenStream broken(long next, int breaks, boolean failed, boolean continuable) {
+    return new BrokenStream(A, FIRST, V1, next, 0, breaks, failed, continuable);
+  }
+
+  private static ResumeCandidate live(
+      BackendServerId id, Incarnation life, WeightsVersion weights) {
+    return new ResumeCandidate(id, life, weights, true, true);
+  }
+
+  private static void assertInterrupted(ResumeDecision decision, RunState runState) {
+    assertThat(decision).isInstanceOf(ResumeDecision.Interrupt.class);
+    var error = ((ResumeDecision.Interrupt) decision).error();
+    assertThat(error.code()).isEqualTo(ErrorCode.STREAM_INTERRUPTED);
+    assertThat(error.runState()).isEqualTo(runState);
+  }
+
+  @Test
+  void resumesTheSameRunEvenOnALeavingServer() {
+    ResumeCandidate leaving = new ResumeCandidate(A, FIRST, V1, false, true);
+    assertThat(planner.plan(broken(5, 1, false, true), List.of(live(B, FIRST, V1), leaving)))
+        .isEqualTo(new ResumeDecision.ResumeOnSame(A, FIRST, OptionalLong.of(4), 0));
+    assertThat(planner.plan(broken(0, 1, false, true), List.of(leaving)))
+        .isEqualTo(new ResumeDecision.ResumeOnSame(A, FIRST, OptionalLong.empty(), 0));
+  }
+
+  @Test
+  void neverResumesOnAnotherIncarnationButMayContinueThere() {
+    assertThat(planner.plan(broken(5, 1, false, true), List.of(live(A, SECOND, V1))))
+        .isEqualTo(new ResumeDecision.ContinueOn(A, SECOND, V1, 5));
+  }
+
+  @Test
+  void continuesOnlyUnderTheSameWeights() {
+    List<ResumeCandidate> servers = List.of(live(B, FIRST, V2), live(B, SECOND, V1));
+    assertThat(planner.plan(broken(5, 1, true, true), servers))
+        .isEqualTo(new ResumeDecision.ContinueOn(B, SECOND, V1, 5));
+    assertInterrupted(
+        planner.plan(broken(5, 1, true, true), List.of(live(B, FIRST, V2))), RunState.RAN);
+  }
+
+  @Test
+  void givesNoNewRunToLeavingOrUnreachableServers() {
+    List<ResumeCandidate> servers =
+        List.of(
+            new ResumeCandidate(A, SECOND, V1, false, true),
+            new ResumeCandidate(B, FIRST, V1, true, false));
+    assertInterrupted(planner.plan(broken(5, 1, false, true), servers), RunState.RAN);
+  }
+
+  @Test
+  void endsExplicitlyWhenBreaksOrTextDoNotAllowMore() {
+    List<ResumeCandidate> servers = List.of(live(B, FIRST, V1));
+    assertInterrupted(planner.plan(broken(5, 4, false, true), servers), RunState.RAN);
+    assertInterrupted(planner.plan(broken(5, 1, true, false), servers), RunState.RAN);
+    assertInterrupted(planner.plan(broken(0, 1, true, false), servers), RunState.UNKNOWN);
+  }
+
+  @Test
+  void verifierDropsResponsesOfOtherAttemptsIncarnationsAndWeights() {
+    AnswerVerifier verifier = new AnswerVerifier();
+    AttemptId own = new AttemptId(new InstanceId("r"), FIRST, 9);
+    AttemptId other = new AttemptId(new InstanceId("r"), SECOND, 9);
+    ExpectedAnswer expected = new ExpectedAnswer(own, Optional.of(FIRST), Optional.of(V1));
+    assertThat(verifier.verify(expected, identity(own, FIRST, V1)).relayable()).isTrue();
+    assertThat(verifier.verify(expected, identity(other, FIRST, V1)))
+        .isEqualTo(new AnswerVerdict.OtherAttempt(Optional.of(other)));
+    assertThat(verifier.verify(expected, identity(null, FIRST, V1)))
+        .isEqualTo(new AnswerVerdict.OtherAttempt(Optional.empty()));
+    assertThat(verifier.verify(expected, identity(own, SECOND, V1)))
+        .isEqualTo(new AnswerVerdict.OtherIncarnation(Optional.of(SECOND)));
+    assertThat(verifier.verify(expected, identity(own, FIRST, null)))
+        .isEqualTo(new AnswerVerdict.OtherWeights(Optional.empty()));
+    ExpectedAnswer plain = new ExpectedAnswer(own, Optional.empty(), Optional.empty());
+    assertThat(verifier.verify(plain, identity(own, null, null)).relayable()).isTrue();
+  }
+
+  @Test
+  void attemptHeaderIsReadBackAndMalformedOnesAreRejected() {
+    AttemptId attempt = new AttemptId(new InstanceId("dc/router-1"), new Incarnation(-3), 42);
+    assertThat(AttemptId.parse(attempt.headerValue())).contains(attempt);
+    for (String malformed :
+        List.of("", "/", "//", "a/1", "/1/2", "a/b/2", "a/1/-2", "a/1/", " /1/2")) {
+      assertThat(AttemptId.parse(malformed)).as(malformed).isEmpty();
+    }
+  }
+
+  private static AnswerIdentity identity(
+      AttemptId attempt, Incarnation incarnation, WeightsVersion weights) {
+    return new AnswerIdentity(
+        Optional.ofNullable(attempt),
+        Optional.ofNullable(incarnation),
+        Optional.ofNullable(weights));
+  }
+}
