--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/record/InMemoryLog.java
@@ -0,0 +1,52 @@
+package org.pollenrock.core.record;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Log stream of the tests: dense offsets, a clock that the test sets, truncation. */
+public final class InMemoryLog {
+  private final List<LogEntry> entries = new ArrayList<>();
+  private long first;
+  private long head;
+  private long timeMillis;
+
+  public InMemoryLog(long timeMillis) {
+    this.timeMillis = timeMillis;
+  }
+
+  public void timeMillis(long newTimeMillis) {
+    timeMillis = Math.max(timeMillis, newTimeMillis);
+  }
+
+  public long timeMillis() {
+    return timeMillis;
+  }
+
+  public long append(byte[] data) {
+    entries.add(new LogEntry(head, timeMillis, data));
+    return head++;
+  }
+
+  /** Drops all but the newest entries. */
+  public void truncate(int keep) {
+    while (entries.size() > keep) {
+      first = entries.removeFirst().offset() + 1;
+    }
+  }
+
+  /** Drops what the log's retention no longer covers. */
+  public void dropOlderThan(long oldestMillis) {
+    while (!entries.isEmpty() && entries.getFirst().timeMillis() < oldestMillis) {
+      first = entries.removeFirst().offset() + 1;
+    }
+  }
+
+  /** Reads like the adapter: below the retention it continues at the oldest entry. */
+  public LogRead read(long from, int maximum) {
+    long start = Math.max(from, first);
+    List<LogEntry> found =
+        entries.stream().filter(entry -> entry.offset() >= start).limit(maximum).toList();
+    long headTime = entries.isEmpty() ? 0 : entries.getLast().timeMillis();
+    return new LogRead(start, first, head, headTime, found);
+  }
+}
