--- a/core/src/main/java/org/pollenrock/core/settings/ApiKeyIndex.java
+++ b/core/src/main/java/org/pollenrock/core/settings/ApiKeyIndex.java
@@ -76,21 +76,23 @@
   }
 
   /**
-   * Copy in which one customer has other keys.
+   * Copy in which some customers have other keys.
    *
-   * @param name the customer
-   * @param keys all its keys, empty when it is gone
-   * @param problems receives each key that another customer has
+   * @param changed all keys of each of these customers, empty when it is gone
+   * @param problems receives each key that two customers have
    * @return the changed copy
    */
-  ApiKeyIndex with(String name, List<ApiKey> keys, ProblemList problems) {
+  ApiKeyIndex with(Map<String, List<ApiKey>> changed, ProblemList problems) {
+    if (changed.isEmpty()) {
+      return this;
+    }
     Map<ApiKeyHash, Entry> entries = new HashMap<>(2 * hashes.length + 1);
     for (int i = 0; i < hashes.length; i++) {
-      if (!customers[i].equals(name)) {
+      if (!changed.containsKey(customers[i])) {
         entries.put(hashes[i], new Entry(hashes[i], customers[i], callers[i]));
       }
     }
-    addAll(entries, name, keys, problems);
+    changed.forEach((name, keys) -> addAll(entries, name, keys, problems));
     return ofEntries(entries.values().stream().toList());
   }
 
--- a/core/src/main/java/org/pollenrock/core/settings/BranchReader.java
+++ b/core/src/main/java/org/pollenrock/core/settings/BranchReader.java
@@ -210,13 +210,14 @@
     named.forEach(
         (key, value) -> {
           SettingsPath at = path.child(name).child(key);
-          checkName(at, key);
+          checkName(at, key, problems);
           values.put(key, reader.apply(at, value));
         });
     return NameTable.copyOf(values);
   }
 
-  private void checkName(SettingsPath at, String name) {
+  /** Reports a name that operators may not choose. */
+  static void checkName(SettingsPath at, String name, ProblemList problems) {
     if (!NAME.matcher(name).matches()) {
       problems.add(
           at, "a name has 1 to 128 letters, digits or ._:@+- and begins with a letter or digit");
--- a/core/src/main/java/org/pollenrock/core/settings/SettingsTree.java
+++ b/core/src/main/java/org/pollenrock/core/settings/SettingsTree.java
@@ -50,6 +50,12 @@
     Objects.requireNonNull(apiKeys, "apiKeys");
   }
 
+  /** The tree without its customers, for the digest of the other sections. */
+  SettingsTree withoutCustomers() {
+    return new SettingsTree(
+        root, kinds, NameTable.empty(), models, services, servers, ApiKeyIndex.EMPTY);
+  }
+
   /**
    * Finds whom an API key identifies.
    *
--- a/core/src/main/java/org/pollenrock/core/settings/TreeWriter.java
+++ b/core/src/main/java/org/pollenrock/core/settings/TreeWriter.java
@@ -29,6 +29,11 @@
     return branch(sections);
   }
 
+  /** Writes the root values, when there are any. */
+  static Optional<SettingsNode> root(SettingsTree tree) {
+    return tree.root().isEmpty() ? Optional.empty() : Optional.of(values(tree.root()));
+  }
+
   /** Writes one entry of a section, when the tree has it. */
   static Optional<SettingsNode> entry(SettingsTree tree, String section, String name) {
     return switch (section) {
