--- a/core/src/main/java/org/pollenrock/core/settings/NodeEditor.java
+++ b/core/src/main/java/org/pollenrock/core/settings/NodeEditor.java
@@ -1,17 +1,9 @@
 package org.pollenrock.core.settings;
 
 import java.util.Optional;
-import java.util.Set;
 
 /** Applies one edit to plain nodes. */
 final class NodeEditor {
-  /**
-   * Branches whose entries an edit creates only as a whole. A misspelt customer in the path of a
-   * single value would otherwise create a customer.
-   */
-  private static final Set<String> NAMED =
-      Set.of("customers", "callers", "models", "services", "servers");
-
   private final SettingsEdit edit;
   private final ProblemList problems;
 
@@ -67,17 +59,15 @@
     };
   }
 
+  /**
+   * Groups are created on the way, named entries only as a whole: a misspelt customer in the path
+   * of a single value would otherwise create a customer.
+   */
   private boolean mayCreate(int depth) {
-    if (edit instanceof SettingsEdit.Remove) {
-      return false;
-    }
     SettingsPath path = edit.path();
-    boolean topKind = depth == 2 && path.segment(0).equals("kinds");
-    return !topKind && (depth < 2 || !NAMED.contains(path.segment(depth - 1)) || isKind(depth));
-  }
-
-  /** A kind may be named like a section. */
-  private boolean isKind(int depth) {
-    return depth >= 3 && edit.path().segment(depth - 2).equals("kinds");
+    boolean sectionEntry = depth == 2 && !path.segment(0).equals("root");
+    boolean caller =
+        depth == 4 && path.segment(0).equals("customers") && path.segment(2).equals("callers");
+    return edit instanceof SettingsEdit.Put && !sectionEntry && !caller;
   }
 }
--- a/core/src/main/java/org/pollenrock/core/settings/SettingsHistory.java
+++ b/core/src/main/java/org/pollenrock/core/settings/SettingsHistory.java
@@ -361,6 +361,14 @@
     List<SettingsSnapshot.RememberedChange> remembered = new ArrayList<>(outcomes.size());
     outcomes.forEach(
         (id, outcome) -> remembered.add(new SettingsSnapshot.RememberedChange(id, outcome)));
-    return new SettingsSnapshot(next, revision, horizon, tree, remembered, pathRevisions.toMap());
+    return new SettingsSnapshot(
+        next,
+        revision,
+        horizon,
+        tree,
+        remembered,
+        pathRevisions.toMap(),
+        lastSnapshot,
+        changesSinceSnapshot);
   }
 }
--- a/core/src/main/java/org/pollenrock/core/settings/SnapshotCodec.java
+++ b/core/src/main/java/org/pollenrock/core/settings/SnapshotCodec.java
@@ -169,8 +169,7 @@
     SettingsTree tree = TreeReader.read(node, problems);
     return problems.isEmpty() && Arrays.equals(digest, StateDigest.of(tree).toBytes())
         ? Optional.of(
-            new SettingsSnapshot(
-                next, revision, horizon, tree, outcomes, revisions, mark, changes))
+            new SettingsSnapshot(next, revision, horizon, tree, outcomes, revisions, mark, changes))
         : Optional.empty();
   }
 
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/settings/SettingsHistoryPropertyTest.java
@@ -0,0 +1,145 @@
+package org.pollenrock.core.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.UUID;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+/** Guards against routers that hold different settings after the same records. */
+class SettingsHistoryPropertyTest {
+  private static final int LENGTH = 60;
+
+  /** Fails when a decision depends on how reads cut the log or on records that arrive twice. */
+  @Property(seed = "7101", tries = 300, shrinking = ShrinkingMode.FULL)
+  void everyCutOfTheLogGivesTheSameState(@ForAll long seed) {
+    Random random = new Random(seed);
+    List<LogRecord> log = SettingsFixtures.randomLog(random, LENGTH);
+    SettingsHistory history = new SettingsHistory();
+    for (LogBatch batch : SettingsFixtures.cut(log, random)) {
+      history.apply(batch);
+      int again = random.nextInt((int) batch.next());
+      history.apply(new LogBatch(again, batch.next(), log.subList(again, (int) batch.next())));
+    }
+    assertThat(SettingsFixtures.state(history))
+        .isEqualTo(SettingsFixtures.state(SettingsFixtures.read(log)));
+  }
+
+  /**
+   * Fails when the incremental editor, conflict table or id memory differs from the plain rules.
+   */
+  @Property(seed = "7102", tries = 400, shrinking = ShrinkingMode.FULL)
+  void acceptanceEqualsThePlainModel(@ForAll long seed) {
+    List<LogRecord> log = SettingsFixtures.randomLog(new Random(seed), LENGTH);
+    SettingsHistory history = new SettingsHistory();
+    NaiveSettings naive = new NaiveSettings();
+    for (LogRecord entry : log) {
+      history.apply(new LogBatch(entry.offset(), entry.offset() + 1, List.of(entry)));
+      naive.apply(entry);
+      assertThat(history.revision()).as("offset %d", entry.offset()).isEqualTo(naive.revision());
+    }
+    Map<UUID, Boolean> decided = new TreeMap<>();
+    history
+        .snapshot()
+        .outcomes()
+        .forEach(
+            change -> decided.put(change.id(), change.outcome() instanceof ChangeOutcome.Accepted));
+    assertThat(decided).isEqualTo(naive.decided());
+    assertThat(history.tree()).isEqualTo(naive.tree());
+    assertThat(history.digest()).isEqualTo(StateDigest.of(naive.tree()));
+  }
+
+  /**
+   * Fails when a lagging peer, an old snapshot, a gap or truncation moves a router back, or when a
+   * router that started from a snapshot ends in another state.
+   */
+  @Property(seed = "7103", tries = 300, shrinking = ShrinkingMode.FULL)
+  void stateNeverReverts(@ForAll long seed) {
+    Random random = new Random(seed);
+    List<LogRecord> log = logWithSnapshots(random);
+    SettingsHistory history = new SettingsHistory();
+    for (int step = 0; step < 30; step++) {
+      long revision = history.revision();
+      long next = history.next();
+      step(history, log, random);
+      assertThat(history.revision()).isGreaterThanOrEqualTo(revision);
+      assertThat(history.next()).isGreaterThanOrEqualTo(next);
+      assertSameAsPrefix(history, log);
+    }
+  }
+
+  private static void step(SettingsHistory history, List<LogRecord> log, Random random) {
+    int from = random.nextInt(log.size());
+    int to = from + random.nextInt(log.size() - from + 1);
+    switch (random.nextInt(4)) {
+      case 0 -> history.apply(new LogBatch(from, to, log.subList(from, to)));
+      case 1 -> {
+        if (from > 0) {
+          history.install(SettingsFixtures.read(log.subList(0, from)).snapshot());
+        }
+      }
+      case 2 -> history.truncated(from);
+      default -> {
+        int start = (int) history.readFrom();
+        int end = Math.min(log.size(), start + random.nextInt(8));
+        history.apply(new LogBatch(start, Math.max(start, end), log.subList(start, end)));
+      }
+    }
+  }
+
+  private static void assertSameAsPrefix(SettingsHistory history, List<LogRecord> log) {
+    if (history.next() == 0) {
+      return;
+    }
+    SettingsHistory reference = SettingsFixtures.read(log.subList(0, (int) history.next()));
+    assertThat(SettingsFixtures.state(history)).isEqualTo(SettingsFixtures.state(reference));
+  }
+
+  /** A log whose routers wrote snapshots now and then. */
+  private static List<LogRecord> logWithSnapshots(Random random) {
+    List<LogRecord> log = new ArrayList<>();
+    for (LogRecord entry : SettingsFixtures.randomLog(random, LENGTH)) {
+      log.add(new LogRecord(log.size(), log.size(), entry.data()));
+      if (random.nextInt(8) == 0) {
+        SettingsSnapshot snapshot = SettingsFixtures.read(log).snapshot();
+        for (SnapshotPart part : SnapshotCodec.encode(snapshot)) {
+          log.add(new LogRecord(log.size(), log.size(), SettingsCodec.encode(part)));
+        }
+      }
+    }
+    return log;
+  }
+
+  /** Fails when a damaged record throws, or when damage goes unnoticed. */
+  @Property(seed = "7104", tries = 2000, shrinking = ShrinkingMode.FULL)
+  void damagedRecordsAreCorrupt(@ForAll long seed) {
+    Random random = new Random(seed);
+    byte[] bytes = SettingsFixtures.randomLog(random, 2).get(1).data().clone();
+    if (!(SettingsCodec.decode(bytes) instanceof DecodedRecord.Change)) {
+      return;
+    }
+    int at = random.nextInt(bytes.length);
+    bytes[at] ^= (byte) (1 + random.nextInt(255));
+    assertThat(SettingsCodec.decode(bytes)).isInstanceOf(DecodedRecord.Corrupt.class);
+  }
+
+  /**
+   * Fails when the shortest list of edits between two trees does not lead from one to the other.
+   */
+  @Property(seed = "7105", tries = 200, shrinking = ShrinkingMode.FULL)
+  void differenceLeadsToTheOtherTree(@ForAll long seed) {
+    Random random = new Random(seed);
+    SettingsTree from = SettingsFixtures.read(SettingsFixtures.randomLog(random, LENGTH)).tree();
+    SettingsTree to = SettingsFixtures.read(SettingsFixtures.randomLog(random, LENGTH)).tree();
+    ProblemList problems = new ProblemList();
+    SettingsTree reached = TreeEditor.apply(from, TreeDiff.edits(from, to), problems);
+    assertThat(problems.toList()).isEmpty();
+    assertThat(reached).isEqualTo(to);
+  }
+}
