--- a/router/src/main/java/org/pollenrock/router/Router.java
+++ b/router/src/main/java/org/pollenrock/router/Router.java
@@ -47,6 +47,7 @@
   private final ReportTask reportTask;
   private final CallerListener callers;
   private volatile Optional<RouterSettings> settings = Optional.empty();
+  private volatile boolean informed;
 
   /**
    * Assembles a router; nothing runs before {@link #start}.
@@ -71,17 +72,14 @@
             new Outside(),
             System::nanoTime);
     this.decisionTask =
-        new DecisionTask(name + "-decisions", MAILBOX_SIZE, TICK_NANOS, state::tick);
+        new DecisionTask(name + "-decisions", MAILBOX_SIZE, TICK_NANOS, () -> tick(state));
     this.decisions = new Decisions(decisionTask, state, System::nanoTime);
     this.listTask =
         new ListTask(
             loops.next(), clients.list(), process.list().pollIntervalNanos(), this::listed);
     this.reportTask =
         new ReportTask(
-            loops.next(),
-            clients.engines(),
-            decisions,
-            config.times().reportInterval().toNanos());
+            loops.next(), clients.engines(), decisions, config.times().reportInterval().toNanos());
     this.callers =
         new CallerListener(
             loops,
@@ -157,6 +155,15 @@
     decisions.tell(state -> state.settings(accepted.tree()));
   }
 
+  /**
+   * Whether this router can serve: it has settings, and its servers have reported.
+   *
+   * @return true when ready
+   */
+  public boolean ready() {
+    return settings.isPresent() && informed;
+  }
+
   /**
    * Where callers connect.
    *
@@ -166,10 +173,14 @@
     return callers.boundAddress();
   }
 
+  private void tick(DecisionState state) {
+    state.tick();
+    informed = state.knowsEngines();
+  }
+
   private void listed(ListTask.Listing listing) {
     String dataCentre = config.process().dataCentre().value();
-    var routers =
-        listing.routers().stream().filter(entry -> !entry.leaving()).toList();
+    var routers = listing.routers().stream().filter(entry -> !entry.leaving()).toList();
     var ids = routers.stream().map(RouterEntry::id).map(InstanceId::new).toList();
     int local =
         (int) routers.stream().filter(entry -> entry.dataCentre().equals(dataCentre)).count();
--- a/router/src/main/java/org/pollenrock/router/RouterClients.java
+++ b/router/src/main/java/org/pollenrock/router/RouterClients.java
@@ -33,8 +33,7 @@
   static RouterClients create(RouterConfig config, EventLoopGroup loops, Timer timer) {
     ProcessSettings process = config.process();
     HttpTransport transport =
-        new HttpTransport(
-            loops, timer, Duration.ofNanos(process.limits().connectTimeoutNanos()));
+        new HttpTransport(loops, timer, Duration.ofNanos(process.limits().connectTimeoutNanos()));
     int eventBytes = process.limits().eventBytes();
     int bodyBytes = process.limits().bodyBytes();
     return new RouterClients(
--- a/router/src/main/java/org/pollenrock/router/RouterConfig.java
+++ b/router/src/main/java/org/pollenrock/router/RouterConfig.java
@@ -37,8 +37,7 @@
    * @param ioThreads number of event loops
    * @return the configuration
    */
-  public static RouterConfig of(
-      ProcessSettings process, Incarnation incarnation, int ioThreads) {
+  public static RouterConfig of(ProcessSettings process, Incarnation incarnation, int ioThreads) {
     return new RouterConfig(
         process,
         incarnation,
--- a/router/src/main/java/org/pollenrock/router/caller/CallerLimits.java
+++ b/router/src/main/java/org/pollenrock/router/caller/CallerLimits.java
@@ -11,8 +11,8 @@
  * @param maxLineBytes longest request line
  * @param maxHeaderBytes largest sum of header lines
  * @param maxBodyBytes largest request body
- * @param maxQueuedBytes bytes of pipelined requests, and of responses not yet written, held for
- *     one connection
+ * @param maxQueuedBytes bytes of pipelined requests, and of responses not yet written, held for one
+ *     connection
  * @param maxHeldBytes bytes of request bodies held by the router in all
  * @param maxConnections most caller connections
  * @param requestReadTimeout longest time from the first byte of a request to its last
--- a/router/src/main/java/org/pollenrock/router/decision/Admission.java
+++ b/router/src/main/java/org/pollenrock/router/decision/Admission.java
@@ -64,8 +64,7 @@
   void admit(long ticket, AdmitRequest request, Consumer<AdmitAnswer> reply, long nowNanos) {
     switch (limits.acquire(request.values().limits(), request.promptTokens(), nowNanos)) {
       case LimitDecision.Exceeded exceeded ->
-          reply.accept(
-              new AdmitAnswer.Refused(exceeded.refusal(), exceeded.retryAfterNanos()));
+          reply.accept(new AdmitAnswer.Refused(exceeded.refusal(), exceeded.retryAfterNanos()));
       case LimitDecision.Granted(LimitHold hold) -> {
         Entry entry = new Entry(hold, request.model(), reply);
         entries.put(ticket, entry);
--- a/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
+++ b/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
@@ -212,9 +212,7 @@
           servers.stream().filter(ServerLoad::accepting).mapToInt(ServerLoad::slots).sum();
       slots.put(model, accepting);
       health.members(
-          EnginePlacement.group(model),
-          servers.stream().map(ServerLoad::server).toList(),
-          now());
+          EnginePlacement.group(model), servers.stream().map(ServerLoad::server).toList(), now());
     }
     slots.forEach((model, total) -> admission.engineSlots(model, total, routers));
   }
--- a/router/src/main/java/org/pollenrock/router/decision/Decisions.java
+++ b/router/src/main/java/org/pollenrock/router/decision/Decisions.java
@@ -59,11 +59,13 @@
    */
   public boolean admit(long ticket, AdmitRequest request, Consumer<AdmitAnswer> reply) {
     return task.ask(
-        () -> state.admission().admit(ticket, request, answer -> admitted(request, answer, reply), now()));
+        () ->
+            state
+                .admission()
+                .admit(ticket, request, answer -> admitted(request, answer, reply), now()));
   }
 
-  private void admitted(
-      AdmitRequest request, AdmitAnswer answer, Consumer<AdmitAnswer> reply) {
+  private void admitted(AdmitRequest request, AdmitAnswer answer, Consumer<AdmitAnswer> reply) {
     if (answer instanceof AdmitAnswer.Admitted) {
       state.retries().firstAttempt(request.customer());
     }
@@ -103,11 +105,8 @@
    * @return false when too many questions wait
    */
   public boolean choosePlain(
-      String service,
-      Set<BackendServerId> avoided,
-      Consumer<Result<Choice>> reply) {
-    return task.ask(
-        () -> reply.accept(state.plain().choose(service, avoided, now())));
+      String service, Set<BackendServerId> avoided, Consumer<Result<Choice>> reply) {
+    return task.ask(() -> reply.accept(state.plain().choose(service, avoided, now())));
   }
 
   /**
@@ -243,7 +242,6 @@
   }
 
   static RequestError noServer(String message) {
-    return new RequestError.Refusal(
-        ErrorCode.NO_SERVER, Step.CHOOSE, Optional.empty(), message);
+    return new RequestError.Refusal(ErrorCode.NO_SERVER, Step.CHOOSE, Optional.empty(), message);
   }
 }
--- a/router/src/main/java/org/pollenrock/router/decision/EnginePlacement.java
+++ b/router/src/main/java/org/pollenrock/router/decision/EnginePlacement.java
@@ -114,7 +114,8 @@
         decision instanceof ResumeDecision.ContinueOn next
             && result instanceof PlacementResult.Chosen chosen
             && chosen.server().equals(next.server());
-    if (another && sendTo(question, (PlacementResult.Chosen) result, nowNanos)
+    if (another
+        && sendTo(question, (PlacementResult.Chosen) result, nowNanos)
             instanceof Result.Success<Choice.Engine>(Choice.Engine choice)) {
       return new ResumeAnswer(decision, Optional.of(choice));
     }
@@ -122,8 +123,7 @@
   }
 
   private static ResumeCandidate sameServer(ServerLoad load, BrokenStream broken) {
-    return new ResumeCandidate(
-        broken.server(), load.incarnation(), broken.weights(), false, true);
+    return new ResumeCandidate(broken.server(), load.incarnation(), broken.weights(), false, true);
   }
 
   void answered(Choice.Engine choice, EngineHead head, long nowNanos) {
@@ -214,7 +214,6 @@
           case WEIGHTS_NOT_SERVED -> "no server serves the weights version";
           case ALL_EXCLUDED -> "all servers of the model failed";
         };
-    return new RequestError.Refusal(
-        ErrorCode.NO_SERVER, Step.CHOOSE, Optional.empty(), message);
+    return new RequestError.Refusal(ErrorCode.NO_SERVER, Step.CHOOSE, Optional.empty(), message);
   }
 }
--- a/router/src/main/java/org/pollenrock/router/decision/Retries.java
+++ b/router/src/main/java/org/pollenrock/router/decision/Retries.java
@@ -33,11 +33,7 @@
   /** Takes the ratio of the root branch: the budget is one for the whole router. */
   void settings(SettingsTree tree) {
     EffectiveSettings root =
-        EffectiveSettings.resolve(
-            tree,
-            Optional.empty(),
-            Optional.empty(),
-            Optional.empty());
+        EffectiveSettings.resolve(tree, Optional.empty(), Optional.empty(), Optional.empty());
     int wanted = percent(root.number(SettingKey.RETRY_BUDGET_PERCENT));
     if (wanted != percent) {
       percent = wanted;
--- a/router/src/main/java/org/pollenrock/router/filter/EngineAttempt.java
+++ b/router/src/main/java/org/pollenrock/router/filter/EngineAttempt.java
@@ -169,8 +169,7 @@
             Optional.of(choice.placement().incarnation()),
             Optional.of(choice.placement().weights()));
     AnswerIdentity actual =
-        new AnswerIdentity(
-            AttemptId.parse(head.attemptId()), head.incarnation(), head.weights());
+        new AnswerIdentity(AttemptId.parse(head.attemptId()), head.incarnation(), head.weights());
     if (context.verifier().verify(expected, actual).relayable()) {
       return true;
     }
@@ -345,8 +344,7 @@
   }
 
   private Recovery.Identity identity() {
-    return new Recovery.Identity(
-        choice.placement().incarnation(), choice.placement().weights());
+    return new Recovery.Identity(choice.placement().incarnation(), choice.placement().weights());
   }
 
   @Override
--- a/router/src/main/java/org/pollenrock/router/filter/Exchange.java
+++ b/router/src/main/java/org/pollenrock/router/filter/Exchange.java
@@ -18,13 +18,13 @@
 import org.pollenrock.core.error.Step;
 import org.pollenrock.core.model.BackendServerId;
 import org.pollenrock.core.retry.RetryPolicy;
+import org.pollenrock.core.settings.ApiKeyOwner;
 import org.pollenrock.router.caller.CallerRequest;
 import org.pollenrock.router.caller.ResponseHeaders;
 import org.pollenrock.router.caller.ResponseListener;
 import org.pollenrock.router.caller.ResponseSink;
 import org.pollenrock.router.decision.Choice;
 import org.pollenrock.router.decision.EngineQuestion;
-import org.pollenrock.core.settings.ApiKeyOwner;
 import org.pollenrock.router.settings.RequestValues;
 import org.pollenrock.router.settings.RouterSettings;
 
--- a/router/src/main/java/org/pollenrock/router/filter/FinishFilter.java
+++ b/router/src/main/java/org/pollenrock/router/filter/FinishFilter.java
@@ -30,9 +30,7 @@
       return;
     }
     HttpHeaders headers = exchange.baseHeaders().set("Content-Type", "application/json");
-    exchange
-        .retryAfterSeconds()
-        .ifPresent(seconds -> headers.set("Retry-After", seconds));
+    exchange.retryAfterSeconds().ifPresent(seconds -> headers.set("Retry-After", seconds));
     exchange.sink().sendWhole(error.code().httpStatus(), headers, ErrorBody.of(error));
   }
 }
--- a/router/src/main/java/org/pollenrock/router/filter/IdentifyFilter.java
+++ b/router/src/main/java/org/pollenrock/router/filter/IdentifyFilter.java
@@ -69,11 +69,7 @@
           kind, Optional.of(completion.model()), Optional.empty(), completion.maxTokens());
     }
     Optional<String> service =
-        exchange
-            .knownSettings()
-            .tree()
-            .serviceOf(exchange.request().path())
-            .map(Map.Entry::getKey);
+        exchange.knownSettings().tree().serviceOf(exchange.request().path()).map(Map.Entry::getKey);
     return new RequestTraits(kind, Optional.empty(), service, OptionalLong.empty());
   }
 }
--- a/router/src/main/java/org/pollenrock/router/filter/PlainAttempt.java
+++ b/router/src/main/java/org/pollenrock/router/filter/PlainAttempt.java
@@ -62,8 +62,7 @@
     context
         .decisions()
         .watch(choice.server(), watchId, this, new ProgressDeadline(silence, silence));
-    work =
-        context.services().send(call, result -> exchange.onLoop(() -> answered(result)));
+    work = context.services().send(call, result -> exchange.onLoop(() -> answered(result)));
   }
 
   private ConnectionUse connectionUse() {
@@ -132,8 +131,7 @@
 
   @Override
   public boolean verified() {
-    ExpectedAnswer expected =
-        new ExpectedAnswer(attemptId, Optional.empty(), Optional.empty());
+    ExpectedAnswer expected = new ExpectedAnswer(attemptId, Optional.empty(), Optional.empty());
     AnswerIdentity actual =
         new AnswerIdentity(
             AttemptId.parse(answer.headers().get("X-Attempt-Id", "")),
--- a/router/src/main/java/org/pollenrock/router/filter/Recovery.java
+++ b/router/src/main/java/org/pollenrock/router/filter/Recovery.java
@@ -43,8 +43,7 @@
     if (failed.kind() != FailureKind.REFUSED_IDENTITY) {
       exchange.avoided().add(exchange.choice().server());
     }
-    exchange.earlierRunState(
-        RetryPolicy.combine(exchange.earlierRunState(), failed.runState()));
+    exchange.earlierRunState(RetryPolicy.combine(exchange.earlierRunState(), failed.runState()));
     decisions.retry(
         new RetryQuestion(failed, progress, exchange.values()),
         decision -> exchange.onLoop(() -> follow(exchange, decision)));
@@ -83,8 +82,7 @@
     decisions.resume(
         question,
         broken,
-        answer ->
-            exchange.onLoop(() -> follow(exchange, choice, answer), () -> giveBack(answer)));
+        answer -> exchange.onLoop(() -> follow(exchange, choice, answer), () -> giveBack(answer)));
   }
 
   private void follow(Exchange exchange, Choice.Engine before, ResumeAnswer answer) {
@@ -107,12 +105,7 @@
   }
 
   private void giveBack(ResumeAnswer answer) {
-    answer
-        .choice()
-        .ifPresent(
-            choice ->
-                decisions.engineEnded(
-                    choice, AttemptEnd.CANCELLED));
+    answer.choice().ifPresent(choice -> decisions.engineEnded(choice, AttemptEnd.CANCELLED));
   }
 
   /** Identity of the server that computed the relayed tokens. */
--- a/router/src/main/java/org/pollenrock/router/settings/LimitScopes.java
+++ b/router/src/main/java/org/pollenrock/router/settings/LimitScopes.java
@@ -38,11 +38,7 @@
     EffectiveSettings caller =
         EffectiveSettings.resolve(
             tree, Optional.of(owner.customer()), Optional.of(owner.caller()), Optional.empty());
-    add(
-        scopes,
-        LimitScope.of(owner.customer(), owner.caller()),
-        caller,
-        Set.of(ValueLevel.CALLER));
+    add(scopes, LimitScope.of(owner.customer(), owner.caller()), caller, Set.of(ValueLevel.CALLER));
     if (kind.isEmpty()) {
       return scopes;
     }
--- a/router/src/main/java/org/pollenrock/router/task/ReportConversion.java
+++ b/router/src/main/java/org/pollenrock/router/task/ReportConversion.java
@@ -17,8 +17,7 @@
 final class ReportConversion {
   private ReportConversion() {}
 
-  static org.pollenrock.core.placement.ServerReport toCore(
-      ServerEntry entry, ServerReport report) {
+  static org.pollenrock.core.placement.ServerReport toCore(ServerEntry entry, ServerReport report) {
     return new org.pollenrock.core.placement.ServerReport(
         entry.id(),
         new Incarnation(report.incarnation()),
--- a/router/src/main/java/org/pollenrock/router/task/ReportTask.java
+++ b/router/src/main/java/org/pollenrock/router/task/ReportTask.java
@@ -37,8 +37,7 @@
    * @param decisions receives the reports
    * @param intervalNanos time between two reads of a server, in nanoseconds
    */
-  public ReportTask(
-      EventLoop loop, EngineClient client, Decisions decisions, long intervalNanos) {
+  public ReportTask(EventLoop loop, EngineClient client, Decisions decisions, long intervalNanos) {
     this.loop = loop;
     this.client = client;
     this.decisions = decisions;
