--- /dev/null
+++ b/bench/src/main/java/org/pollenrock/bench/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line of the experiment tool. */
+package org.pollenrock.bench.cli;
--- a/bench/src/main/java/org/pollenrock/bench/workload/Deployment.java
+++ b/bench/src/main/java/org/pollenrock/bench/workload/Deployment.java
@@ -74,10 +74,31 @@
     return switch (name) {
       case "chama" -> chama();
       case "directorate" -> directorate();
+      case "demo" -> demo();
       default -> throw new IllegalArgumentException("no deployment is named " + name);
     };
   }
 
+  private static Deployment demo() {
+    return new Deployment(
+        "demo",
+        List.of("local"),
+        Duration.ZERO,
+        Duration.ZERO,
+        3,
+        2,
+        "ledger",
+        1,
+        2,
+        200,
+        Duration.ofMillis(200),
+        2,
+        1,
+        1,
+        new Range(1, 1),
+        List.of(new KindShare(TrafficKind.DISPUTE_SUMMARY, 1)));
+  }
+
   private static Deployment chama() {
     return new Deployment(
         "chama",
