--- /dev/null
+++ b/bench/src/main/java/org/pollenrock/bench/jmh/package-info.java
@@ -0,0 +1,2 @@
+/** JMH benchmarks of single decisions. */
+package org.pollenrock.bench.jmh;
