Spread a hot prefix over its homes before the first one is full

With true waiting times only, the first home took every request until its slots were full, so further homes existed in name only. Prefill at a home of a hot prefix serves later requests as well and is no longer charged, and slots above the target utilisation cost part of a wait.

--- a/bench/src/main/java/org/pollenrock/bench/capacity/PlacementSlopes.java
+++ b/bench/src/main/java/org/pollenrock/bench/capacity/PlacementSlopes.java
@@ -8,8 +8,9 @@
  * Prints the memory of a cached-block entry and of a server, and the time of a placement, each at
  * several sizes with a least-squares line.
  *
- * <p>Memory is the used heap after collection with the object, less that without it. Time is the
- * median of several batches.
+ * <p>Memory is the used heap after collection with the object, less that without it. Run it with
+ * the serial collector: G1 counts an array above half a region as whole regions. Time is the median
+ * of several batches.
  */
 public final class PlacementSlopes {
   private static final int[] ENTRIES = {1_000, 5_000, 10_000, 25_000, 50_000, 100_000};
@@ -45,6 +46,7 @@
   }
 
   private void entryMemory() {
+    usedBy(new PlacementWorkload[MEMORY_COPIES], SERVERS[0], TIMED_DOSSIERS, TIMED_ENTRIES);
     out.println("memory of the placer by cache entries (13 servers)");
     double[] x = new double[ENTRIES.length];
     double[] y = new double[ENTRIES.length];
--- a/core/src/main/java/org/pollenrock/core/placement/CostModel.java
+++ b/core/src/main/java/org/pollenrock/core/placement/CostModel.java
@@ -59,7 +59,8 @@
     double queue = load.prefillNanos(queueTokens);
     double slot = slotNanos(request.priority(), load);
     double urgent = urgentNanos(request.priority(), load, queueTokens);
-    double shared = origin == CandidateOrigin.HOME ? sharedNanos(context, server, cachedTokens) : 0;
+    double invested =
+        origin == CandidateOrigin.HOME ? investedNanos(context, server, cachedTokens) : 0;
     double eviction = load.prefillNanos(missing);
     if (isStray(context, origin, cachedTokens)) {
       eviction *= STRAY_COPY_FACTOR;
@@ -67,9 +68,9 @@
     double ttft = prefill + queue + slot + server.roundTripNanos() + urgent;
     PlacementWeights weights = request.tuning();
     double total =
-        weights.ttftWeight() * (ttft - shared) + weights.hitWeight() * (eviction - shared);
+        weights.ttftWeight() * (ttft - invested) + weights.hitWeight() * (eviction - invested);
     return new CostTerms(
-        missing, prefill, queue, slot, server.roundTripNanos(), urgent, eviction, shared, total);
+        missing, prefill, queue, slot, server.roundTripNanos(), urgent, eviction, invested, total);
   }
 
   /** A holder of the shared levels only is no better a place for a copy than any other server. */
@@ -82,31 +83,30 @@
     };
   }
 
-  /**
-   * Prefill of shared levels that a home lacks, as far as that serves later requests: a level that
-   * every server sees within a block lifetime is cached everywhere anyway. Without this, all
-   * prefixes below a level would follow the first one to its server.
-   */
-  private double sharedNanos(PlacementContext context, EligibleServer server, double cachedTokens) {
-    double missing = context.sharedTokens() - cachedTokens;
-    if (missing <= 0) {
-      return 0;
-    }
+  /** Without this, all prefixes below a level would follow the first one to its server. */
+  private double investedNanos(
+      PlacementContext context, EligibleServer server, double cachedTokens) {
     double lifetimeSeconds = state.cache().lifetimeNanos(server.server()) / NANOS_PER_SECOND;
-    double uses = context.parentRate() * lifetimeSeconds / context.eligible().local().size();
-    return server.load().prefillNanos(missing) * Math.min(1, uses);
+    return server.load().prefillNanos(context.investedTokens(cachedTokens, lifetimeSeconds));
   }
 
   private static double importedTokens(PlacementRequest request, KvImport kvImport) {
     return (kvImport.endBlock() - kvImport.firstBlock()) * request.tokensPerBlock();
   }
 
-  /** Slots free up one after the other, each after the hold time divided by the slots. */
+  /**
+   * Slots free up one after the other, each after the hold time divided by the slots. Above the
+   * target utilisation the wait is counted in part, so that a hot prefix moves on to its other
+   * homes before its first one is full.
+   */
   private double slotNanos(Priority priority, ServerLoad load) {
     int reserve = priority == Priority.URGENT ? 0 : state.config().urgentReserveSlots();
     int usable = Math.max(1, load.slots() - reserve);
-    int ahead = load.running() + 1 - usable;
-    return ahead <= 0 ? 0 : ahead * state.holdNanos() / load.slots();
+    int wanted = load.running() + 1;
+    double target = usable * state.config().targetUtilisation();
+    double ahead = Math.max(0, wanted - usable);
+    double pressure = Math.min(1, Math.max(0, wanted - target) / Math.max(1, usable - target));
+    return (ahead + pressure) * state.holdNanos() / load.slots();
   }
 
   private double urgentNanos(Priority priority, ServerLoad load, double queueTokens) {
--- a/core/src/main/java/org/pollenrock/core/placement/EligibleServers.java
+++ b/core/src/main/java/org/pollenrock/core/placement/EligibleServers.java
@@ -1,6 +1,7 @@
 package org.pollenrock.core.placement;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -79,7 +80,7 @@
    * @return one version, or several while a rollout is in progress
    */
   public Set<WeightsVersion> versions() {
-    return versions;
+    return Collections.unmodifiableSet(versions);
   }
 
   /**
--- a/core/src/main/java/org/pollenrock/core/placement/ExpectedCostStrategy.java
+++ b/core/src/main/java/org/pollenrock/core/placement/ExpectedCostStrategy.java
@@ -22,8 +22,6 @@
   /** Sampled servers: the power of two choices. */
   private static final int SAMPLES = 2;
 
-  private static final double NANOS_PER_SECOND = 1e9;
-
   @Override
   public List<Candidate> rank(PlacementContext context) {
     List<EligibleServer> chosen = new ArrayList<>();
@@ -69,20 +67,11 @@
       collector.add(eligible.local().get(home), CandidateOrigin.HOME);
       return;
     }
-    for (int home : RendezvousHash.top(key, eligible.localSeeds(), homes(context, key))) {
+    for (int home : RendezvousHash.top(key, eligible.localSeeds(), context.homes())) {
       collector.add(eligible.local().get(home), CandidateOrigin.HOME);
     }
   }
 
-  private static int homes(PlacementContext context, BlockKey key) {
-    PlacerState state = context.state();
-    int limit = Math.min(state.config().maximumHomes(), context.eligible().local().size());
-    double rate = state.hot().rate(key, context.nowNanos()) * state.routers();
-    ServerLoad typical = context.eligible().local().get(0).load();
-    double seconds = state.holdNanos() / typical.slots() / NANOS_PER_SECOND;
-    return HotPrefixTracker.homes(rate, seconds, state.config().targetUtilisation(), limit);
-  }
-
   private static void addHolders(PlacementContext context, Collector collector) {
     for (WeightsVersion version : context.eligible().versions()) {
       List<BackendServerId> holders =
--- a/core/src/main/java/org/pollenrock/core/placement/PlacementContext.java
+++ b/core/src/main/java/org/pollenrock/core/placement/PlacementContext.java
@@ -19,13 +19,18 @@
    */
   private static final double NEW_PREFIX_RATE = 0.1;
 
+  private static final double NANOS_PER_SECOND = 1e9;
+
   private final PlacementRequest request;
   private final long nowNanos;
   private final EligibleServers eligible;
   private final PlacerState state;
   private final PlacementLevels levels;
   private final double sharedTokens;
+  private final double levelTokens;
   private final double parentRate;
+  private final double rate;
+  private final int homes;
   private final Map<WeightsVersion, ChainLookup> lookups = new HashMap<>(4);
 
   PlacementContext(
@@ -36,11 +41,26 @@
     this.state = state;
     this.levels = PlacementLevels.of(request);
     List<Integer> ends = request.levelEnds();
-    int sharedBlocks = ends.size() < 2 ? 0 : ends.get(ends.size() - 2);
-    sharedTokens = sharedBlocks * request.tokensPerBlock();
-    parentRate =
-        levels.parent().map(parent -> state.hot().rate(parent, nowNanos)).orElse(0.0)
-            * state.routers();
+    sharedTokens = tokens(ends.size() < 2 ? 0 : ends.get(ends.size() - 2));
+    levelTokens = tokens(ends.isEmpty() ? 0 : ends.get(ends.size() - 1));
+    parentRate = levels.parent().map(this::rate).orElse(0.0);
+    rate = rate(levels.deepest());
+    homes = countHomes();
+  }
+
+  private double tokens(int blocks) {
+    return blocks * request.tokensPerBlock();
+  }
+
+  private double rate(BlockKey level) {
+    return state.hot().rate(level, nowNanos) * state.routers();
+  }
+
+  private int countHomes() {
+    int limit = Math.min(state.config().maximumHomes(), eligible.local().size());
+    ServerLoad typical = eligible.local().get(0).load();
+    double seconds = state.holdNanos() / typical.slots() / NANOS_PER_SECOND;
+    return HotPrefixTracker.homes(rate, seconds, state.config().targetUtilisation(), limit);
   }
 
   /**
@@ -138,18 +158,33 @@
     return levels;
   }
 
+  /** Number of homes of the deepest prefix level. */
+  int homes() {
+    return homes;
+  }
+
   /** Prompt tokens of the levels above the deepest one. */
   double sharedTokens() {
     return sharedTokens;
   }
 
-  /** Requests per second of all routers for the level above the deepest one. */
-  double parentRate() {
-    return parentRate;
+  /**
+   * Prompt tokens that a home lacks and that later requests will use there, so that their prefill
+   * is no reason against the home. A shared level counts as far as every server sees it within a
+   * block lifetime; the deepest level counts when it is hot enough for several homes.
+   */
+  double investedTokens(double cachedTokens, double lifetimeSeconds) {
+    double uses = parentRate * lifetimeSeconds / eligible.local().size();
+    double invested = Math.max(0, sharedTokens - cachedTokens) * Math.min(1, uses);
+    if (homes > 1) {
+      double own = Math.max(0, levelTokens - Math.max(cachedTokens, sharedTokens));
+      invested += own * Math.min(1, rate * lifetimeSeconds / homes);
+    }
+    return invested;
   }
 
   /** True when this router had not seen the deepest prefix level recently. */
   boolean isNewPrefix() {
-    return state.hot().rate(levels.deepest(), nowNanos) * state.routers() < NEW_PREFIX_RATE;
+    return rate < NEW_PREFIX_RATE;
   }
 }
