--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/limits/AdmissionQueueTest.java
@@ -0,0 +1,257 @@
+package org.pollenrock.core.limits;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.RandomDistribution;
+import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.api.Test;
+import org.pollenrock.core.error.ErrorCode;
+import org.pollenrock.core.model.CustomerId;
+import org.pollenrock.core.model.Priority;
+
+/** Guards against unfair or untruthful admission, and against slots spent on late requests. */
+class AdmissionQueueTest {
+  private static final long MS = 1_000_000L;
+  private static final long NONE = AdmissionRequest.NO_DEADLINE;
+
+  private static AdmissionRequest request(long id, String customer, Priority priority) {
+    return new AdmissionRequest(id, new CustomerId(customer), 1, priority, 10, 0, NONE);
+  }
+
+  private static List<Long> dispatched(AdmissionQueue queue, long now) {
+    return queue.poll(now).stream()
+        .filter(AdmissionDecision.Dispatch.class::isInstance)
+        .map(AdmissionDecision::id)
+        .toList();
+  }
+
+  private static ErrorCode refusal(AdmissionDecision decision) {
+    assertThat(decision).isInstanceOf(AdmissionDecision.Refuse.class);
+    return ((AdmissionDecision.Refuse) decision).refusal().code();
+  }
+
+  @Test
+  void higherClassesGoFirstAndBatchLeavesTheReserve() {
+    AdmissionQueue queue = new AdmissionQueue(new AdmissionSettings(1, 10, 10, MS), 3);
+    queue.offer(request(1, "a", Priority.BATCH), 0);
+    queue.offer(request(2, "a", Priority.BATCH), 0);
+    queue.offer(request(3, "a", Priority.BATCH), 0);
+    queue.offer(request(4, "a", Priority.URGENT), 0);
+    assertThat(dispatched(queue, 0)).containsExactly(4L, 1L);
+    queue.offer(request(5, "a", Priority.INTERACTIVE), 0);
+    assertThat(dispatched(queue, 0)).containsExactly(5L);
+    assertThat(queue.finish(4, 0)).isTrue();
+    assertThat(queue.finish(4, 0)).isFalse();
+    assertThat(dispatched(queue, 0)).isEmpty();
+    queue.finish(5, 0);
+    assertThat(dispatched(queue, 0)).containsExactly(2L);
+  }
+
+  @Test
+  void unreachableDeadlineIsRefusedAtOnceAndALateRequestIsDropped() {
+    AdmissionQueue queue = new AdmissionQueue(new AdmissionSettings(0, 10, 10, 100 * MS), 1);
+    queue.offer(request(1, "a", Priority.URGENT), 0);
+    dispatched(queue, 0);
+    AdmissionRequest tooLate =
+        new AdmissionRequest(2, new CustomerId("a"), 1, Priority.URGENT, 1, 50 * MS, 150 * MS - 1);
+    assertThat(refusal(queue.offer(tooLate, 0))).isEqualTo(ErrorCode.DEADLINE_UNREACHABLE);
+    AdmissionRequest inTime =
+        new AdmissionRequest(3, new CustomerId("a"), 1, Priority.URGENT, 1, 50 * MS, 150 * MS);
+    assertThat(queue.offer(inTime, 0)).isEqualTo(new AdmissionDecision.Queue(3, 100 * MS));
+    assertThat(queue.poll(100 * MS)).isEmpty();
+    queue.finish(1, 100 * MS + 1);
+    List<AdmissionDecision> decisions = queue.poll(100 * MS + 1);
+    assertThat(decisions).hasSize(1);
+    assertThat(refusal(decisions.getFirst())).isEqualTo(ErrorCode.DEADLINE_UNREACHABLE);
+  }
+
+  @Test
+  void fullQueueRefusesTheLowestClassFirst() {
+    AdmissionQueue queue = new AdmissionQueue(new AdmissionSettings(0, 2, 3, MS), 1);
+    queue.offer(request(1, "a", Priority.URGENT), 0);
+    dispatched(queue, 0);
+    queue.offer(request(2, "a", Priority.BATCH), 0);
+    queue.offer(request(3, "b", Priority.INTERACTIVE), 0);
+    queue.offer(request(4, "b", Priority.INTERACTIVE), 0);
+    assertThat(refusal(queue.offer(request(5, "b", Priority.URGENT), 0)))
+        .isEqualTo(ErrorCode.OVERLOADED);
+    assertThat(queue.offer(request(6, "c", Priority.URGENT), 0))
+        .isInstanceOf(AdmissionDecision.Queue.class);
+    assertThat(queue.poll(0)).extracting(AdmissionDecision::id).containsExactly(2L);
+    assertThat(refusal(queue.offer(request(7, "d", Priority.BATCH), 0)))
+        .isEqualTo(ErrorCode.OVERLOADED);
+    assertThat(queue.offer(request(8, "d", Priority.INTERACTIVE), 0))
+        .isInstanceOf(AdmissionDecision.Queue.class);
+    assertThat(queue.poll(0)).extracting(AdmissionDecision::id).containsExactly(4L);
+  }
+
+  @Test
+  void classWithoutSlotsIsRefusedAndACancelledRequestIsNotDispatched() {
+    AdmissionQueue queue = new AdmissionQueue(new AdmissionSettings(2, 2, 3, MS), 2);
+    assertThat(refusal(queue.offer(request(1, "a", Priority.BATCH), 0)))
+        .isEqualTo(ErrorCode.OVERLOADED);
+    queue.offer(request(2, "a", Priority.URGENT), 0);
+    assertThatThrownBy(() -> queue.offer(request(2, "a", Priority.URGENT), 0))
+        .isInstanceOf(IllegalArgumentException.class);
+    assertThat(queue.cancel(2)).isTrue();
+    assertThat(queue.cancel(2)).isFalse();
+    assertThat(queue.poll(0)).isEmpty();
+    queue.setSlots(0);
+    assertThat(refusal(queue.offer(request(3, "a", Priority.URGENT), 0)))
+        .isEqualTo(ErrorCode.OVERLOADED);
+  }
+
+  @Test
+  void newCustomerIsServedBeforeTheSecondRequestOfAnyOther() {
+    int flooding = 50;
+    AdmissionQueue queue = new AdmissionQueue(new AdmissionSettings(0, 100, 10_000, MS), 1);
+    long id = 0;
+    for (int i = 0; i < flooding * 20; i++) {
+      queue.offer(request(id++, "heavy-" + i % flooding, Priority.BATCH), 0);
+    }
+    long running = dispatched(queue, 0).getFirst();
+    AdmissionRequest light =
+        new AdmissionRequest(id, new CustomerId("light"), 0.001, Priority.BATCH, 10, 0, NONE);
+    queue.offer(light, 0);
+    int before = 0;
+    while (running != id) {
+      queue.finish(running, 0);
+      running = dispatched(queue, 0).getFirst();
+      before++;
+    }
+    assertThat(before).isLessThanOrEqualTo(flooding + 1);
+  }
+
+  @Provide
+  Arbitrary<List<Integer>> programs() {
+    return Arbitraries.integers()
+        .between(0, 999_999)
+        .withDistribution(RandomDistribution.uniform())
+        .list()
+        .ofMaxSize(150)
+        .withSizeDistribution(RandomDistribution.uniform());
+  }
+
+  /** While customers wait, service per weight differs by at most one request of each. */
+  @Property(seed = "4113", tries = 1_000, shrinking = ShrinkingMode.BOUNDED)
+  void serviceOfWaitingCustomersStaysInProportionToTheirWeights(
+      @ForAll("programs") List<Integer> program) {
+    AdmissionQueue queue = new AdmissionQueue(new AdmissionSettings(0, 10_000, 100_000, MS), 1);
+    double[] weights = {1, 2.5, 7};
+    long[] largest = new long[weights.length];
+    double[] served = new double[weights.length];
+    Map<Long, Integer> costs = new HashMap<>();
+    for (int i = 0; i < program.size() * weights.length; i++) {
+      int flow = i % weights.length;
+      int cost = 1 + program.get(i / weights.length) % (97 + flow);
+      costs.put((long) i, cost);
+      largest[flow] = Math.max(largest[flow], cost);
+      CustomerId customer = new CustomerId("c" + flow);
+      queue.offer(
+          new AdmissionRequest(i, customer, weights[flow], Priority.BATCH, cost, 0, NONE), 0);
+    }
+    for (int step = 0; step < program.size(); step++) {
+      long id = dispatched(queue, 0).getFirst();
+      queue.finish(id, 0);
+      served[(int) (id % weights.length)] += costs.get(id);
+      for (int a = 0; a < weights.length; a++) {
+        for (int b = 0; b < a; b++) {
+          assertThat(Math.abs(served[a] / weights[a] - served[b] / weights[b]))
+              .isLessThanOrEqualTo(largest[a] / weights[a] + largest[b] / weights[b] + 1e-9);
+        }
+      }
+    }
+  }
+
+  /** Compares every decision with the plain model, and checks that refusals stay true. */
+  @Property(seed = "4114", tries = 5_000, shrinking = ShrinkingMode.BOUNDED)
+  void decidesLikeThePlainModelAndNeverDispatchesWhatItRefused(
+      @ForAll("programs") List<Integer> program) {
+    AdmissionSettings settings = new AdmissionSettings(1, 5, 12, MS);
+    AdmissionQueue queue = new AdmissionQueue(settings, 3);
+    PlainAdmission model = new PlainAdmission(settings, 3);
+    Set<Long> refused = new HashSet<>();
+    List<Long> running = new ArrayList<>();
+    long now = 0;
+    long id = 0;
+    for (int step : program) {
+      int argument = step / 10;
+      switch (step % 10) {
+        case 0 -> now += argument % 50 * MS / 10;
+        case 1, 2 -> {
+          if (!running.isEmpty()) {
+            queue.finish(running.remove(argument % running.size()), now);
+            model.finishOne();
+          }
+        }
+        case 3 -> {
+          queue.setSlots(argument % 5);
+          model.setSlots(argument % 5);
+        }
+        case 4 -> cancelOne(queue, model, argument);
+        default -> offer(queue, model, generated(id++, argument, now), now, refused);
+      }
+      List<Long> expectedRefusals = new ArrayList<>();
+      List<Long> expectedDispatches = model.poll(now, expectedRefusals);
+      List<AdmissionDecision> decisions = queue.poll(now);
+      List<Long> expected = new ArrayList<>(expectedRefusals);
+      expected.addAll(expectedDispatches);
+      assertThat(decisions).extracting(AdmissionDecision::id).containsExactlyElementsOf(expected);
+      refused.addAll(expectedRefusals);
+      running.addAll(expectedDispatches);
+      assertThat(Collections.disjoint(expectedDispatches, refused)).isTrue();
+      assertThat(queue.waitingCount()).isEqualTo(model.waiting().size());
+      assertThat(queue.runningCount()).isEqualTo(running.size());
+    }
+  }
+
+  // Weights and costs are powers of two, so that tags are exact and ties agree in both.
+  private static AdmissionRequest generated(long id, int argument, long now) {
+    int customer = argument % 4;
+    Priority priority = Priority.values()[argument / 4 % 3];
+    long cost = 1L << argument / 12 % 4;
+    long deadline = argument / 48 % 3 == 0 ? now + argument / 144 % 20 * MS : NONE;
+    return new AdmissionRequest(
+        id, new CustomerId("c" + customer), 1L << customer, priority, cost, MS / 2, deadline);
+  }
+
+  private static void cancelOne(AdmissionQueue queue, PlainAdmission model, int argument) {
+    List<AdmissionRequest> waiting = model.waiting();
+    if (!waiting.isEmpty()) {
+      AdmissionRequest cancelled = waiting.get(argument % waiting.size());
+      assertThat(queue.cancel(cancelled.id())).isTrue();
+      model.remove(cancelled);
+    }
+  }
+
+  // The estimate behind an early refusal is checked by the load tests, not by the model.
+  private static void offer(
+      AdmissionQueue queue,
+      PlainAdmission model,
+      AdmissionRequest request,
+      long now,
+      Set<Long> refused) {
+    AdmissionDecision decision = queue.offer(request, now);
+    if (decision instanceof AdmissionDecision.Refuse refuse) {
+      refused.add(request.id());
+      if (refuse.refusal().code() == ErrorCode.DEADLINE_UNREACHABLE) {
+        assertThat(request.deadlineNanos()).isNotEqualTo(NONE);
+        return;
+      }
+    }
+    assertThat(decision instanceof AdmissionDecision.Queue).isEqualTo(model.offer(request));
+  }
+}
