--- a/core/src/main/java/org/pollenrock/core/connection/CloseReason.java
+++ b/core/src/main/java/org/pollenrock/core/connection/CloseReason.java
@@ -6,7 +6,10 @@
   RECEIVE_SILENCE,
   /** The peer accepted no written data before the write deadline. */
   SEND_SILENCE,
-  /** Its exchange was cancelled or timed out, so a late answer could reach the next exchange. */
+  /**
+   * Its exchange was cancelled, or answered before the request was sent in full, so data of it
+   * could be taken for the next exchange.
+   */
   EXCHANGE_ABORTED,
   /** Data arrived while no exchange was outstanding. */
   UNSOLICITED_DATA,
--- a/core/src/main/java/org/pollenrock/core/connection/ConnectionMonitor.java
+++ b/core/src/main/java/org/pollenrock/core/connection/ConnectionMonitor.java
@@ -122,19 +122,26 @@
   }
 
   /**
-   * The exchange ended with its complete answer, so the connection may be reused.
+   * The exchange ended with its complete answer, so the connection may be reused unless a part of
+   * the request still waits to be sent.
    *
    * @param connection its number
    * @param nowNanos time now
+   * @return the order to close the connection, when it may not be reused
    */
-  public void exchangeFinished(ConnectionId connection, long nowNanos) {
-    find(connection)
-        .filter(found -> found.state() == ConnectionState.BUSY)
-        .ifPresent(
-            found -> {
-              found.received(nowNanos);
-              found.finish();
-            });
+  public List<ConnectionAction> exchangeFinished(ConnectionId connection, long nowNanos) {
+    List<ConnectionAction> actions = new ArrayList<>();
+    MonitoredConnection found = connections.get(connection);
+    if (found == null || found.state() != ConnectionState.BUSY) {
+      return actions;
+    }
+    if (found.sending()) {
+      close(found, CloseReason.EXCHANGE_ABORTED, actions);
+    } else {
+      found.received(nowNanos);
+      found.finish();
+    }
+    return actions;
   }
 
   /**
--- a/core/src/main/java/org/pollenrock/core/connection/MonitoredConnection.java
+++ b/core/src/main/java/org/pollenrock/core/connection/MonitoredConnection.java
@@ -63,6 +63,10 @@
     }
   }
 
+  boolean sending() {
+    return sending;
+  }
+
   void finish() {
     state = ConnectionState.IDLE;
   }
--- a/core/src/main/java/org/pollenrock/core/limits/FairClass.java
+++ b/core/src/main/java/org/pollenrock/core/limits/FairClass.java
@@ -13,7 +13,7 @@
  * wait, what they received per weight differs by at most one request of each.
  */
 final class FairClass {
-  /** Flows that no longer wait are swept when they outnumber the others; small maps never are. */
+  /** Number of flows from which those that no longer wait are swept. */
   private static final int SWEEP_MINIMUM = 64;
 
   private final Map<CustomerId, CustomerFlow> flows = new HashMap<>();
@@ -28,6 +28,7 @@
   private double waitingWeight;
   private int size;
   private long flowCounter;
+  private int sweepAt = SWEEP_MINIMUM;
 
   int size() {
     return size;
@@ -107,15 +108,18 @@
     }
   }
 
-  // When nothing waits, no customer competes with another, so what they received is forgotten.
+  // When nothing waits, no customer competes with another, so what they received is forgotten. A
+  // sweep follows only after the flows have doubled, so its cost per request is constant.
   private void removed() {
     size--;
     if (size == 0) {
       flows.clear();
       virtualTime = 0;
       waitingWeight = 0;
-    } else if (flows.size() > 2 * byStart.size() + SWEEP_MINIMUM) {
+      sweepAt = SWEEP_MINIMUM;
+    } else if (flows.size() >= sweepAt) {
       flows.values().removeIf(flow -> flow.isEmpty() && flow.finish() <= virtualTime);
+      sweepAt = Math.max(SWEEP_MINIMUM, 2 * flows.size());
     }
   }
 }
--- a/core/src/main/java/org/pollenrock/core/limits/KeyLoans.java
+++ b/core/src/main/java/org/pollenrock/core/limits/KeyLoans.java
@@ -7,6 +7,11 @@
 final class KeyLoans {
   private final Map<LoanId, LentLoan> lent = new LinkedHashMap<>(4);
   private final Map<LoanId, BorrowedLoan> borrowed = new LinkedHashMap<>(4);
+  private long nextAskAt;
+
+  KeyLoans(long nowNanos) {
+    nextAskAt = nowNanos;
+  }
 
   Map<LoanId, LentLoan> lent() {
     return lent;
@@ -40,12 +45,21 @@
     return sum;
   }
 
+  void asked(long intervalNanos, long nowNanos) {
+    nextAskAt = nowNanos + intervalNanos;
+  }
+
+  boolean mayAsk(long nowNanos) {
+    return nowNanos >= nextAskAt && !asking();
+  }
+
   /** Whether a request for a new loan has no reply yet. */
   boolean asking() {
     return borrowed.values().stream().anyMatch(loan -> !loan.granted());
   }
 
-  boolean isEmpty() {
-    return lent.isEmpty() && borrowed.isEmpty();
+  /** Whether nothing of this limit need be remembered. */
+  boolean forgettable(long nowNanos) {
+    return lent.isEmpty() && borrowed.isEmpty() && nowNanos >= nextAskAt;
   }
 }
--- a/core/src/main/java/org/pollenrock/core/limits/ShareLedger.java
+++ b/core/src/main/java/org/pollenrock/core/limits/ShareLedger.java
@@ -93,7 +93,8 @@
 
   /**
    * Asks a peer for a part of its share. Nothing is sent while a request for the same limit is
-   * outstanding, when there is no peer, or when this router has taken the most loans it may.
+   * outstanding or too recent, when there is no peer, or when this router has taken the most loans
+   * it may; so this may be called for every request that exceeds the share.
    *
    * @param key the limit
    * @param amount wanted amount in the unit of the limit's dimension
@@ -103,13 +104,17 @@
    */
   public List<OutgoingLoanMessage> borrow(
       LimitKey key, long amount, LimitUsage usage, long nowNanos) {
-    KeyLoans known = loans.computeIfAbsent(key, added -> new KeyLoans());
+    KeyLoans known = loans.computeIfAbsent(key, added -> new KeyLoans(nowNanos));
     long limit = usage.limit(key);
     long wanted = Math.min(amount, limit - share(key, limit, nowNanos));
-    if (wanted <= 0 || peers.isEmpty() || known.asking() || borrowedCount >= settings.maxLoans()) {
-      removeIfEmpty(key, known);
+    if (wanted <= 0
+        || peers.isEmpty()
+        || !known.mayAsk(nowNanos)
+        || borrowedCount >= settings.maxLoans()) {
+      forget(key, known, nowNanos);
       return List.of();
     }
+    known.asked(settings.askIntervalNanos(), nowNanos);
     InstanceId lender = peers.get(random.nextInt(peers.size()));
     LoanId id = new LoanId(self, incarnation, loanCounter++);
     known.borrowed().put(id, new BorrowedLoan(lender, wanted, nowNanos));
@@ -131,8 +136,8 @@
     return switch (message) {
       case LoanMessage.Request request -> requested(from, request, usage, nowNanos);
       case LoanMessage.Grant grant -> granted(from, grant, nowNanos);
-      case LoanMessage.Refusal refusal -> refused(refusal);
-      case LoanMessage.Return returned -> returned(from, returned);
+      case LoanMessage.Refusal refusal -> refused(refusal, nowNanos);
+      case LoanMessage.Return returned -> returned(from, returned, nowNanos);
     };
   }
 
@@ -151,7 +156,7 @@
       Map.Entry<LimitKey, KeyLoans> entry = all.next();
       dropExpiredLent(entry.getValue(), nowNanos);
       tickBorrowed(entry.getKey(), entry.getValue(), usage, nowNanos, out);
-      if (entry.getValue().isEmpty()) {
+      if (entry.getValue().forgettable(nowNanos)) {
         all.remove();
       }
     }
@@ -200,14 +205,14 @@
 
   private List<OutgoingLoanMessage> requested(
       InstanceId from, LoanMessage.Request request, LimitUsage usage, long nowNanos) {
-    KeyLoans known = loans.computeIfAbsent(request.key(), added -> new KeyLoans());
+    KeyLoans known = loans.computeIfAbsent(request.key(), added -> new KeyLoans(nowNanos));
     dropExpiredLent(known, nowNanos);
     LentLoan loan = known.lent().get(request.id());
     LoanMessage reply =
         loan == null
             ? lend(known, request, usage, nowNanos)
             : renew(known, loan, request, usage, nowNanos);
-    removeIfEmpty(request.key(), known);
+    forget(request.key(), known, nowNanos);
     return List.of(new OutgoingLoanMessage(from, reply));
   }
 
@@ -278,7 +283,7 @@
     return List.of();
   }
 
-  private List<OutgoingLoanMessage> refused(LoanMessage.Refusal refusal) {
+  private List<OutgoingLoanMessage> refused(LoanMessage.Refusal refusal, long nowNanos) {
     KeyLoans known = loans.get(refusal.key());
     BorrowedLoan loan = known == null ? null : known.borrowed().get(refusal.id());
     if (loan == null || refusal.round() != loan.round()) {
@@ -287,17 +292,18 @@
     loan.refused();
     if (refusal.unknown() || !loan.granted()) {
       removeBorrowed(known, refusal.id());
-      removeIfEmpty(refusal.key(), known);
+      forget(refusal.key(), known, nowNanos);
     }
     return List.of();
   }
 
-  private List<OutgoingLoanMessage> returned(InstanceId from, LoanMessage.Return returned) {
+  private List<OutgoingLoanMessage> returned(
+      InstanceId from, LoanMessage.Return returned, long nowNanos) {
     KeyLoans known = loans.get(returned.key());
     boolean own = returned.id().borrower().equals(from);
     if (known != null && own && known.lent().remove(returned.id()) != null) {
       lentCount--;
-      removeIfEmpty(returned.key(), known);
+      forget(returned.key(), known, nowNanos);
     }
     return List.of();
   }
@@ -362,8 +368,8 @@
     lentCount -= before - known.lent().size();
   }
 
-  private void removeIfEmpty(LimitKey key, KeyLoans known) {
-    if (known.isEmpty()) {
+  private void forget(LimitKey key, KeyLoans known, long nowNanos) {
+    if (known.forgettable(nowNanos)) {
       loans.remove(key);
     }
   }
--- a/core/src/main/java/org/pollenrock/core/limits/ShareSettings.java
+++ b/core/src/main/java/org/pollenrock/core/limits/ShareSettings.java
@@ -6,6 +6,8 @@
  * @param loanDurationNanos how long a loan lasts unless renewed
  * @param marginNanos how much longer the lender waits by its own clock, for clocks of unequal pace
  * @param replyTimeoutNanos how long a borrower waits for a reply before it asks again
+ * @param askIntervalNanos shortest time between two requests for loans of one limit, which bounds
+ *     the messages of a router whose peers have nothing to lend
  * @param lendPercent largest part of its unused share that a lender gives to one request, 1 to 100
  * @param maxLoans most loans given, and most loans taken, by one router
  */
@@ -13,6 +15,7 @@
     long loanDurationNanos,
     long marginNanos,
     long replyTimeoutNanos,
+    long askIntervalNanos,
     int lendPercent,
     int maxLoans) {
   /**
@@ -28,6 +31,10 @@
     if (replyTimeoutNanos <= 0 || replyTimeoutNanos >= loanDurationNanos / 2) {
       throw new IllegalArgumentException("a reply must time out within half a loan duration");
     }
+    if (askIntervalNanos < 0) {
+      throw new IllegalArgumentException(
+          "askIntervalNanos must not be negative: " + askIntervalNanos);
+    }
     if (lendPercent < 1 || lendPercent > 100) {
       throw new IllegalArgumentException("lendPercent outside 1..100: " + lendPercent);
     }
--- a/core/src/main/java/org/pollenrock/core/limits/TokenBucket.java
+++ b/core/src/main/java/org/pollenrock/core/limits/TokenBucket.java
@@ -32,7 +32,8 @@
   }
 
   /**
-   * Changes rate and capacity. Time until now counts at the old rate.
+   * Changes rate and capacity. Time since the last use counts at the lower of both rates, because
+   * the share that the rate follows may have changed at any moment since then.
    *
    * @param newRatePerSecond tokens per second, not negative
    * @param newCapacity most tokens it holds, not negative
@@ -44,6 +45,7 @@
       return;
     }
     requireValid(newRatePerSecond, newCapacity);
+    ratePerSecond = Math.min(ratePerSecond, newRatePerSecond);
     refill(nowNanos);
     ratePerSecond = newRatePerSecond;
     capacity = newCapacity;
--- a/core/src/test/java/org/pollenrock/core/connection/ConnectionMonitorTest.java
+++ b/core/src/test/java/org/pollenrock/core/connection/ConnectionMonitorTest.java
@@ -112,6 +112,11 @@
     assertThat(monitor.received(IDLE, 1))
         .containsExactly(close(IDLE, CloseReason.UNSOLICITED_DATA));
     assertThat(monitor.received(IDLE, 2)).isEmpty();
+    monitor.opened(YOUNG, 2);
+    monitor.exchangeStarted(YOUNG, 50 * MS, 50 * MS, 2);
+    monitor.writeWaits(YOUNG, 2);
+    assertThat(monitor.exchangeFinished(YOUNG, 3))
+        .containsExactly(close(YOUNG, CloseReason.EXCHANGE_ABORTED));
     assertThat(monitor.size()).isZero();
   }
 
--- a/core/src/test/java/org/pollenrock/core/limits/ShareLedgerTest.java
+++ b/core/src/test/java/org/pollenrock/core/limits/ShareLedgerTest.java
@@ -63,6 +63,19 @@
     assertThat(network.share(1)).isGreaterThanOrEqualTo(base);
   }
 
+  @Test
+  void routerWhosePeersHaveNothingToLendAsksAtTheStatedIntervalOnly() {
+    LoanNetwork network = new LoanNetwork(2, LIMIT);
+    network.demand(0, LIMIT);
+    network.demand(1, LIMIT);
+    for (int i = 0; i < 100; i++) {
+      network.borrow(0);
+      network.deliverAll();
+      network.advance(LoanNetwork.MS);
+    }
+    assertThat(network.requests()).isBetween(4, 6);
+  }
+
   @Test
   void lostGrantWithholdsCapacityForOneLoanOnly() {
     LoanNetwork network = new LoanNetwork(2, LIMIT);
