--- a/bench/src/main/java/org/pollenrock/bench/capacity/package-info.java
+++ b/bench/src/main/java/org/pollenrock/bench/capacity/package-info.java
@@ -1,2 +1,2 @@
-/** Measurements of how memory and time grow with the size of a deployment. */
+/** Slopes of memory and processor time for the capacity page. */
 package org.pollenrock.bench.capacity;
