Test membership and end list-only leaving with a newer list

A router that starts with a lagging list took a restarted server for leaving for the rest of its incarnation, because the list names no incarnation.

--- a/core/src/main/java/org/pollenrock/core/membership/ServerTable.java
+++ b/core/src/main/java/org/pollenrock/core/membership/ServerTable.java
@@ -31,6 +31,7 @@
     private Incarnation incarnation;
     private boolean restarted;
     private boolean leaving;
+    private boolean leavingByList;
     private long incarnationSinceNanos;
     private long saidLiveNanos;
     private boolean saidLive;
@@ -159,7 +160,7 @@
     entries.forEach(
         (id, entry) -> {
           ServerState state = state(entry, nowNanos);
-          boolean leaving = state == ServerState.LEAVING;
+          boolean leaving = state == ServerState.LEAVING && entry.leaving;
           boolean live = state == ServerState.LIVE && entry.toldLive;
           if (entry.incarnation != null && (leaving || live)) {
             long age = nowNanos - (leaving ? entry.heardNanos : entry.toldLiveNanos);
@@ -202,7 +203,9 @@
     entry.listed = server;
     entry.heardNanos = nowNanos;
     if (newlyLeaving && !meansPredecessor(entry, nowNanos)) {
-      entry.leaving = true;
+      entry.leavingByList = true;
+    } else if (!server.leaving()) {
+      entry.leavingByList = false;
     }
   }
 
@@ -232,6 +235,7 @@
       entry.incarnationSinceNanos = nowNanos;
       entry.restarted = true;
       entry.leaving = false;
+      entry.leavingByList = false;
       entry.saidLive = false;
       entry.toldLive = false;
     }
@@ -264,7 +268,7 @@
     if (entry.replaced || (!entry.inList && silent)) {
       return ServerState.GONE;
     }
-    if (entry.leaving) {
+    if (entry.leaving || entry.leavingByList) {
       return ServerState.LEAVING;
     }
     boolean fresh = entry.saidLive && nowNanos - entry.saidLiveNanos < settings.freshNanos();
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/membership/RouterTableTest.java
@@ -0,0 +1,85 @@
+package org.pollenrock.core.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.DataCentreId;
+import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.InstanceId;
+
+class RouterTableTest {
+  private static final long SECOND = 1_000_000_000L;
+  private static final DataCentreId HERE = new DataCentreId("kurasini");
+  private static final InstanceId SELF = new InstanceId("router-0");
+  private static final InstanceId PEER = new InstanceId("router-1");
+  private final RouterTable table = new RouterTable(SELF, HERE, 3, MembershipSettings.defaults());
+
+  private static RouterHeartbeat heartbeat(long incarnation, long sequence) {
+    return new RouterHeartbeat(PEER, new Incarnation(incarnation), HERE, sequence, 40 + sequence);
+  }
+
+  private static ListedRouter listed(InstanceId id) {
+    return new ListedRouter(id, "10.0.0.9:70", HERE, false);
+  }
+
+  /** Guards against limit shares that grow on both sides of a partition. */
+  @Test
+  void silentPeersStayInTheShareCountWhileTheListNamesThem() {
+    assertThat(table.shareCount(0)).as("before the first list").isEqualTo(4);
+    table.listRead(1, List.of(listed(SELF), listed(PEER)));
+    assertThat(table.shareCount(0)).isEqualTo(2);
+    table.heartbeat(heartbeat(1, 1), 0);
+    assertThat(table.shareCount(60 * SECOND)).isEqualTo(2);
+    assertThat(table.reachable(60 * SECOND)).isEmpty();
+    table.listRead(2, List.of(listed(SELF)));
+    assertThat(table.shareCount(SECOND)).as("still heard").isEqualTo(2);
+    assertThat(table.shareCount(60 * SECOND)).isEqualTo(1);
+  }
+
+  /** Guards against late heartbeats of an earlier life that overwrite newer knowledge. */
+  @Test
+  void lateAndRepeatedHeartbeatsAreIgnored() {
+    assertThat(table.heartbeat(heartbeat(2, 5), 0)).isTrue();
+    assertThat(table.heartbeat(heartbeat(2, 5), 1)).isFalse();
+    assertThat(table.heartbeat(heartbeat(1, 9), 1)).isFalse();
+    assertThat(table.heartbeat(heartbeat(3, 1), 1)).isTrue();
+    assertThat(table.settingsRevisions()).containsEntry(PEER, 41L);
+  }
+
+  /** Guards against servers that nobody or two routers watch, and against needless moves. */
+  @Test
+  void eachServerHasOneWatcherAndKeepsItWhenAnotherRouterLeaves() {
+    List<InstanceId> all =
+        IntStream.range(0, 5).mapToObj(i -> new InstanceId("router-" + i)).toList();
+    List<InstanceId> fewer = all.subList(0, 4);
+    int[] load = new int[5];
+    for (int i = 0; i < 1_000; i++) {
+      BackendServerId server = new BackendServerId("engine-" + i);
+      InstanceId before = WatchAssignment.rank(server.value(), all, 1).getFirst();
+      long watchers = all.stream().filter(r -> WatchAssignment.watches(r, server, all)).count();
+      assertThat(watchers).isEqualTo(1);
+      load[all.indexOf(before)]++;
+      if (!before.equals(all.get(4))) {
+        assertThat(WatchAssignment.rank(server.value(), fewer, 1)).containsExactly(before);
+      }
+    }
+    // 1,000 servers over 5 routers: 200 each; five standard deviations are 64.
+    assertThat(IntStream.of(load).boxed().toList())
+        .allSatisfy(count -> assertThat(count).isBetween(136, 264));
+    long tailers = all.stream().filter(r -> WatchAssignment.tails(r, "claims", all)).count();
+    assertThat(tailers).isEqualTo(WatchAssignment.TAILERS);
+  }
+
+  /** Guards against work that is shared with routers that leave or cannot be reached. */
+  @Test
+  void workersAreTheReachablePeersOfTheDataCentre() {
+    table.heartbeat(heartbeat(1, 1), 0);
+    assertThat(table.workers(SECOND)).containsExactly(SELF, PEER);
+    assertThat(table.workers(2 * SECOND)).containsExactly(SELF);
+    table.listRead(1, List.of(new ListedRouter(PEER, "10.0.0.9:70", HERE, true)));
+    assertThat(table.workers(SECOND)).containsExactly(SELF);
+  }
+}
