--- a/settings/src/main/java/org/pollenrock/settings/YamlReader.java
+++ b/settings/src/main/java/org/pollenrock/settings/YamlReader.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.TreeMap;
 import org.pollenrock.core.settings.BranchReader;
 import org.pollenrock.core.settings.NameTable;
@@ -36,6 +37,17 @@
   private static final int MAX_NODES = 1_000_000;
   private static final int MAX_ALIASES = 100;
   private static final int MAX_ERRORS = 100;
+  private static final Set<Tag> TAGS =
+      Set.of(
+          Tag.STR,
+          Tag.INT,
+          Tag.FLOAT,
+          Tag.BOOL,
+          Tag.TIMESTAMP,
+          Tag.NULL,
+          Tag.MERGE,
+          Tag.MAP,
+          Tag.SEQ);
 
   private final String file;
   private final Map<SettingsPath, YamlDocument.Place> places = new HashMap<>();
@@ -118,6 +130,9 @@
       error(path, node, "nested deeper than " + SettingsPath.MAX_SEGMENTS + " levels");
       return SettingsNode.Branch.EMPTY;
     }
+    if (!TAGS.contains(node.getTag())) {
+      error(path, node, "the tag " + node.getTag().getValue() + " is not permitted");
+    }
     places.putIfAbsent(path, place(node));
     return switch (node) {
       case MappingNode mapping -> convertMapping(path, mapping);
