--- a/ctl/src/main/java/org/pollenrock/ctl/command/BranchPath.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/command/BranchPath.java
@@ -1,7 +1,9 @@
 package org.pollenrock.ctl.command;
 
 import java.util.Optional;
+import org.pollenrock.core.settings.CustomerSettings;
 import org.pollenrock.core.settings.SettingsPath;
+import org.pollenrock.core.settings.SettingsTree;
 
 /**
  * A path of a branch that holds inherited values.
@@ -36,4 +38,15 @@
             inCaller ? Optional.of(path.segment(CALLER_DEPTH - 1)) : Optional.empty(),
             isKind ? Optional.of(rest.segment(1)) : Optional.empty()));
   }
+
+  /** Tells whether the tree names the customer, the caller and the kind. */
+  boolean existsIn(SettingsTree tree) {
+    Optional<CustomerSettings> found = customer.flatMap(name -> tree.customers().find(name));
+    boolean callerExists =
+        caller.isEmpty()
+            || found.filter(settings -> settings.callers().contains(caller.get())).isPresent();
+    return (customer.isEmpty() || found.isPresent())
+        && callerExists
+        && (kind.isEmpty() || tree.kinds().contains(kind.get()));
+  }
 }
--- a/ctl/src/main/java/org/pollenrock/ctl/command/LoadCommand.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/command/LoadCommand.java
@@ -49,11 +49,12 @@
   private double rate;
 
   @Option(
-      names = "--seconds",
-      paramLabel = "SECONDS",
-      defaultValue = "10",
+      names = "--duration",
+      paramLabel = "DURATION",
+      converter = DurationConverter.class,
+      defaultValue = "10s",
       description = "How long to send (default: ${DEFAULT-VALUE}).")
-  private int seconds;
+  private Duration duration;
 
   @Option(
       names = "--seed",
@@ -78,23 +79,23 @@
 
   @Option(
       names = "--timeout",
-      paramLabel = "SECONDS",
-      defaultValue = "60",
+      paramLabel = "DURATION",
+      converter = DurationConverter.class,
+      defaultValue = "60s",
       description = "Time after which a request is given up (default: ${DEFAULT-VALUE}).")
-  private int timeoutSeconds;
+  private Duration timeout;
 
   @Override
   public Integer call() throws CommandFailure, InterruptedException {
-    if (!(rate > 0) || seconds < 1 || dossierBlocks < 0 || maxOpen < 1) {
+    if (!(rate > 0) || duration.isZero() || dossierBlocks < 0 || maxOpen < 1) {
       throw new CommandFailure(
-          CommandFailure.USAGE, "--rate, --seconds and --max-open are positive");
+          CommandFailure.USAGE, "--rate, --duration and --max-open are positive");
     }
     RequestSource source = new RequestSource(deployment, dossierBlocks, seed);
-    Duration timeout = Duration.ofSeconds(timeoutSeconds);
     PrintWriter err = output.err();
     try (LoadRun run =
         new LoadRun(routers.stream().map(Urls::parse).toList(), source, timeout, maxOpen)) {
-      LoadFigures figures = run.run(rate, Duration.ofSeconds(seconds), err::println);
+      LoadFigures figures = run.run(rate, duration, err::println);
       print(figures);
       return exitCode(figures);
     }
@@ -107,7 +108,7 @@
             .put("deployment", deployment.name().toLowerCase(Locale.ROOT))
             .put("seed", seed)
             .put("rate", rate)
-            .put("seconds", seconds);
+            .put("seconds", duration.toMillis() / 1e3);
     json.setAll(figures.json());
     output.print(json, figures::print);
   }
--- a/ctl/src/main/java/org/pollenrock/ctl/command/LogOptions.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/command/LogOptions.java
@@ -16,24 +16,17 @@
 
   @Option(
       names = "--timeout",
-      paramLabel = "SECONDS",
-      defaultValue = "5",
+      paramLabel = "DURATION",
+      converter = DurationConverter.class,
+      defaultValue = "5s",
       description = "Time after which a call has failed (default: ${DEFAULT-VALUE}).")
-  private int timeoutSeconds;
-
-  boolean present() {
-    return address != null;
-  }
-
-  Duration timeout() {
-    return Duration.ofSeconds(timeoutSeconds);
-  }
+  private Duration timeout;
 
   LogClient open() throws CommandFailure {
     if (address == null) {
       throw new CommandFailure(CommandFailure.USAGE, "--log is missing");
     }
-    return new LogClient(Urls.parse(address), SettingsLog.STREAM, timeout());
+    return new LogClient(Urls.parse(address), SettingsLog.STREAM, timeout);
   }
 
   /** Reads the settings stream to its head. */
--- a/ctl/src/main/java/org/pollenrock/ctl/command/PublishCommand.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/command/PublishCommand.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -72,6 +73,16 @@
   @Option(names = "--remove", paramLabel = "PATH", description = "Removes a path.")
   private List<String> removals = List.of();
 
+  @Option(
+      names = "--wait",
+      paramLabel = "DURATION",
+      converter = DurationConverter.class,
+      defaultValue = "5s",
+      description =
+          "How long to wait after each of up to three appends for the record to appear (default:"
+              + " ${DEFAULT-VALUE}).")
+  private Duration wait;
+
   @Option(names = "--dry-run", description = "Prints the edits and publishes nothing.")
   private boolean dryRun;
 
@@ -112,8 +123,7 @@
       return 0;
     }
     SettingsChange change = new SettingsChange(changeId, author, changeBase, edits);
-    Optional<ChangeOutcome> outcome =
-        new Publisher(client, log, logOptions.timeout()).publish(change);
+    Optional<ChangeOutcome> outcome = new Publisher(client, log, wait).publish(change);
     if (outcome.isEmpty()) {
       throw new CommandFailure(
           CommandFailure.UNKNOWN,
--- a/ctl/src/main/java/org/pollenrock/ctl/command/RouterOptions.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/command/RouterOptions.java
@@ -23,15 +23,15 @@
 
   @Option(
       names = "--timeout",
-      paramLabel = "SECONDS",
-      defaultValue = "5",
+      paramLabel = "DURATION",
+      converter = DurationConverter.class,
+      defaultValue = "5s",
       description = "Time after which the call has failed (default: ${DEFAULT-VALUE}).")
-  private int timeoutSeconds;
+  private Duration timeout;
 
   /** Reads a JSON page of the router. */
   JsonNode get(String path) throws CommandFailure, InterruptedException {
     URI url = Urls.parse(address).resolve(path);
-    Duration timeout = Duration.ofSeconds(timeoutSeconds);
     try (HttpClient http = HttpClient.newBuilder().connectTimeout(timeout).build()) {
       HttpRequest request = HttpRequest.newBuilder(url).timeout(timeout).build();
       HttpResponse<String> response = http.send(request, HttpResponse.BodyHandlers.ofString());
--- a/ctl/src/main/java/org/pollenrock/ctl/command/ShowCommand.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/command/ShowCommand.java
@@ -45,23 +45,21 @@
   public Integer call() throws Exception {
     SettingsPath at = SettingsPath.parse(path);
     TreeSource.Loaded loaded = source.load();
-    SettingsNode node =
-        find(TreeWriter.write(loaded.tree()), at)
-            .orElseThrow(
-                () -> new CommandFailure(CommandFailure.NEGATIVE, "the tree has nothing at " + at));
-    Optional<BranchPath> branch = plain ? Optional.empty() : BranchPath.of(at);
+    Optional<BranchPath> branch =
+        plain ? Optional.empty() : BranchPath.of(at).filter(found -> found.existsIn(loaded.tree()));
     if (branch.isPresent()) {
       printEffective(loaded, branch.get());
-    } else {
-      printPlain(loaded, node);
+      return 0;
     }
+    Optional<SettingsNode> node = find(TreeWriter.write(loaded.tree()), at);
+    if (node.isEmpty()) {
+      throw new CommandFailure(CommandFailure.NEGATIVE, "the tree has nothing at " + at);
+    }
+    printPlain(loaded, node.get());
     return 0;
   }
 
   private static Optional<SettingsNode> find(SettingsNode node, SettingsPath path) {
-    if (path.depth() == 0 || path.equals(SettingsPath.of("root"))) {
-      return Optional.of(node).filter(any -> path.depth() == 0).or(() -> child(node, "root"));
-    }
     Optional<SettingsNode> found = Optional.of(node);
     for (String segment : path.segments()) {
       found = found.flatMap(holder -> child(holder, segment));
--- a/ctl/src/main/java/org/pollenrock/ctl/load/LoadRun.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/load/LoadRun.java
@@ -10,6 +10,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -20,6 +22,7 @@
 public final class LoadRun implements AutoCloseable {
   private static final int OK = 200;
   private static final int MAX_SUCCESS = 299;
+  private static final long CUT_OFF_SECONDS = 5;
   private static final long PROGRESS_NANOS = 1_000_000_000L;
 
   private final List<URI> routers;
@@ -28,6 +31,7 @@
   private final int maxOpen;
   private final Semaphore open;
   private final HttpClient http;
+  private final ExecutorService readers = Executors.newVirtualThreadPerTaskExecutor();
   private final LoadFigures figures = new LoadFigures();
   private final ObjectMapper json = new ObjectMapper();
 
@@ -80,13 +84,23 @@
         nextProgress += PROGRESS_NANOS;
       }
     }
-    if (open.tryAcquire(maxOpen, timeout.toNanos(), TimeUnit.NANOSECONDS)) {
-      open.release(maxOpen);
-    }
+    finish();
     progress.accept(progressLine(sent));
     return figures;
   }
 
+  /** Waits for the open requests; what is still open afterwards is cut off and counted. */
+  private void finish() throws InterruptedException {
+    boolean finished = open.tryAcquire(maxOpen, timeout.toNanos(), TimeUnit.NANOSECONDS);
+    if (!finished) {
+      http.shutdownNow();
+      finished = open.tryAcquire(maxOpen, CUT_OFF_SECONDS, TimeUnit.SECONDS);
+    }
+    if (finished) {
+      open.release(maxOpen);
+    }
+  }
+
   private String progressLine(int sent) {
     return "%d sent, %d completed, %d open"
         .formatted(
@@ -99,7 +113,7 @@
       return;
     }
     http.sendAsync(toHttp(request, router), HttpResponse.BodyHandlers.ofLines())
-        .thenAcceptAsync(response -> read(request, response, due))
+        .thenAcceptAsync(response -> read(request, response, due), readers)
         .whenComplete(
             (nothing, failure) -> {
               if (failure != null) {
@@ -160,5 +174,6 @@
   @Override
   public void close() {
     http.shutdownNow();
+    readers.shutdownNow();
   }
 }
