Run keyed calls at most once over the log, and take settings from the log

LogTask follows the streams settings and claims by long polls. ClaimCoordinator decides which call is sent; its outcome is recorded even when the caller has left. The first read of a stream does not wait, because claims count the log as unavailable until it has answered.

--- a/router/src/main/java/org/pollenrock/router/Router.java
+++ b/router/src/main/java/org/pollenrock/router/Router.java
@@ -6,6 +6,8 @@
 import io.netty.util.HashedWheelTimer;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +28,8 @@
 import org.pollenrock.router.filter.RequestPipeline;
 import org.pollenrock.router.settings.RouterSettings;
 import org.pollenrock.router.task.ListTask;
+import org.pollenrock.router.task.LogReader;
+import org.pollenrock.router.task.LogTask;
 import org.pollenrock.router.task.ReportTask;
 import org.pollenrock.router.task.RouterEntry;
 import org.pollenrock.settings.HostPort;
@@ -45,6 +49,7 @@
   private final Decisions decisions;
   private final ListTask listTask;
   private final ReportTask reportTask;
+  private final LogTask logTask;
   private final CallerListener callers;
   private volatile Optional<RouterSettings> settings = Optional.empty();
   private volatile boolean informed;
@@ -66,11 +71,7 @@
     this.timer = new HashedWheelTimer(new DefaultThreadFactory(name + "-timer", true));
     this.clients = RouterClients.create(config, loops, timer);
     DecisionState state =
-        new DecisionState(
-            parameters(config),
-            new Random(process.randomSeed().orElse(config.incarnation().value())),
-            new Outside(),
-            System::nanoTime);
+        new DecisionState(parameters(config), random(config), new Outside(), System::nanoTime);
     this.decisionTask =
         new DecisionTask(name + "-decisions", MAILBOX_SIZE, TICK_NANOS, () -> tick(state));
     this.decisions = new Decisions(decisionTask, state, System::nanoTime);
@@ -80,6 +81,14 @@
     this.reportTask =
         new ReportTask(
             loops.next(), clients.engines(), decisions, config.times().reportInterval().toNanos());
+    this.logTask =
+        new LogTask(
+            loops.next(),
+            clients.log(),
+            new LogReader.Bounds(
+                process.log().readRecords(), Duration.ofNanos(process.log().pollWaitNanos())),
+            random(config),
+            decisions);
     this.callers =
         new CallerListener(
             loops,
@@ -89,6 +98,12 @@
             Optional::empty);
   }
 
+  private static Random random(RouterConfig config) {
+    return new Random(
+        config.process().randomSeed().orElse(config.incarnation().value())
+            ^ config.process().instance().value().hashCode());
+  }
+
   private static DecisionState.Parameters parameters(RouterConfig config) {
     ProcessSettings process = config.process();
     return new DecisionState.Parameters(
@@ -100,7 +115,9 @@
         config.strategy(),
         connections(config.times()),
         process.limits().queuedRequests(),
-        process.limits().queuedPerCustomer());
+        process.limits().queuedPerCustomer(),
+        TimeUnit.NANOSECONDS.toMillis(process.log().retentionNanos()),
+        process.memory().claimBytes());
   }
 
   private static ConnectionSettings connections(RouterTimes times) {
@@ -131,12 +148,14 @@
     decisionTask.start();
     reportTask.start();
     listTask.start();
+    logTask.start();
     callers.start();
   }
 
   /** Stops at once; open connections are closed. */
   public void stop() {
     callers.stop();
+    logTask.stop();
     listTask.stop();
     reportTask.stop();
     decisionTask.stop();
@@ -146,22 +165,21 @@
   }
 
   /**
-   * Puts settings in force.
+   * Whether this router can serve: it has settings, and its servers have reported.
    *
-   * @param accepted the settings
+   * @return true when ready
    */
-  public void settings(RouterSettings accepted) {
-    settings = Optional.of(accepted);
-    decisions.tell(state -> state.settings(accepted.tree()));
+  public boolean ready() {
+    return settings.isPresent() && informed;
   }
 
   /**
-   * Whether this router can serve: it has settings, and its servers have reported.
+   * Revision of the settings in force.
    *
-   * @return true when ready
+   * @return the revision, -1 when there are none
    */
-  public boolean ready() {
-    return settings.isPresent() && informed;
+  public long revision() {
+    return settings.map(RouterSettings::revision).orElse(-1L);
   }
 
   /**
@@ -210,5 +228,20 @@
     public void pokeReport(BackendServerId server) {
       reportTask.poke(server);
     }
+
+    @Override
+    public void appendClaims(long appendId, byte[] data) {
+      logTask.appendClaims(appendId, data);
+    }
+
+    @Override
+    public void appendSnapshot(List<byte[]> records) {
+      logTask.appendSnapshot(records);
+    }
+
+    @Override
+    public void inForce(RouterSettings accepted) {
+      settings = Optional.of(accepted);
+    }
   }
 }
--- a/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
+++ b/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.pollenrock.core.claim.ClaimCoordinator;
+import org.pollenrock.core.claim.ClaimSettings;
 import org.pollenrock.core.connection.ConnectionSettings;
 import org.pollenrock.core.limits.ShareLedger;
 import org.pollenrock.core.limits.ShareSettings;
@@ -22,7 +24,8 @@
 import org.pollenrock.core.placement.ServedModel;
 import org.pollenrock.core.placement.ServerLoad;
 import org.pollenrock.core.placement.ServerReport;
-import org.pollenrock.core.settings.SettingsTree;
+import org.pollenrock.core.settings.SnapshotSchedule;
+import org.pollenrock.router.settings.RouterSettings;
 
 /** All state that decisions are made on; confined to the decision thread. */
 public final class DecisionState {
@@ -38,9 +41,12 @@
   private final PlainPlacement plain;
   private final Retries retries;
   private final LinkWatch links;
+  private final Claims claims;
+  private final SettingsLog settingsLog;
   private final Outside outside;
   private final LongSupplier nanoClock;
   private final Set<ModelId> models = new HashSet<>();
+  private List<InstanceId> routerIds;
   private int routers = 1;
 
   /** What the state asks of the tasks that own connections. */
@@ -60,6 +66,28 @@
      * @param server the server
      */
     void pokeReport(BackendServerId server);
+
+    /**
+     * Appends to the claim stream; the end is told to {@link Claims}.
+     *
+     * @param appendId number of the append
+     * @param data the record
+     */
+    void appendClaims(long appendId, byte[] data);
+
+    /**
+     * Appends the records of a snapshot; the end is told to {@link SettingsLog}.
+     *
+     * @param records the records in order
+     */
+    void appendSnapshot(List<byte[]> records);
+
+    /**
+     * Puts accepted settings in force for new requests.
+     *
+     * @param settings the settings
+     */
+    void inForce(RouterSettings settings);
   }
 
   /**
@@ -73,6 +101,8 @@
    * @param connections deadlines of links
    * @param maxQueued most requests that wait for a slot
    * @param maxQueuedPerCustomer most of one customer
+   * @param logRetentionMillis time for which the log keeps records, in milliseconds
+   * @param claimBytes memory of the claim table
    */
   public record Parameters(
       InstanceId instance,
@@ -82,7 +112,9 @@
       PlacementStrategy strategy,
       ConnectionSettings connections,
       int maxQueued,
-      int maxQueuedPerCustomer) {
+      int maxQueuedPerCustomer,
+      long logRetentionMillis,
+      long claimBytes) {
     /**
      * The strategy of normal operation.
      *
@@ -120,6 +152,40 @@
     this.plain = new PlainPlacement(parameters.dataCentre(), directory, health);
     this.retries = new Retries(random);
     this.links = new LinkWatch(parameters.connections(), new LinkActions());
+    this.claims =
+        new Claims(
+            new ClaimCoordinator(
+                parameters.instance(), parameters.incarnation(), claimSettings(parameters)),
+            outside::appendClaims,
+            nanoClock);
+    this.settingsLog =
+        new SettingsLog(
+            new SnapshotSchedule(parameters.instance(), parameters.logRetentionMillis()),
+            this::inForce,
+            outside::appendSnapshot,
+            nanoClock);
+    this.routerIds = List.of(parameters.instance());
+  }
+
+  /** The window must be less than half of the retention, or an old key could run again. */
+  private static ClaimSettings claimSettings(Parameters parameters) {
+    ClaimSettings standard = ClaimSettings.defaults();
+    long window =
+        Math.min(standard.windowMillis(), Math.max(1, parameters.logRetentionMillis() / 2 - 1));
+    return new ClaimSettings(
+        window,
+        standard.futureMillis(),
+        standard.patienceNanos(),
+        standard.batchIntervalNanos(),
+        standard.repeatDelayNanos(),
+        standard.logSilenceNanos(),
+        parameters.claimBytes(),
+        standard.maxPendingRecords());
+  }
+
+  private void inForce(RouterSettings settings) {
+    retries.settings(settings.tree());
+    outside.inForce(settings);
   }
 
   private final class LinkActions implements LinkWatch.Actions {
@@ -148,15 +214,6 @@
     links.probeEnded(server, probe, success, now());
   }
 
-  /**
-   * Takes a new revision of the settings.
-   *
-   * @param tree the settings
-   */
-  public void settings(SettingsTree tree) {
-    retries.settings(tree);
-  }
-
   /**
    * Takes the instance list.
    *
@@ -177,6 +234,7 @@
    * @param inDataCentre number of those in the own data centre
    */
   public void routers(List<InstanceId> all, int inDataCentre) {
+    routerIds = List.copyOf(all);
     routers = Math.max(1, all.size());
     shares.setRouters(all);
     placement.placer().routers(Math.max(1, inDataCentre));
@@ -221,6 +279,8 @@
   public void tick() {
     admission.tick(now());
     links.tick(now());
+    claims.tick();
+    settingsLog.tick(routerIds);
   }
 
   /**
@@ -277,6 +337,24 @@
         directory.isSuspect(entry.id()));
   }
 
+  /**
+   * Claims of non-idempotent calls.
+   *
+   * @return the claims
+   */
+  public Claims claims() {
+    return claims;
+  }
+
+  /**
+   * Settings as the log has them.
+   *
+   * @return the settings
+   */
+  public SettingsLog settingsLog() {
+    return settingsLog;
+  }
+
   void pokeReport(BackendServerId server) {
     outside.pokeReport(server);
   }
--- a/router/src/main/java/org/pollenrock/router/decision/Decisions.java
+++ b/router/src/main/java/org/pollenrock/router/decision/Decisions.java
@@ -7,6 +7,8 @@
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.pollenrock.adapters.engine.EngineHead;
+import org.pollenrock.core.claim.CallOutcome;
+import org.pollenrock.core.claim.ClaimCall;
 import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.RequestError;
 import org.pollenrock.core.error.Result;
@@ -207,6 +209,65 @@
     task.tell(() -> state.links().ended(server, id));
   }
 
+  /**
+   * Asks for the claim of a non-idempotent call.
+   *
+   * @param call the call
+   * @param listener hears what becomes of it
+   * @return false when too many questions wait
+   */
+  public boolean claim(ClaimCall call, ClaimListener listener) {
+    return task.ask(() -> state.claims().begin(call, listener));
+  }
+
+  /**
+   * Asks, directly before the first byte leaves, whether a granted call may be sent.
+   *
+   * @param callId number of the call
+   * @param reply receives true at most once a call
+   */
+  public void maySendClaimed(long callId, Consumer<Boolean> reply) {
+    task.tell(() -> reply.accept(state.claims().mayBeSent(callId)));
+  }
+
+  /**
+   * Records that a claimed call ran.
+   *
+   * @param callId number of the call
+   * @param outcome the answer
+   */
+  public void claimFinished(long callId, CallOutcome outcome) {
+    task.tell(() -> state.claims().finished(callId, outcome));
+  }
+
+  /**
+   * Records that a claimed call may have run.
+   *
+   * @param callId number of the call
+   */
+  public void claimUnknown(long callId) {
+    task.tell(() -> state.claims().responseLost(callId));
+  }
+
+  /**
+   * Releases a claim: the call certainly did not reach the service.
+   *
+   * @param callId number of the call
+   * @param reason what the caller is told
+   */
+  public void claimNotSent(long callId, RequestError.Refusal reason) {
+    task.tell(() -> state.claims().notSent(callId, reason));
+  }
+
+  /**
+   * Gives up a claimed call that was not sent.
+   *
+   * @param callId number of the call
+   */
+  public void claimCancelled(long callId) {
+    task.tell(() -> state.claims().cancelled(callId));
+  }
+
   /**
    * Runs a notice on the decision thread.
    *
--- a/router/src/main/java/org/pollenrock/router/filter/Exchange.java
+++ b/router/src/main/java/org/pollenrock/router/filter/Exchange.java
@@ -54,6 +54,7 @@
   private int attempts;
   private RunState earlierRunState = RunState.NOT_RUN;
   private SendMode sendMode = new SendMode.Fresh();
+  private ClaimTicket claim;
   private boolean freshConnection;
   private OptionalLong retryAfterSeconds = OptionalLong.empty();
   private ExchangeEnd end;
@@ -339,6 +340,15 @@
     sendMode = mode;
   }
 
+  /** The claim under which the call is sent, empty when it needs none. */
+  Optional<ClaimTicket> claim() {
+    return Optional.ofNullable(claim);
+  }
+
+  void claim(ClaimTicket granted) {
+    claim = granted;
+  }
+
   /** Whether the next attempt must not use an open connection: one of them was found silent. */
   boolean freshConnection() {
     return freshConnection;
--- a/router/src/main/java/org/pollenrock/router/filter/Filters.java
+++ b/router/src/main/java/org/pollenrock/router/filter/Filters.java
@@ -46,7 +46,7 @@
             new AuthenticateFilter(),
             new IdentifyFilter(nanoClock),
             new ResolveFilter(),
-            new ClaimFilter(),
+            new ClaimFilter(decisions),
             new AdmitFilter(decisions),
             new FingerprintFilter(),
             new ChooseFilter(decisions),
--- a/router/src/main/java/org/pollenrock/router/filter/PlainAttempt.java
+++ b/router/src/main/java/org/pollenrock/router/filter/PlainAttempt.java
@@ -7,9 +7,11 @@
 import org.pollenrock.adapters.plain.PlainAnswer;
 import org.pollenrock.adapters.plain.PlainCall;
 import org.pollenrock.adapters.plain.PlainExchange;
+import org.pollenrock.core.claim.CallOutcome;
 import org.pollenrock.core.error.RequestError;
 import org.pollenrock.core.error.Result;
 import org.pollenrock.core.error.RunState;
+import org.pollenrock.core.error.Step;
 import org.pollenrock.core.retry.FailedAttempt;
 import org.pollenrock.core.retry.FailureKind;
 import org.pollenrock.core.stream.AnswerIdentity;
@@ -45,7 +47,34 @@
     this.watchId = context.decisions().nextTicket();
   }
 
+  /** Sends the call; one under a claim asks directly before whether it still may. */
   void send() {
+    Optional<ClaimTicket> claim = exchange.claim();
+    if (claim.isEmpty()) {
+      sendNow();
+      return;
+    }
+    claim
+        .get()
+        .maySend(
+            allowed ->
+                exchange.onLoop(
+                    () -> {
+                      // Otherwise the claim's own reply has ended the request or is about to.
+                      if (allowed) {
+                        sendNow();
+                      }
+                    },
+                    () -> notSent(claim.get(), allowed)));
+  }
+
+  private void notSent(ClaimTicket claim, boolean allowed) {
+    if (allowed) {
+      claim.notSent(refusal(FailureKind.CONNECT_FAILED, "the request had ended before"));
+    }
+  }
+
+  private void sendNow() {
     progressNanos = now();
     long left = Math.max(LEAST_TIMEOUT_NANOS, exchange.deadlineNanos() - progressNanos);
     PlainCall call =
@@ -62,7 +91,32 @@
     context
         .decisions()
         .watch(choice.server(), watchId, this, new ProgressDeadline(silence, silence));
-    work = context.services().send(call, result -> exchange.onLoop(() -> answered(result)));
+    work =
+        context
+            .services()
+            .send(
+                call,
+                result -> exchange.onLoop(() -> answered(result), () -> answeredAfterEnd(result)));
+  }
+
+  /** Records the outcome of a claimed call whose caller was answered or has left. */
+  private void answeredAfterEnd(Result<PlainAnswer> result) {
+    exchange
+        .claim()
+        .ifPresent(
+            claim -> {
+              if (result instanceof Result.Success<PlainAnswer>(PlainAnswer received)
+                  && accepted(received)) {
+                claim.finished(outcome(received));
+              } else {
+                claim.unknown();
+              }
+            });
+  }
+
+  private static CallOutcome outcome(PlainAnswer received) {
+    return CallOutcome.of(
+        received.status(), received.headers().get("Content-Type", ""), received.body());
   }
 
   private ConnectionUse connectionUse() {
@@ -129,15 +183,19 @@
         && "leaving".equalsIgnoreCase(answer.headers().get("X-Server-State", ""));
   }
 
-  @Override
-  public boolean verified() {
+  private boolean accepted(PlainAnswer received) {
     ExpectedAnswer expected = new ExpectedAnswer(attemptId, Optional.empty(), Optional.empty());
     AnswerIdentity actual =
         new AnswerIdentity(
-            AttemptId.parse(answer.headers().get("X-Attempt-Id", "")),
+            AttemptId.parse(received.headers().get("X-Attempt-Id", "")),
             Optional.empty(),
             Optional.empty());
-    if (context.verifier().verify(expected, actual).relayable()) {
+    return context.verifier().verify(expected, actual).relayable();
+  }
+
+  @Override
+  public boolean verified() {
+    if (accepted(answer)) {
       return true;
     }
     failed(FailureKind.ANSWER_MISMATCH, RunState.UNKNOWN, true);
@@ -147,6 +205,7 @@
   @Override
   public void relay() {
     end(true);
+    exchange.claim().ifPresent(claim -> claim.finished(outcome(answer)));
     HttpHeaders headers = PlainHeaders.passed(answer.headers());
     headers.set(exchange.baseHeaders());
     headers.set(ResponseHeaders.SERVER, choice.server().value());
@@ -157,12 +216,28 @@
   private void failed(FailureKind kind, RunState runState, boolean bytesMayHaveLeft) {
     end(kind == FailureKind.REFUSED_LEAVING);
     work.cancel();
+    if (bytesMayHaveLeft) {
+      exchange.claim().ifPresent(claim -> settle(claim, kind, runState));
+    }
     exchange.freshConnection(kind == FailureKind.TIMED_OUT);
     FailedAttempt failedAttempt =
         new FailedAttempt(kind, choice.peer(), runState, bytesMayHaveLeft, 0);
     context.recovery().failed(exchange, failedAttempt, route.idempotent());
   }
 
+  /** A claim is settled at the latest when bytes may have left: no attempt follows then. */
+  private void settle(ClaimTicket claim, FailureKind kind, RunState runState) {
+    if (runState == RunState.NOT_RUN) {
+      claim.notSent(refusal(kind, "the server refused the call"));
+    } else {
+      claim.unknown();
+    }
+  }
+
+  private RequestError.Refusal refusal(FailureKind kind, String message) {
+    return new RequestError.Refusal(kind.code(), Step.SEND, Optional.of(choice.peer()), message);
+  }
+
   @Override
   public void callerWritable(boolean writable) {
     // The answer is bounded and sent as a whole.
@@ -170,9 +245,13 @@
 
   @Override
   public void cancel() {
-    if (!over) {
-      over = true;
-      context.decisions().unwatch(choice.server(), watchId);
+    if (over) {
+      return;
+    }
+    over = true;
+    context.decisions().unwatch(choice.server(), watchId);
+    // A non-idempotent call goes on, so that its outcome becomes known.
+    if (route.idempotent() && work != null) {
       work.cancel();
     }
   }
