Add pollenrockd, operator listener, TLS with reload and graceful stop

bin/pollenrockd starts a router from its process settings. Operators read /livez, /readyz, /metrics, /state and /explain. SIGTERM drains and exits 0; a second one aborts. A certificate and key that do not belong together leave the previous pair in force.

--- a/router/src/main/java/org/pollenrock/router/Router.java
+++ b/router/src/main/java/org/pollenrock/router/Router.java
@@ -7,10 +7,14 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.pollenrock.adapters.engine.EngineAddress;
 import org.pollenrock.core.connection.ConnectionSettings;
 import org.pollenrock.core.error.Result;
@@ -26,6 +30,10 @@
 import org.pollenrock.router.filter.AttemptIds;
 import org.pollenrock.router.filter.Filters;
 import org.pollenrock.router.filter.RequestPipeline;
+import org.pollenrock.router.operator.OperatorListener;
+import org.pollenrock.router.operator.OperatorPages;
+import org.pollenrock.router.operator.RouterMetrics;
+import org.pollenrock.router.operator.RouterView;
 import org.pollenrock.router.settings.RouterSettings;
 import org.pollenrock.router.task.ListTask;
 import org.pollenrock.router.task.LogReader;
@@ -34,9 +42,12 @@
 import org.pollenrock.router.task.RouterEntry;
 import org.pollenrock.settings.HostPort;
 import org.pollenrock.settings.ProcessSettings;
+import org.pollenrock.settings.StopSettings;
 
 /** One router: listeners, clients and tasks. Many can run in one process. */
 public final class Router {
+  private static final Logger LOG = LogManager.getLogger(Router.class);
+  private static final long DRAIN_POLL_MILLIS = 20;
   private static final int MAILBOX_SIZE = 65_536;
   private static final long TICK_NANOS = 10_000_000L;
   private static final int CUSTOMER_FLOOR = 1_000;
@@ -50,9 +61,14 @@
   private final ListTask listTask;
   private final ReportTask reportTask;
   private final LogTask logTask;
+  private final RouterMetrics metrics = new RouterMetrics();
+  private final RouterTls tls;
   private final CallerListener callers;
+  private final OperatorListener operators;
   private volatile Optional<RouterSettings> settings = Optional.empty();
   private volatile boolean informed;
+  private volatile boolean draining;
+  private volatile boolean hardStopNow;
 
   /**
    * Assembles a router; nothing runs before {@link #start}.
@@ -69,6 +85,7 @@
             new DefaultThreadFactory(name + "-io", true),
             NioIoHandler.newFactory());
     this.timer = new HashedWheelTimer(new DefaultThreadFactory(name + "-timer", true));
+    this.tls = new RouterTls(process.tls(), loops);
     this.clients = RouterClients.create(config, loops, timer);
     DecisionState state =
         new DecisionState(parameters(config), random(config), new Outside(), System::nanoTime);
@@ -95,7 +112,50 @@
             socket(process.listen().callers()),
             CallerLimits.of(process),
             pipeline(),
-            Optional::empty);
+            tls::callers);
+    this.operators =
+        new OperatorListener(
+            loops,
+            socket(process.listen().operators()),
+            new OperatorPages(this::view, decisions, metrics),
+            tls::operators);
+    registerGauges();
+  }
+
+  private void registerGauges() {
+    metrics.gauge(
+        "pollenrock_settings_available",
+        "1 when accepted settings are in force.",
+        () -> settings.isPresent() ? 1 : 0);
+    metrics.gauge(
+        "pollenrock_settings_revision", "Revision of the settings in force.", this::revision);
+    metrics.gauge(
+        "pollenrock_caller_connections", "Open caller connections.", callers::connections);
+    metrics.gauge(
+        "pollenrock_held_request_bytes", "Bytes of request bodies held now.", callers::heldBytes);
+    metrics.gauge(
+        "pollenrock_waiting_decisions",
+        "Messages that wait for the decision thread.",
+        decisions::waiting);
+  }
+
+  private RouterView view() {
+    List<String> reasons = new ArrayList<>();
+    if (draining) {
+      reasons.add("draining");
+    }
+    if (settings.isEmpty()) {
+      reasons.add("no accepted settings");
+    }
+    if (!informed) {
+      reasons.add("no engine has reported");
+    }
+    return new RouterView(
+        config.process().instance().value(),
+        config.process().dataCentre().value(),
+        config.incarnation().value(),
+        settings.map(RouterSettings::revision),
+        reasons);
   }
 
   private static Random random(RouterConfig config) {
@@ -137,6 +197,7 @@
             clients.engines(),
             clients.services(),
             new AttemptIds(config.process().instance(), config.incarnation()),
+            metrics,
             config.times(),
             System::nanoTime),
         () -> settings,
@@ -149,12 +210,63 @@
     reportTask.start();
     listTask.start();
     logTask.start();
+    tls.start();
     callers.start();
+    operators.start();
+  }
+
+  /**
+   * Stops without interrupting a request: reports not ready, serves on for the drain delay, accepts
+   * no more connections, and waits for open responses up to the hard limit.
+   *
+   * @return number of connections whose response was aborted, 0 when all had ended; the router is
+   *     stopped then
+   */
+  public CompletableFuture<Integer> drain() {
+    CompletableFuture<Integer> aborted = new CompletableFuture<>();
+    StopSettings stop = config.process().stop();
+    draining = true;
+    LOG.info("draining");
+    long hardStop = System.nanoTime() + stop.hardStopAfterNanos();
+    loops
+        .next()
+        .schedule(
+            () -> {
+              callers.drain();
+              awaitConnections(hardStop, aborted);
+            },
+            stop.drainDelayNanos(),
+            TimeUnit.NANOSECONDS);
+    return aborted.thenApplyAsync(
+        count -> {
+          stop();
+          LOG.info("stopped, {} responses aborted", count);
+          return count;
+        });
+  }
+
+  private void awaitConnections(long hardStop, CompletableFuture<Integer> aborted) {
+    int open = callers.connections();
+    if (open == 0 || hardStopNow || System.nanoTime() - hardStop >= 0) {
+      aborted.complete(open);
+      return;
+    }
+    loops
+        .next()
+        .schedule(
+            () -> awaitConnections(hardStop, aborted), DRAIN_POLL_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Ends a drain at once: the remaining responses are aborted. */
+  public void abortDrain() {
+    hardStopNow = true;
   }
 
   /** Stops at once; open connections are closed. */
   public void stop() {
     callers.stop();
+    operators.stop();
+    tls.stop();
     logTask.stop();
     listTask.stop();
     reportTask.stop();
@@ -170,7 +282,7 @@
    * @return true when ready
    */
   public boolean ready() {
-    return settings.isPresent() && informed;
+    return view().notReady().isEmpty();
   }
 
   /**
@@ -191,6 +303,15 @@
     return callers.boundAddress();
   }
 
+  /**
+   * Where operators connect.
+   *
+   * @return the bound address
+   */
+  public InetSocketAddress operatorAddress() {
+    return operators.boundAddress();
+  }
+
   private void tick(DecisionState state) {
     state.tick();
     informed = state.knowsEngines();
--- a/router/src/main/java/org/pollenrock/router/caller/CallerListener.java
+++ b/router/src/main/java/org/pollenrock/router/caller/CallerListener.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
@@ -14,6 +15,8 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.ssl.SslContext;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -56,9 +59,13 @@
     this.heldBytes = new HeldBytes(limits.maxHeldBytes());
   }
 
-  /** Binds the address and accepts connections. */
+  /**
+   * Binds the address and accepts connections.
+   *
+   * @throws UncheckedIOException when the address cannot be bound
+   */
   public void start() {
-    server =
+    ChannelFuture bound =
         new ServerBootstrap()
             .group(loops)
             .channel(NioServerSocketChannel.class)
@@ -70,8 +77,12 @@
                 new WriteBufferWaterMark(limits.maxQueuedBytes() / 4, limits.maxQueuedBytes()))
             .childHandler(new Initializer())
             .bind(address)
-            .syncUninterruptibly()
-            .channel();
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new UncheckedIOException(
+          new IOException("cannot listen on " + address + ": " + bound.cause().getMessage()));
+    }
+    server = bound.channel();
   }
 
   /**
--- a/router/src/main/java/org/pollenrock/router/filter/AttemptContext.java
+++ b/router/src/main/java/org/pollenrock/router/filter/AttemptContext.java
@@ -6,6 +6,7 @@
 import org.pollenrock.core.stream.AnswerVerifier;
 import org.pollenrock.router.RouterTimes;
 import org.pollenrock.router.decision.Decisions;
+import org.pollenrock.router.operator.RouterMetrics;
 
 /**
  * What attempts need to send requests and to learn from the answers.
@@ -16,6 +17,7 @@
  * @param decisions takes what became of attempts
  * @param recovery decides what follows a failure
  * @param verifier verifies the identity of answers
+ * @param metrics counts what became of attempts
  * @param times time limits
  * @param nanoClock monotonic clock
  */
@@ -26,5 +28,6 @@
     Decisions decisions,
     Recovery recovery,
     AnswerVerifier verifier,
+    RouterMetrics metrics,
     RouterTimes times,
     LongSupplier nanoClock) {}
--- a/router/src/main/java/org/pollenrock/router/filter/EngineAttempt.java
+++ b/router/src/main/java/org/pollenrock/router/filter/EngineAttempt.java
@@ -255,6 +255,7 @@
     if (!answerNoted) {
       answerNoted = true;
       context.decisions().engineAnswered(choice, head);
+      context.metrics().answered(head.promptTokens(), head.cachedTokens());
     }
   }
 
--- a/router/src/main/java/org/pollenrock/router/filter/Filters.java
+++ b/router/src/main/java/org/pollenrock/router/filter/Filters.java
@@ -7,6 +7,7 @@
 import org.pollenrock.core.stream.AnswerVerifier;
 import org.pollenrock.router.RouterTimes;
 import org.pollenrock.router.decision.Decisions;
+import org.pollenrock.router.operator.RouterMetrics;
 
 /** Assembly of the filters. */
 public final class Filters {
@@ -19,6 +20,7 @@
    * @param engines client of engines
    * @param services client of plain services
    * @param attemptIds identities of attempts
+   * @param metrics counts what becomes of requests
    * @param times time limits
    * @param nanoClock monotonic clock
    * @return the chain
@@ -28,6 +30,7 @@
       EngineClient engines,
       PlainServiceClient services,
       AttemptIds attemptIds,
+      RouterMetrics metrics,
       RouterTimes times,
       LongSupplier nanoClock) {
     AttemptContext context =
@@ -36,8 +39,9 @@
             services,
             attemptIds,
             decisions,
-            new Recovery(decisions, nanoClock),
+            new Recovery(decisions, metrics, nanoClock),
             new AnswerVerifier(),
+            metrics,
             times,
             nanoClock);
     return new FilterChain(
@@ -53,6 +57,6 @@
             new SendFilter(context),
             new VerifyFilter(),
             new RelayFilter(),
-            new FinishFilter()));
+            new FinishFilter(metrics)));
   }
 }
--- a/router/src/main/java/org/pollenrock/router/filter/FinishFilter.java
+++ b/router/src/main/java/org/pollenrock/router/filter/FinishFilter.java
@@ -4,9 +4,16 @@
 import org.pollenrock.core.error.RequestError;
 import org.pollenrock.core.error.Step;
 import org.pollenrock.router.caller.ErrorBody;
+import org.pollenrock.router.operator.RouterMetrics;
 
 /** Tells the caller of a failure, stops work that is no longer wanted, and frees what was held. */
 final class FinishFilter implements Filter {
+  private final RouterMetrics metrics;
+
+  FinishFilter(RouterMetrics metrics) {
+    this.metrics = metrics;
+  }
+
   @Override
   public Step step() {
     return Step.FINISH;
@@ -21,6 +28,23 @@
       answer(exchange, error);
     }
     exchange.runEndActions();
+    metrics.requestEnded(route(exchange), result(exchange.end()));
+  }
+
+  private static String route(Exchange exchange) {
+    return switch (exchange.route()) {
+      case Route.Model model -> "model";
+      case Route.Service service -> "service";
+      case null -> "none";
+    };
+  }
+
+  private static String result(ExchangeEnd end) {
+    return switch (end) {
+      case ExchangeEnd.Completed completed -> "completed";
+      case ExchangeEnd.CallerGone gone -> "caller_gone";
+      case ExchangeEnd.Failed(RequestError error) -> error.code().wireName();
+    };
   }
 
   private static void answer(Exchange exchange, RequestError error) {
--- a/router/src/main/java/org/pollenrock/router/filter/Recovery.java
+++ b/router/src/main/java/org/pollenrock/router/filter/Recovery.java
@@ -18,19 +18,23 @@
 import org.pollenrock.router.decision.EngineQuestion;
 import org.pollenrock.router.decision.ResumeAnswer;
 import org.pollenrock.router.decision.RetryQuestion;
+import org.pollenrock.router.operator.RouterMetrics;
 
 /** What follows a failed attempt: another attempt, a resumed stream, or an error. */
 final class Recovery {
   private final Decisions decisions;
+  private final RouterMetrics metrics;
   private final LongSupplier nanoClock;
 
-  Recovery(Decisions decisions, LongSupplier nanoClock) {
+  Recovery(Decisions decisions, RouterMetrics metrics, LongSupplier nanoClock) {
     this.decisions = decisions;
+    this.metrics = metrics;
     this.nanoClock = nanoClock;
   }
 
   /** Decides after a failure before anything was relayed, or of a call that is not streamed. */
   void failed(Exchange exchange, FailedAttempt failed, boolean idempotent) {
+    metrics.attemptFailed(exchange.choice().server().value(), failed.kind().name());
     long remaining = exchange.deadlineNanos() - nanoClock.getAsLong();
     CallProgress progress =
         new CallProgress(
@@ -88,6 +92,7 @@
   private void follow(Exchange exchange, Choice.Engine before, ResumeAnswer answer) {
     switch (answer.decision()) {
       case ResumeDecision.ResumeOnSame same -> {
+        metrics.streamRepaired("resumed");
         exchange.sendMode(new SendMode.Resume(same.lastEventId(), same.indexOffset()));
         exchange.choice(before);
         exchange.repeatFrom(Step.SEND);
@@ -97,8 +102,9 @@
     }
   }
 
-  private static void continueOn(
+  private void continueOn(
       Exchange exchange, Optional<Choice.Engine> choice, ResumeDecision.ContinueOn next) {
+    metrics.streamRepaired("continued");
     exchange.sendMode(new SendMode.Continue(next.indexOffset()));
     exchange.choice(choice.orElseThrow());
     exchange.repeatFrom(Step.SEND);
