--- a/bench/src/main/java/org/pollenrock/bench/cluster/RouterNode.java
+++ b/bench/src/main/java/org/pollenrock/bench/cluster/RouterNode.java
@@ -2,13 +2,12 @@
 
 import java.net.InetSocketAddress;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import org.pollenrock.core.model.Incarnation;
 import org.pollenrock.core.placement.PlacementStrategy;
-import org.pollenrock.core.settings.SettingsTree;
 import org.pollenrock.router.Router;
 import org.pollenrock.router.RouterConfig;
 import org.pollenrock.router.RouterTimes;
-import org.pollenrock.router.settings.RouterSettings;
 import org.pollenrock.settings.ProcessSettings;
 import org.pollenrock.settings.ReadResult;
 import org.pollenrock.settings.SettingsReader;
@@ -18,9 +17,7 @@
   private static final int IO_THREADS = 2;
 
   private final String name;
-  private final long revision;
   private final Router router;
-  private final SettingsTree tree;
 
   /**
    * Makes a router; it listens once started.
@@ -31,7 +28,6 @@
    * @param cluster the outside systems
    * @param strategy how it places requests
    * @param seed seed of its random choices
-   * @param tree settings to begin with
    */
   RouterNode(
       String name,
@@ -39,11 +35,8 @@
       String dataCentre,
       StandinCluster cluster,
       PlacementStrategy strategy,
-      long seed,
-      SettingsTree tree) {
+      long seed) {
     this.name = name;
-    this.revision = 0;
-    this.tree = tree;
     RouterConfig config =
         new RouterConfig(
             process(name, dataCentre, cluster, seed),
@@ -57,7 +50,6 @@
   /** Begins to listen. */
   void start() {
     router.start();
-    router.settings(new RouterSettings(revision, tree));
   }
 
   /** Stops at once. */
@@ -65,6 +57,15 @@
     router.stop();
   }
 
+  /**
+   * Stops without interrupting a request.
+   *
+   * @return number of responses that had to be aborted, when the router has stopped
+   */
+  CompletableFuture<Integer> drain() {
+    return router.drain();
+  }
+
   /**
    * Name of the instance.
    *
@@ -99,7 +100,8 @@
    * @return the revision, or empty before the first
    */
   public OptionalLong revision() {
-    return OptionalLong.of(revision);
+    long revision = router.revision();
+    return revision < 0 ? OptionalLong.empty() : OptionalLong.of(revision);
   }
 
   private static ProcessSettings process(
--- a/bench/src/main/java/org/pollenrock/bench/cluster/TestBed.java
+++ b/bench/src/main/java/org/pollenrock/bench/cluster/TestBed.java
@@ -2,12 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.pollenrock.bench.workload.Deployment;
 import org.pollenrock.core.placement.PlacementStrategy;
+import org.pollenrock.core.settings.SettingsTree;
+import org.pollenrock.core.settings.TreeDiff;
 
 /** Stand-ins and routers of a deployment. */
 public final class TestBed {
@@ -18,7 +23,9 @@
   private final StandinCluster cluster;
   private final Supplier<PlacementStrategy> strategies;
   private final long seed;
+  private final TreePublisher publisher;
   private final List<RouterNode> routers = new CopyOnWriteArrayList<>();
+  private final Queue<CompletableFuture<Integer>> draining = new ConcurrentLinkedQueue<>();
   private long incarnations;
 
   /**
@@ -38,6 +45,7 @@
     this.cluster = cluster;
     this.strategies = strategies;
     this.seed = seed;
+    this.publisher = new TreePublisher(cluster.log());
   }
 
   /**
@@ -47,6 +55,7 @@
    */
   public void start() throws InterruptedException {
     cluster.start();
+    publisher.publish(TreeDiff.edits(SettingsTree.EMPTY, DeploymentTree.of(deployment)));
     for (int i = 0; i < deployment.routers(); i++) {
       RouterNode node = router(i);
       node.start();
@@ -57,6 +66,7 @@
 
   /** Stops routers and stand-ins. */
   public void stop() {
+    draining.forEach(CompletableFuture::join);
     routers.forEach(RouterNode::stop);
     cluster.stop();
   }
@@ -106,7 +116,21 @@
   public void restartRouter(int index) {
     RouterNode next = router(index);
     next.start();
-    routers.set(index, next).stop();
+    draining.add(routers.set(index, next).drain());
+  }
+
+  /**
+   * Publishes another weights version of the model.
+   *
+   * @param version the version
+   */
+  public void publishWeights(String version) {
+    publisher.put("models/" + Deployment.MODEL + "/version", version);
+  }
+
+  /** Publishes two changes of one value that were made against the same revision. */
+  public void publishConflictingChanges() {
+    publisher.race("root/deadline", "61s", "62s");
   }
 
   /**
@@ -129,8 +153,7 @@
         dataCentre,
         cluster,
         strategies.get(),
-        seed * 1_000 + incarnations,
-        DeploymentTree.of(deployment));
+        seed * 1_000 + incarnations);
   }
 
   private static void await(BooleanSupplier condition) throws InterruptedException {
--- a/router/src/main/java/org/pollenrock/router/Router.java
+++ b/router/src/main/java/org/pollenrock/router/Router.java
@@ -6,10 +6,16 @@
 import io.netty.util.HashedWheelTimer;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.pollenrock.adapters.engine.EngineAddress;
 import org.pollenrock.core.connection.ConnectionSettings;
 import org.pollenrock.core.error.Result;
@@ -25,15 +31,24 @@
 import org.pollenrock.router.filter.AttemptIds;
 import org.pollenrock.router.filter.Filters;
 import org.pollenrock.router.filter.RequestPipeline;
+import org.pollenrock.router.operator.OperatorListener;
+import org.pollenrock.router.operator.OperatorPages;
+import org.pollenrock.router.operator.RouterMetrics;
+import org.pollenrock.router.operator.RouterView;
 import org.pollenrock.router.settings.RouterSettings;
 import org.pollenrock.router.task.ListTask;
+import org.pollenrock.router.task.LogReader;
+import org.pollenrock.router.task.LogTask;
 import org.pollenrock.router.task.ReportTask;
 import org.pollenrock.router.task.RouterEntry;
 import org.pollenrock.settings.HostPort;
 import org.pollenrock.settings.ProcessSettings;
+import org.pollenrock.settings.StopSettings;
 
 /** One router: listeners, clients and tasks. Many can run in one process. */
 public final class Router {
+  private static final Logger LOG = LogManager.getLogger(Router.class);
+  private static final long DRAIN_POLL_MILLIS = 20;
   private static final int MAILBOX_SIZE = 65_536;
   private static final long TICK_NANOS = 10_000_000L;
   private static final int CUSTOMER_FLOOR = 1_000;
@@ -52,9 +67,15 @@
   private final Decisions decisions;
   private final ListTask listTask;
   private final ReportTask reportTask;
+  private final LogTask logTask;
+  private final RouterMetrics metrics = new RouterMetrics();
+  private final RouterTls tls;
   private final CallerListener callers;
+  private final OperatorListener operators;
   private volatile Optional<RouterSettings> settings = Optional.empty();
   private volatile boolean informed;
+  private volatile boolean draining;
+  private volatile boolean hardStopNow;
 
   /**
    * Assembles a router; nothing runs before {@link #start}.
@@ -71,13 +92,10 @@
             new DefaultThreadFactory(name + "-io", true),
             NioIoHandler.newFactory());
     this.timer = new HashedWheelTimer(new DefaultThreadFactory(name + "-timer", true));
+    this.tls = new RouterTls(process.tls(), loops);
     this.clients = RouterClients.create(config, loops, timer);
     DecisionState state =
-        new DecisionState(
-            parameters(config),
-            new Random(process.randomSeed().orElse(config.incarnation().value())),
-            new Outside(),
-            System::nanoTime);
+        new DecisionState(parameters(config), random(config), new Outside(), System::nanoTime);
     this.decisionTask =
         new DecisionTask(name + "-decisions", MAILBOX_SIZE, TICK_NANOS, () -> tick(state));
     this.decisions = new Decisions(decisionTask, state, System::nanoTime);
@@ -87,13 +105,70 @@
     this.reportTask =
         new ReportTask(
             loops.next(), clients.engines(), decisions, config.times().reportInterval().toNanos());
+    this.logTask =
+        new LogTask(
+            loops.next(),
+            clients.log(),
+            new LogReader.Bounds(
+                process.log().readRecords(), Duration.ofNanos(process.log().pollWaitNanos())),
+            random(config),
+            decisions);
     this.callers =
         new CallerListener(
             loops,
             socket(process.listen().callers()),
             CallerLimits.of(process),
             pipeline(),
-            Optional::empty);
+            tls::callers);
+    this.operators =
+        new OperatorListener(
+            loops,
+            socket(process.listen().operators()),
+            new OperatorPages(this::view, decisions, metrics),
+            tls::operators);
+    registerGauges();
+  }
+
+  private void registerGauges() {
+    metrics.gauge(
+        "pollenrock_settings_available",
+        "1 when accepted settings are in force.",
+        () -> settings.isPresent() ? 1 : 0);
+    metrics.gauge(
+        "pollenrock_settings_revision", "Revision of the settings in force.", this::revision);
+    metrics.gauge(
+        "pollenrock_caller_connections", "Open caller connections.", callers::connections);
+    metrics.gauge(
+        "pollenrock_held_request_bytes", "Bytes of request bodies held now.", callers::heldBytes);
+    metrics.gauge(
+        "pollenrock_waiting_decisions",
+        "Messages that wait for the decision thread.",
+        decisions::waiting);
+  }
+
+  private RouterView view() {
+    List<String> reasons = new ArrayList<>();
+    if (draining) {
+      reasons.add("draining");
+    }
+    if (settings.isEmpty()) {
+      reasons.add("no accepted settings");
+    }
+    if (!informed) {
+      reasons.add("no engine has reported");
+    }
+    return new RouterView(
+        config.process().instance().value(),
+        config.process().dataCentre().value(),
+        config.incarnation().value(),
+        settings.map(RouterSettings::revision),
+        reasons);
+  }
+
+  private static Random random(RouterConfig config) {
+    return new Random(
+        config.process().randomSeed().orElse(config.incarnation().value())
+            ^ config.process().instance().value().hashCode());
   }
 
   private static DecisionState.Parameters parameters(RouterConfig config) {
@@ -108,7 +183,9 @@
         config.strategy(),
         connections(config.times()),
         process.limits().queuedRequests(),
-        process.limits().queuedPerCustomer());
+        process.limits().queuedPerCustomer(),
+        TimeUnit.NANOSECONDS.toMillis(process.log().retentionNanos()),
+        process.memory().claimBytes());
   }
 
   private static ConnectionSettings connections(RouterTimes times) {
@@ -128,6 +205,7 @@
             clients.engines(),
             clients.services(),
             new AttemptIds(config.process().instance(), config.incarnation()),
+            metrics,
             config.times(),
             System::nanoTime),
         () -> settings,
@@ -139,12 +217,65 @@
     decisionTask.start();
     reportTask.start();
     listTask.start();
+    logTask.start();
+    tls.start();
     callers.start();
+    operators.start();
+  }
+
+  /**
+   * Stops without interrupting a request: reports not ready, serves on for the drain delay, accepts
+   * no more connections, and waits for open responses up to the hard limit.
+   *
+   * @return number of connections whose response was aborted, 0 when all had ended; the router is
+   *     stopped then
+   */
+  public CompletableFuture<Integer> drain() {
+    CompletableFuture<Integer> aborted = new CompletableFuture<>();
+    StopSettings stop = config.process().stop();
+    draining = true;
+    LOG.info("draining");
+    long hardStop = System.nanoTime() + stop.hardStopAfterNanos();
+    loops
+        .next()
+        .schedule(
+            () -> {
+              callers.drain();
+              awaitConnections(hardStop, aborted);
+            },
+            stop.drainDelayNanos(),
+            TimeUnit.NANOSECONDS);
+    return aborted.thenApplyAsync(
+        count -> {
+          stop();
+          LOG.info("stopped, {} responses aborted", count);
+          return count;
+        });
+  }
+
+  private void awaitConnections(long hardStop, CompletableFuture<Integer> aborted) {
+    int open = callers.connections();
+    if (open == 0 || hardStopNow || System.nanoTime() - hardStop >= 0) {
+      aborted.complete(open);
+      return;
+    }
+    loops
+        .next()
+        .schedule(
+            () -> awaitConnections(hardStop, aborted), DRAIN_POLL_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Ends a drain at once: the remaining responses are aborted. */
+  public void abortDrain() {
+    hardStopNow = true;
   }
 
   /** Stops at once; open connections are closed. */
   public void stop() {
     callers.stop();
+    operators.stop();
+    tls.stop();
+    logTask.stop();
     listTask.stop();
     reportTask.stop();
     decisionTask.stop();
@@ -154,22 +285,21 @@
   }
 
   /**
-   * Puts settings in force.
+   * Whether this router can serve: it has settings, and its servers have reported.
    *
-   * @param accepted the settings
+   * @return true when ready
    */
-  public void settings(RouterSettings accepted) {
-    settings = Optional.of(accepted);
-    decisions.tell(state -> state.settings(accepted.tree()));
+  public boolean ready() {
+    return view().notReady().isEmpty();
   }
 
   /**
-   * Whether this router can serve: it has settings, and its servers have reported.
+   * Revision of the settings in force.
    *
-   * @return true when ready
+   * @return the revision, -1 when there are none
    */
-  public boolean ready() {
-    return settings.isPresent() && informed;
+  public long revision() {
+    return settings.map(RouterSettings::revision).orElse(-1L);
   }
 
   /**
@@ -181,6 +311,15 @@
     return callers.boundAddress();
   }
 
+  /**
+   * Where operators connect.
+   *
+   * @return the bound address
+   */
+  public InetSocketAddress operatorAddress() {
+    return operators.boundAddress();
+  }
+
   private void tick(DecisionState state) {
     state.tick();
     informed = state.knowsEngines();
@@ -218,5 +357,20 @@
     public void pokeReport(BackendServerId server) {
       reportTask.poke(server);
     }
+
+    @Override
+    public void appendClaims(long appendId, byte[] data) {
+      logTask.appendClaims(appendId, data);
+    }
+
+    @Override
+    public void appendSnapshot(List<byte[]> records) {
+      logTask.appendSnapshot(records);
+    }
+
+    @Override
+    public void inForce(RouterSettings accepted) {
+      settings = Optional.of(accepted);
+    }
   }
 }
