--- a/core/src/main/java/org/pollenrock/core/placement/Placer.java
+++ b/core/src/main/java/org/pollenrock/core/placement/Placer.java
@@ -111,8 +111,9 @@
    * @param weights the weights version that the response names
    * @param cachedTokens prompt tokens that the response says were cached
    * @param nowNanos the time
-   * @return true when the response has the identity that the placement relied on; otherwise nothing
-   *     is learned about the cache from it and it must not be relayed
+   * @return true when the response has the identity that the placement relied on; otherwise, and
+   *     for an unknown placement, nothing is learned about the cache from it and it must not be
+   *     relayed
    */
   public boolean firstToken(
       PlacementId id,
--- a/core/src/test/java/org/pollenrock/core/placement/PlacerTest.java
+++ b/core/src/test/java/org/pollenrock/core/placement/PlacerTest.java
@@ -27,6 +27,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.DataCentreId;
 import org.pollenrock.core.model.Incarnation;
 import org.pollenrock.core.model.Priority;
 
@@ -155,22 +156,12 @@
   @Test
   void hotPrefixGainsHomesAndLosesThemAgain() {
     reportAll(placer, SERVERS, 0, 0);
-    assertThat(homes(placer, 0)).hasSize(1);
+    assertThat(homesOf(placer, 1, 0)).hasSize(1);
     for (int request = 0; request < 400; request++) {
       serve(placer, request("c", 1), request * 10 * MILLI);
     }
-    assertThat(homes(placer, 4 * SECOND).size()).isGreaterThanOrEqualTo(4);
-    assertThat(homes(placer, 34 * SECOND)).hasSize(1);
-  }
-
-  private static Set<BackendServerId> homes(Placer placer, long nowNanos) {
-    Set<BackendServerId> homes = new HashSet<>();
-    for (Candidate candidate : place(placer, request("c", 1), nowNanos).candidates()) {
-      if (candidate.origin() == CandidateOrigin.HOME) {
-        homes.add(candidate.server());
-      }
-    }
-    return homes;
+    assertThat(homesOf(placer, 1, 4 * SECOND).size()).isGreaterThanOrEqualTo(4);
+    assertThat(homesOf(placer, 1, 34 * SECOND)).hasSize(1);
   }
 
   /** Guards against homes that exist in name while the first one takes all requests. */
@@ -262,6 +253,45 @@
     assertThat(changes).isLessThanOrEqualTo(1);
   }
 
+  /** Guards against one copy of a prefix per data centre although the delay is negligible. */
+  @Test
+  void nearbyDataCentresShareHomes() {
+    Map<DataCentreId, Long> distances = Map.of(FAR, 2 * MILLI, NEAR, 2 * MILLI);
+    Placer near = placer(PlacerConfig.of(NEAR).withDistances(distances, 2 * MILLI), 1);
+    Placer far = placer(PlacerConfig.of(FAR).withDistances(distances, 2 * MILLI), 2);
+    for (Placer router : List.of(near, far)) {
+      for (int server = 1; server <= 6; server++) {
+        router.report(report(server, 1, server % 2 == 0 ? NEAR : FAR, V1, 50_000, 0), 0);
+      }
+    }
+    for (int dossier = 0; dossier < 20; dossier++) {
+      assertThat(homesOf(near, dossier, 0)).isEqualTo(homesOf(far, dossier, 0));
+    }
+  }
+
+  private static Set<BackendServerId> homesOf(Placer placer, int dossier, long nowNanos) {
+    Set<BackendServerId> homes = new HashSet<>();
+    for (Candidate candidate : place(placer, request("c", dossier), nowNanos).candidates()) {
+      if (candidate.origin() == CandidateOrigin.HOME) {
+        homes.add(candidate.server());
+      }
+    }
+    return homes;
+  }
+
+  /** Guards against settings weights that do not change a choice between hits and waiting. */
+  @Test
+  void hitWeightKeepsAPrefixWithItsHolderDespiteAQueue() {
+    reportAll(placer, SERVERS, 0, 0);
+    PlacementResult.Chosen first = serve(placer, request("c", 1), 0);
+    int holder = Integer.parseInt(first.server().value().substring(1));
+    placer.report(report(holder, 1, V1, 20_000), MILLI);
+    PlacementRequest fast = request("c", 1).tunedBy(new PlacementWeights(1, 0, 0));
+    PlacementRequest hits = request("c", 1).tunedBy(new PlacementWeights(1, 4, 0));
+    assertThat(place(placer, fast, MILLI).server()).isNotEqualTo(first.server());
+    assertThat(place(placer, hits, MILLI).server()).isEqualTo(first.server());
+  }
+
   /** Guards against imports that take longer than computing, and against missed faster ones. */
   @Test
   void blocksAreImportedOnlyWhenThatIsFaster() {
