--- a/bench/src/main/java/org/pollenrock/bench/capacity/PlacementWorkload.java
+++ b/bench/src/main/java/org/pollenrock/bench/capacity/PlacementWorkload.java
@@ -68,7 +68,7 @@
   }
 
   private static ServerReport report(int server) {
-    ReportedLoad load = new ReportedLoad(2_000L * (server % 7), 3, 32, 12_000, 60, 100_000, 100);
+    ReportedLoad load = new ReportedLoad(2_000L * (server % 7), 3, 32, 12_000, 100_000, 100);
     return new ServerReport(
         new BackendServerId("engine-" + server),
         INCARNATION,
--- a/core/src/main/java/org/pollenrock/core/placement/CostModel.java
+++ b/core/src/main/java/org/pollenrock/core/placement/CostModel.java
@@ -90,7 +90,7 @@
     return server.load().prefillNanos(context.investedTokens(cachedTokens, lifetimeSeconds));
   }
 
-  private static double importedTokens(PlacementRequest request, KvImport kvImport) {
+  static double importedTokens(PlacementRequest request, KvImport kvImport) {
     return (kvImport.endBlock() - kvImport.firstBlock()) * request.tokensPerBlock();
   }
 
--- a/core/src/main/java/org/pollenrock/core/placement/Placer.java
+++ b/core/src/main/java/org/pollenrock/core/placement/Placer.java
@@ -92,7 +92,8 @@
    * @param nowNanos the time
    */
   public void sent(PlacementResult.Chosen chosen, long nowNanos) {
-    int missing = chosen.request().promptTokens() - chosen.expectedCachedTokens();
+    double missing =
+        chosen.request().promptTokens() - chosen.expectedCachedTokens() - importedTokens(chosen);
     InFlight request = new InFlight(chosen, missing, nowNanos);
     inFlight.put(chosen.id(), request);
     Optional<ServerLoad> load = state.loads().server(chosen.server());
@@ -103,6 +104,13 @@
     state.cache().sent(chosen.server(), chosen.incarnation(), chosen.chain(), nowNanos);
   }
 
+  private static double importedTokens(PlacementResult.Chosen chosen) {
+    return chosen
+        .kvImport()
+        .map(blocks -> CostModel.importedTokens(chosen.request(), blocks))
+        .orElse(0.0);
+  }
+
   /**
    * Notes the first token of a response.
    *
--- a/core/src/main/java/org/pollenrock/core/placement/ReportedLoad.java
+++ b/core/src/main/java/org/pollenrock/core/placement/ReportedLoad.java
@@ -7,7 +7,6 @@
  * @param running requests that hold a slot
  * @param slots requests that can run at the same time, at least 1
  * @param prefillTokensPerSecond measured prefill rate
- * @param decodeTokensPerSecond measured decode rate
  * @param cacheCapacityBlocks blocks that the prefix cache can hold
  * @param storedBlocksPerSecond measured rate of newly cached blocks
  */
@@ -16,7 +15,6 @@
     int running,
     int slots,
     double prefillTokensPerSecond,
-    double decodeTokensPerSecond,
     long cacheCapacityBlocks,
     double storedBlocksPerSecond) {
   /** Prefill rate that is assumed while a server has not measured one, in tokens per second. */
@@ -30,9 +28,6 @@
     if (!(prefillTokensPerSecond > 0) || Double.isInfinite(prefillTokensPerSecond)) {
       prefillTokensPerSecond = DEFAULT_PREFILL_TOKENS_PER_SECOND;
     }
-    if (!(decodeTokensPerSecond > 0) || Double.isInfinite(decodeTokensPerSecond)) {
-      decodeTokensPerSecond = 0;
-    }
     cacheCapacityBlocks = Math.max(0, cacheCapacityBlocks);
     if (!(storedBlocksPerSecond > 0) || Double.isInfinite(storedBlocksPerSecond)) {
       storedBlocksPerSecond = 0;
--- a/core/src/test/java/org/pollenrock/core/placement/PlacementFixture.java
+++ b/core/src/test/java/org/pollenrock/core/placement/PlacementFixture.java
@@ -63,7 +63,7 @@
         dataCentre,
         true,
         List.of(new ServedModel(MODEL, weights, Set.of(new AdapterId("lora")))),
-        new ReportedLoad(queueTokens, 0, SLOTS, RATE, 50, 1_000, 100),
+        new ReportedLoad(queueTokens, 0, SLOTS, RATE, 1_000, 100),
         timeMillis);
   }
 
