Let peers' hot prefix rates count and learn cold tails at homes only

A router that has just started sees too little traffic to give a hot prefix the homes that its peers use; it now takes the larger of its own estimate and the sum of what peers told. A miss on a server outside the homes says nothing about whether other routers use a prefix.

--- a/core/src/main/java/org/pollenrock/core/placement/HotPrefixTracker.java
+++ b/core/src/main/java/org/pollenrock/core/placement/HotPrefixTracker.java
@@ -1,8 +1,12 @@
 package org.pollenrock.core.placement;
 
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.pollenrock.core.model.BlockKey;
+import org.pollenrock.core.model.InstanceId;
 
 /**
  * Request rate of each prefix level, exponentially decayed, and whether the prefixes below a level
@@ -20,6 +24,8 @@
   private static final double COLD_SHARE = 0.9;
 
   private final Map<BlockKey, Level> levels;
+  private final Map<InstanceId, List<HotPrefix>> peers = new HashMap<>();
+  private final Map<BlockKey, Double> peerRates = new HashMap<>();
   private final int capacity;
 
   /**
@@ -63,6 +69,69 @@
     return level == null ? 0 : level.rate(nowNanos);
   }
 
+  /**
+   * Request rate of a level over all routers.
+   *
+   * <p>The load balancer spreads traffic evenly, so this router's rate times the number of routers
+   * is an estimate; a router that has just started has seen too little and uses what its peers
+   * told.
+   *
+   * @param key the level
+   * @param routers routers that share the traffic
+   * @param nowNanos the time
+   * @return requests per second
+   */
+  public double totalRate(BlockKey key, int routers, long nowNanos) {
+    double own = rate(key, nowNanos);
+    return Math.max(own * routers, own + peerRates.getOrDefault(key, 0.0));
+  }
+
+  /**
+   * The levels with the highest rates at this router, for its peers.
+   *
+   * @param limit most levels
+   * @param nowNanos the time
+   * @return the levels, highest rate first
+   */
+  public List<HotPrefix> hottest(int limit, long nowNanos) {
+    return levels.entrySet().stream()
+        .map(level -> new HotPrefix(level.getKey(), level.getValue().rate(nowNanos)))
+        .sorted(
+            Comparator.comparingDouble(HotPrefix::ratePerSecond)
+                .reversed()
+                .thenComparing(HotPrefix::level))
+        .limit(limit)
+        .toList();
+  }
+
+  /**
+   * Replaces what a peer told about its rates.
+   *
+   * @param peer the peer
+   * @param hot its hottest levels; only the first ones up to the capacity of this tracker are used
+   */
+  public void peer(InstanceId peer, List<HotPrefix> hot) {
+    peerGone(peer);
+    List<HotPrefix> kept = List.copyOf(hot.subList(0, Math.min(capacity, hot.size())));
+    peers.put(peer, kept);
+    kept.forEach(level -> peerRates.merge(level.level(), level.ratePerSecond(), Double::sum));
+  }
+
+  /**
+   * Drops what a peer told.
+   *
+   * @param peer the peer
+   */
+  public void peerGone(InstanceId peer) {
+    if (peers.remove(peer) == null) {
+      return;
+    }
+    peerRates.clear();
+    for (List<HotPrefix> told : peers.values()) {
+      told.forEach(level -> peerRates.merge(level.level(), level.ratePerSecond(), Double::sum));
+    }
+  }
+
   /**
    * Number of servers that share a prefix: ceil(rate x service time / target utilisation).
    *
--- a/core/src/main/java/org/pollenrock/core/placement/PlacementContext.java
+++ b/core/src/main/java/org/pollenrock/core/placement/PlacementContext.java
@@ -53,7 +53,7 @@
   }
 
   private double rate(BlockKey level) {
-    return state.hot().rate(level, nowNanos) * state.routers();
+    return state.hot().totalRate(level, state.routers(), nowNanos);
   }
 
   private int countHomes() {
--- a/core/src/main/java/org/pollenrock/core/placement/Placer.java
+++ b/core/src/main/java/org/pollenrock/core/placement/Placer.java
@@ -14,6 +14,7 @@
 import org.pollenrock.core.model.BackendServerId;
 import org.pollenrock.core.model.BlockKey;
 import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.InstanceId;
 import org.pollenrock.core.model.ModelId;
 import org.pollenrock.core.model.WeightsVersion;
 import org.pollenrock.core.prefix.PrefixChain;
@@ -142,7 +143,8 @@
     }
     int cachedBlocks = cachedBlocks(chosen, cachedTokens);
     state.cache().observed(chosen.server(), incarnation, chosen.chain(), cachedBlocks, nowNanos);
-    if (chosen.newPrefix()) {
+    boolean atHome = chosen.candidates().get(0).origin() == CandidateOrigin.HOME;
+    if (chosen.newPrefix() && atHome) {
       learnTail(chosen.request(), cachedBlocks);
     }
     return true;
@@ -165,6 +167,7 @@
     return Math.max(0, Math.min(chosen.chain().length(), blocks));
   }
 
+  /** Only a home tells: elsewhere a prefix is missing even when other routers use it. */
   private void learnTail(PlacementRequest request, int cachedBlocks) {
     List<Integer> ends = request.levelEnds();
     Optional<BlockKey> parent = PlacementLevels.of(request).parent();
@@ -329,6 +332,36 @@
     state.routers(count);
   }
 
+  /**
+   * The hottest prefix levels of this router, for its peers.
+   *
+   * @param limit most levels
+   * @param nowNanos the time
+   * @return the levels, highest rate first
+   */
+  public List<HotPrefix> hotPrefixes(int limit, long nowNanos) {
+    return state.hot().hottest(limit, nowNanos);
+  }
+
+  /**
+   * Takes the hottest prefix levels of a peer, so that routers agree on the number of homes.
+   *
+   * @param peer the peer
+   * @param hot its levels; they replace what it told before
+   */
+  public void peerHotPrefixes(InstanceId peer, List<HotPrefix> hot) {
+    state.hot().peer(peer, hot);
+  }
+
+  /**
+   * Drops what a peer told.
+   *
+   * @param peer the peer
+   */
+  public void peerGone(InstanceId peer) {
+    state.hot().peerGone(peer);
+  }
+
   /**
    * Load of a server, for the operator's view.
    *
--- a/core/src/test/java/org/pollenrock/core/placement/HotPrefixTrackerTest.java
+++ b/core/src/test/java/org/pollenrock/core/placement/HotPrefixTrackerTest.java
@@ -5,8 +5,10 @@
 import static org.pollenrock.core.placement.PlacementFixture.MILLI;
 import static org.pollenrock.core.placement.PlacementFixture.SECOND;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.pollenrock.core.model.BlockKey;
+import org.pollenrock.core.model.InstanceId;
 
 class HotPrefixTrackerTest {
   private static final BlockKey HOT = new BlockKey(1, 1);
@@ -41,6 +43,31 @@
     assertThat(HotPrefixTracker.homes(0, 0.1, 0.5, 13)).isEqualTo(1);
   }
 
+  /**
+   * Guards against a new router that takes a hot prefix for a cold one, and against stale peers.
+   */
+  @Test
+  void ratesOfPeersCountUntilTheyAreReplacedOrGone() {
+    HotPrefixTracker peer = new HotPrefixTracker(4);
+    for (int request = 0; request < 100; request++) {
+      peer.observe(HOT, request * 50 * MILLI);
+      peer.observe(new BlockKey(3, 3), request / 2 * 100 * MILLI);
+    }
+    List<HotPrefix> told = peer.hottest(1, 5 * SECOND);
+    assertThat(told).extracting(HotPrefix::level).containsExactly(HOT);
+    InstanceId first = new InstanceId("r1");
+    InstanceId second = new InstanceId("r2");
+    tracker.peer(first, told);
+    tracker.peer(second, told);
+    tracker.peer(second, told);
+    double one = told.get(0).ratePerSecond();
+    assertThat(tracker.totalRate(HOT, 3, 0)).isCloseTo(2 * one, within(1e-9));
+    tracker.peerGone(first);
+    assertThat(tracker.totalRate(HOT, 3, 0)).isCloseTo(one, within(1e-9));
+    tracker.peer(second, List.of());
+    assertThat(tracker.totalRate(HOT, 3, 0)).isZero();
+  }
+
   /** Guards against unbounded memory, and against a hot level that rare ones push out. */
   @Test
   void rareLevelsAreDroppedFirst() {
