Count the delay that prefill work causes to requests behind it

Change: the cost of a candidate includes its prefill time times the arrivals per server while its queue drains.

--- a/bench/src/main/java/org/pollenrock/bench/experiment/OracleStrategy.java
+++ b/bench/src/main/java/org/pollenrock/bench/experiment/OracleStrategy.java
@@ -57,7 +57,8 @@
     double ttft = prefill + queue + server.roundTripNanos();
     double total = request.tuning().ttftWeight() * ttft + request.tuning().hitWeight() * eviction;
     CostTerms cost =
-        new CostTerms(missing, prefill, queue, 0, server.roundTripNanos(), 0, eviction, 0, total);
+        new CostTerms(
+            missing, prefill, queue, 0, server.roundTripNanos(), 0, eviction, 0, 0, total);
     return new Candidate(
         server.server(),
         server.load().dataCentre(),
--- a/core/src/main/java/org/pollenrock/core/placement/CostModel.java
+++ b/core/src/main/java/org/pollenrock/core/placement/CostModel.java
@@ -65,12 +65,36 @@
     if (isStray(context, origin, cachedTokens)) {
       eviction *= STRAY_COPY_FACTOR;
     }
+    double delay = delayNanos(context, load.prefillNanos(missing), queue);
     double ttft = prefill + queue + slot + server.roundTripNanos() + urgent;
     PlacementWeights weights = request.tuning();
     double total =
-        weights.ttftWeight() * (ttft - invested) + weights.hitWeight() * (eviction - invested);
+        weights.ttftWeight() * (ttft + delay - invested)
+            + weights.hitWeight() * (eviction - invested);
     return new CostTerms(
-        missing, prefill, queue, slot, server.roundTripNanos(), urgent, eviction, invested, total);
+        missing,
+        prefill,
+        queue,
+        slot,
+        server.roundTripNanos(),
+        urgent,
+        eviction,
+        delay,
+        invested,
+        total);
+  }
+
+  /**
+   * Prefill work delays every request that arrives while the queue drains. Without this term, a
+   * router under load trades cached tokens for a slightly shorter queue, which adds work and keeps
+   * all queues long.
+   */
+  private double delayNanos(PlacementContext context, double prefillNanos, double queueNanos) {
+    double perServer =
+        state.arrivals().perSecond(context.nowNanos())
+            * state.routers()
+            / context.eligible().all().size();
+    return prefillNanos * perServer * queueNanos / NANOS_PER_SECOND;
   }
 
   /** A holder of the shared levels only is no better a place for a copy than any other server. */
--- a/core/src/main/java/org/pollenrock/core/placement/CostTerms.java
+++ b/core/src/main/java/org/pollenrock/core/placement/CostTerms.java
@@ -23,6 +23,7 @@
     double networkNanos,
     double urgentNanos,
     double evictionNanos,
+    double delayNanos,
     double investedNanos,
     double totalNanos) {
   /**
--- a/core/src/main/java/org/pollenrock/core/placement/Placer.java
+++ b/core/src/main/java/org/pollenrock/core/placement/Placer.java
@@ -66,6 +66,7 @@
     if (eligible.all().isEmpty()) {
       return new PlacementResult.NoServer(state.loads().reason(request));
     }
+    state.arrivals().observe(nowNanos);
     PlacementContext context = new PlacementContext(request, nowNanos, eligible, state);
     boolean newPrefix = context.isNewPrefix();
     List<Candidate> ranked = strategy.rank(context);
--- a/core/src/main/java/org/pollenrock/core/placement/PlacerState.java
+++ b/core/src/main/java/org/pollenrock/core/placement/PlacerState.java
@@ -17,6 +17,7 @@
   private final SpillState spill;
   private final PrefixFingerprinter fingerprinter = new PrefixFingerprinter();
   private final CostModel costs;
+  private final ArrivalRate arrivals = new ArrivalRate();
   private int routers = 1;
   private double holdNanos = DEFAULT_HOLD_NANOS;
 
@@ -50,6 +51,10 @@
     return hot;
   }
 
+  ArrivalRate arrivals() {
+    return arrivals;
+  }
+
   SpillState spill() {
     return spill;
   }
--- a/router/src/main/java/org/pollenrock/router/operator/OperatorPages.java
+++ b/router/src/main/java/org/pollenrock/router/operator/OperatorPages.java
@@ -167,6 +167,7 @@
     node.put("network_ms", millis(cost.networkNanos()));
     node.put("urgent_ms", millis(cost.urgentNanos()));
     node.put("eviction_ms", millis(cost.evictionNanos()));
+    node.put("delay_ms", millis(cost.delayNanos()));
     node.put("total_ms", millis(cost.totalNanos()));
   }
 
