--- a/router/src/test/java/org/pollenrock/router/TestCluster.java
+++ b/router/src/test/java/org/pollenrock/router/TestCluster.java
@@ -161,6 +161,16 @@
     return client.send(request, HttpResponse.BodyHandlers.ofString());
   }
 
+  /** Body of an operator's page. */
+  String operator(String path) {
+    int port = router.operatorAddress().getPort();
+    HttpRequest get =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+            .timeout(PATIENCE)
+            .build();
+    return client.sendAsync(get, HttpResponse.BodyHandlers.ofString()).join().body();
+  }
+
   static String chat(boolean stream, int tokens) {
     return "{\"model\":\"model-a\",\"stream\":%s,\"max_tokens\":%d,\"messages\":[%s]}"
         .formatted(stream, tokens, "{\"role\":\"user\",\"content\":\"hello\"}");
