--- a/router/src/main/java/org/pollenrock/router/Router.java
+++ b/router/src/main/java/org/pollenrock/router/Router.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.pollenrock.adapters.engine.EngineAddress;
@@ -75,7 +76,9 @@
   private volatile Optional<RouterSettings> settings = Optional.empty();
   private volatile boolean informed;
   private volatile boolean draining;
+  private volatile boolean claimsReadable;
   private volatile boolean hardStopNow;
+  private final AtomicBoolean stopped = new AtomicBoolean();
 
   /**
    * Assembles a router; nothing runs before {@link #start}.
@@ -136,6 +139,10 @@
         () -> settings.isPresent() ? 1 : 0);
     metrics.gauge(
         "pollenrock_settings_revision", "Revision of the settings in force.", this::revision);
+    metrics.gauge(
+        "pollenrock_claims_readable",
+        "1 while the claim stream can be read, so that keyed calls are served.",
+        () -> claimsReadable ? 1 : 0);
     metrics.gauge(
         "pollenrock_caller_connections", "Open caller connections.", callers::connections);
     metrics.gauge(
@@ -270,8 +277,11 @@
     hardStopNow = true;
   }
 
-  /** Stops at once; open connections are closed. */
+  /** Stops at once; open connections are closed. Has no effect when called again. */
   public void stop() {
+    if (!stopped.compareAndSet(false, true)) {
+      return;
+    }
     callers.stop();
     operators.stop();
     tls.stop();
@@ -323,6 +333,7 @@
   private void tick(DecisionState state) {
     state.tick();
     informed = state.knowsEngines();
+    claimsReadable = state.claims().readable();
   }
 
   private void listed(ListTask.Listing listing) {
@@ -333,10 +344,9 @@
         (int) routers.stream().filter(entry -> entry.dataCentre().equals(dataCentre)).count();
     decisions.tell(
         state -> {
-          state.servers(listing.servers());
+          state.servers(listing.version(), listing.servers());
           state.routers(ids, local);
         });
-    reportTask.servers(listing.servers());
   }
 
   private final class Outside implements DecisionState.Outside {
@@ -358,6 +368,11 @@
       reportTask.poke(server);
     }
 
+    @Override
+    public void watchReports(List<ServerEntry> servers) {
+      reportTask.servers(servers);
+    }
+
     @Override
     public void appendClaims(long appendId, byte[] data) {
       logTask.appendClaims(appendId, data);
--- a/router/src/main/java/org/pollenrock/router/decision/Claims.java
+++ b/router/src/main/java/org/pollenrock/router/decision/Claims.java
@@ -19,6 +19,7 @@
   private final Map<Long, ClaimListener> listeners = new HashMap<>();
   private long wakeNanos = Long.MAX_VALUE;
   private boolean wakes;
+  private boolean readable;
 
   /** Appends to the claim stream. */
   interface Appender {
@@ -67,11 +68,13 @@
    * @param read the answer of the log
    */
   public void logRead(LogRead read) {
+    readable = true;
     follow(coordinator.logRead(read, now()));
   }
 
   /** Takes note that the log cannot be read. */
   public void logUnavailable() {
+    readable = false;
     follow(coordinator.logUnavailable(now()));
   }
 
@@ -109,8 +112,13 @@
     }
   }
 
-  int open() {
-    return coordinator.openCalls();
+  /**
+   * Whether the last read of the claim stream was answered.
+   *
+   * @return false before the first answer
+   */
+  public boolean readable() {
+    return readable;
   }
 
   private void follow(List<ClaimDecision> decisions) {
--- a/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
+++ b/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
@@ -33,7 +33,7 @@
   private static final int LEND_PERCENT = 50;
   private static final int MAX_LOANS = 1_000;
 
-  private final ServerDirectory directory = new ServerDirectory();
+  private final ServerDirectory directory;
   private final ServerHealthBook health = new ServerHealthBook();
   private final ShareLedger shares;
   private final Admission admission;
@@ -46,6 +46,7 @@
   private final Outside outside;
   private final LongSupplier nanoClock;
   private final Set<ModelId> models = new HashSet<>();
+  private List<ServerEntry> watched = List.of();
   private List<InstanceId> routerIds;
   private int routers = 1;
 
@@ -67,6 +68,13 @@
      */
     void pokeReport(BackendServerId server);
 
+    /**
+     * Sets the servers whose reports are read.
+     *
+     * @param servers the servers
+     */
+    void watchReports(List<ServerEntry> servers);
+
     /**
      * Appends to the claim stream; the end is told to {@link Claims}.
      *
@@ -137,11 +145,13 @@
       Parameters parameters, RandomGenerator random, Outside outside, LongSupplier nanoClock) {
     this.outside = outside;
     this.nanoClock = nanoClock;
+    this.directory = new ServerDirectory(nanoClock);
     this.shares =
         new ShareLedger(
             parameters.instance(),
             parameters.incarnation(),
-            new ShareSettings(2_000 * MILLI, 100 * MILLI, 200 * MILLI, LEND_PERCENT, MAX_LOANS),
+            new ShareSettings(
+                2_000 * MILLI, 100 * MILLI, 200 * MILLI, 100 * MILLI, LEND_PERCENT, MAX_LOANS),
             random,
             nanoClock.getAsLong());
     this.admission =
@@ -215,18 +225,25 @@
   }
 
   /**
-   * Takes the instance list.
+   * Takes a version of the instance list.
    *
+   * @param version version of the list
    * @param listed every backend server in it
    */
-  public void servers(List<ServerEntry> listed) {
-    for (BackendServerId gone : directory.replace(listed)) {
-      placement.gone(gone);
-      links.gone(gone);
-    }
+  public void servers(long version, List<ServerEntry> listed) {
+    directory.listed(version, listed);
+    watchReports();
     refreshModels();
   }
 
+  private void watchReports() {
+    List<ServerEntry> current = List.copyOf(directory.all());
+    if (!current.equals(watched)) {
+      watched = current;
+      outside.watchReports(current);
+    }
+  }
+
   /**
    * Takes the names of the routers in the list.
    *
@@ -245,8 +262,10 @@
    * Takes an engine's report.
    *
    * @param report the report
+   * @param leaving whether it says that it takes no new work
    */
-  public void engineReport(ServerReport report) {
+  public void engineReport(ServerReport report, boolean leaving) {
+    directory.reported(report.server(), report.incarnation(), leaving);
     placement.report(report, now());
     report.models().forEach(served -> models.add(served.model()));
     refreshModels();
@@ -256,10 +275,22 @@
    * Takes a plain server's report.
    *
    * @param server the server
+   * @param incarnation its incarnation
    * @param leaving whether it says that it takes no new work
    */
-  public void plainReport(BackendServerId server, boolean leaving) {
-    directory.leaving(server, leaving);
+  public void plainReport(BackendServerId server, Incarnation incarnation, boolean leaving) {
+    directory.reported(server, incarnation, leaving);
+  }
+
+  /**
+   * Takes a refusal of a plain server that is leaving.
+   *
+   * @param server the server
+   */
+  void plainLeaving(BackendServerId server) {
+    directory
+        .incarnation(server)
+        .ifPresent(incarnation -> directory.refusedLeaving(server, incarnation));
   }
 
   private void refreshModels() {
@@ -277,6 +308,11 @@
 
   /** Does what is due. */
   public void tick() {
+    for (BackendServerId gone : directory.tick()) {
+      placement.gone(gone);
+      links.gone(gone);
+    }
+    watchReports();
     admission.tick(now());
     links.tick(now());
     claims.tick();
@@ -333,7 +369,7 @@
             .orElse(List.of()),
         load.map(known -> known.queueTokens(now())).orElse(0.0),
         load.map(ServerLoad::ownInFlight).orElse(0),
-        load.map(ServerLoad::accepting).orElse(!entry.leaving()),
+        directory.isUsable(entry.id()),
         directory.isSuspect(entry.id()));
   }
 
--- a/router/src/main/java/org/pollenrock/router/decision/Decisions.java
+++ b/router/src/main/java/org/pollenrock/router/decision/Decisions.java
@@ -162,7 +162,7 @@
    * @param server the server
    */
   public void plainLeaving(BackendServerId server) {
-    task.tell(() -> state.directory().leaving(server, true));
+    task.tell(() -> state.plainLeaving(server));
   }
 
   /**
--- a/router/src/main/java/org/pollenrock/router/decision/EnginePlacement.java
+++ b/router/src/main/java/org/pollenrock/router/decision/EnginePlacement.java
@@ -156,6 +156,7 @@
             incarnation -> {
               incarnationSeen(server, incarnation, nowNanos);
               if (head.leaving()) {
+                directory.refusedLeaving(server, incarnation);
                 placer.serverLeaving(server, incarnation);
               }
             });
--- a/router/src/main/java/org/pollenrock/router/decision/PlainPlacement.java
+++ b/router/src/main/java/org/pollenrock/router/decision/PlainPlacement.java
@@ -1,6 +1,5 @@
 package org.pollenrock.router.decision;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.pollenrock.core.error.Result;
@@ -26,7 +25,7 @@
   Result<Choice> choose(String service, Set<BackendServerId> avoided, long nowNanos) {
     List<ServerEntry> servers = directory.plainServers(service);
     health.members(group(service), servers.stream().map(ServerEntry::id).toList(), nowNanos);
-    Set<BackendServerId> unusable = new HashSet<>(directory.unusable());
+    Set<BackendServerId> unusable = directory.unusable();
     unusable.addAll(health.excluded(group(service), nowNanos));
     List<ServerEntry> usable = without(servers, unusable);
     List<ServerEntry> fresh = without(usable, avoided);
--- a/router/src/main/java/org/pollenrock/router/decision/ServerDirectory.java
+++ b/router/src/main/java/org/pollenrock/router/decision/ServerDirectory.java
@@ -2,38 +2,101 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.pollenrock.core.membership.ListedServer;
+import org.pollenrock.core.membership.MembershipSettings;
+import org.pollenrock.core.membership.ServerEvidence;
+import org.pollenrock.core.membership.ServerTable;
 import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.Incarnation;
 import org.pollenrock.core.model.ServerRole;
 
-/** Known backend servers and which of them are suspect; confined to the decision thread. */
+/**
+ * Known backend servers, from all evidence, and which of them may get work; confined to the
+ * decision thread.
+ */
 final class ServerDirectory {
-  private final Map<BackendServerId, ServerEntry> entries = new LinkedHashMap<>();
+  private final ServerTable table = new ServerTable(MembershipSettings.defaults());
+  private final LongSupplier nanoClock;
+  private final Map<BackendServerId, ServerEntry> entries = new HashMap<>();
   private final Set<BackendServerId> suspect = new HashSet<>();
-  private final Set<BackendServerId> leaving = new HashSet<>();
-
-  /** Replaces the list and returns the servers that are no longer in it. */
-  List<BackendServerId> replace(List<ServerEntry> listed) {
-    List<BackendServerId> gone = new ArrayList<>(entries.keySet());
-    listed.forEach(entry -> gone.remove(entry.id()));
-    entries.clear();
-    listed.forEach(entry -> entries.put(entry.id(), entry));
-    suspect.retainAll(entries.keySet());
-    leaving.retainAll(entries.keySet());
+  private Set<BackendServerId> known = Set.of();
+  private Set<BackendServerId> usable = Set.of();
+
+  ServerDirectory(LongSupplier nanoClock) {
+    this.nanoClock = nanoClock;
+  }
+
+  /** Takes a version of the instance list. */
+  void listed(long version, List<ServerEntry> listed) {
+    List<ListedServer> servers = new ArrayList<>();
+    for (ServerEntry entry : listed) {
+      entries.put(entry.id(), entry);
+      servers.add(
+          new ListedServer(
+              entry.id(),
+              entry.role(),
+              entry.service(),
+              entry.address().toString(),
+              entry.dataCentre(),
+              entry.leaving()));
+    }
+    table.listRead(version, servers, now());
+    refresh();
+  }
+
+  /** Takes what a server says of itself. */
+  void reported(BackendServerId server, Incarnation incarnation, boolean leaving) {
+    table.observe(new ServerEvidence.Report(server, incarnation, leaving), now());
+    refresh();
+  }
+
+  /** Takes a refusal that says that the server is leaving. */
+  void refusedLeaving(BackendServerId server, Incarnation incarnation) {
+    table.observe(new ServerEvidence.LeavingRefusal(server, incarnation), now());
+    refresh();
+  }
+
+  /** Lets evidence grow old; returns the servers that are gone since the last time. */
+  Set<BackendServerId> tick() {
+    table.tick(now());
+    Set<BackendServerId> before = known;
+    refresh();
+    Set<BackendServerId> gone = new HashSet<>(before);
+    gone.removeAll(known);
+    suspect.removeAll(gone);
+    entries.keySet().removeAll(gone);
     return gone;
   }
 
+  private void refresh() {
+    long now = now();
+    known = ids(table.known(now));
+    usable = ids(table.usable(now));
+  }
+
+  private static Set<BackendServerId> ids(List<ListedServer> servers) {
+    return servers.stream().map(ListedServer::id).collect(Collectors.toUnmodifiableSet());
+  }
+
   Optional<ServerEntry> find(BackendServerId server) {
     return Optional.ofNullable(entries.get(server));
   }
 
+  Optional<Incarnation> incarnation(BackendServerId server) {
+    return table.incarnation(server);
+  }
+
+  /** Servers that are not gone; their reports are to be read. */
   Collection<ServerEntry> all() {
-    return entries.values();
+    return entries.values().stream().filter(entry -> known.contains(entry.id())).toList();
   }
 
   void suspect(BackendServerId server, boolean on) {
@@ -48,23 +111,14 @@
     return suspect.contains(server);
   }
 
-  /** Notes what a server says of itself. */
-  void leaving(BackendServerId server, boolean on) {
-    if (on) {
-      leaving.add(server);
-    } else {
-      leaving.remove(server);
-    }
+  boolean isUsable(BackendServerId server) {
+    return usable.contains(server) && !suspect.contains(server);
   }
 
+  /** Servers that may not get new work. */
   Set<BackendServerId> unusable() {
-    Set<BackendServerId> found = new HashSet<>(suspect);
-    found.addAll(leaving);
-    for (ServerEntry entry : entries.values()) {
-      if (entry.leaving()) {
-        found.add(entry.id());
-      }
-    }
+    Set<BackendServerId> found = new HashSet<>(entries.keySet());
+    found.removeIf(this::isUsable);
     return found;
   }
 
@@ -77,4 +131,8 @@
     }
     return found;
   }
+
+  private long now() {
+    return nanoClock.getAsLong();
+  }
 }
--- a/router/src/main/java/org/pollenrock/router/task/ListTask.java
+++ b/router/src/main/java/org/pollenrock/router/task/ListTask.java
@@ -32,10 +32,11 @@
   /**
    * What the list shows.
    *
+   * @param version version of the list
    * @param servers backend servers
    * @param routers routers
    */
-  public record Listing(List<ServerEntry> servers, List<RouterEntry> routers) {}
+  public record Listing(long version, List<ServerEntry> servers, List<RouterEntry> routers) {}
 
   /**
    * Creates the task.
@@ -95,7 +96,7 @@
       server(entry).ifPresent(servers::add);
       router(entry).ifPresent(routers::add);
     }
-    listener.accept(new Listing(servers, routers));
+    listener.accept(new Listing(version, servers, routers));
   }
 
   private static Optional<ServerEntry> server(InstanceList.Entry entry) {
--- a/router/src/main/java/org/pollenrock/router/task/ReportTask.java
+++ b/router/src/main/java/org/pollenrock/router/task/ReportTask.java
@@ -12,6 +12,7 @@
 import org.pollenrock.adapters.engine.ServerReport;
 import org.pollenrock.core.error.Result;
 import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.Incarnation;
 import org.pollenrock.core.model.ServerRole;
 import org.pollenrock.router.decision.Decisions;
 import org.pollenrock.router.decision.ServerEntry;
@@ -107,11 +108,12 @@
     if (!current || !(result instanceof Result.Success<ServerReport>(ServerReport report))) {
       return;
     }
+    Incarnation incarnation = new Incarnation(report.incarnation());
     if (entry.role() == ServerRole.PLAIN_SERVER) {
-      decisions.tell(state -> state.plainReport(entry.id(), report.leaving()));
+      decisions.tell(state -> state.plainReport(entry.id(), incarnation, report.leaving()));
       return;
     }
     var converted = ReportConversion.toCore(entry, report);
-    decisions.tell(state -> state.engineReport(converted));
+    decisions.tell(state -> state.engineReport(converted, report.leaving()));
   }
 }
--- a/router/src/test/java/org/pollenrock/router/TestCluster.java
+++ b/router/src/test/java/org/pollenrock/router/TestCluster.java
@@ -78,6 +78,7 @@
     publish(SettingsTree.EMPTY, tree());
     router.start();
     await(router::ready);
+    await(() -> operator("/metrics").contains("pollenrock_claims_readable 1.0"));
   }
 
   private static ListedInstance instance(String id, String kind, String service, String address) {
