Close a connection whose stream ends during a drain

DrainTest found that a connection stayed open until the hard limit when the drain began after the head of its streamed response was sent with keep-alive.

--- a/router/src/main/java/org/pollenrock/router/caller/ResponseWriter.java
+++ b/router/src/main/java/org/pollenrock/router/caller/ResponseWriter.java
@@ -160,6 +160,7 @@
 
   private void end() {
     open = false;
-    endListener.ended(keepAlive);
+    // The drain may have begun after the head of a streamed response was sent.
+    endListener.ended(keepAlive && !drain.draining());
   }
 }
