--- a/adapters/src/main/java/org/pollenrock/adapters/engine/CacheEvents.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/engine/CacheEvents.java
@@ -28,7 +28,7 @@
    *
    * @param sequence sequence number within the incarnation
    * @param kind {@code stored} or {@code evicted}
-   * @param key key of the block, in hexadecimal or base64 as the engine writes it
+   * @param key key of the block, 32 hexadecimal digits
    */
   @JsonIgnoreProperties(ignoreUnknown = true)
   public record Entry(
--- a/router/src/main/java/org/pollenrock/router/Router.java
+++ b/router/src/main/java/org/pollenrock/router/Router.java
@@ -37,6 +37,7 @@
 import org.pollenrock.router.operator.RouterMetrics;
 import org.pollenrock.router.operator.RouterView;
 import org.pollenrock.router.settings.RouterSettings;
+import org.pollenrock.router.task.CacheEventTask;
 import org.pollenrock.router.task.ListTask;
 import org.pollenrock.router.task.LogReader;
 import org.pollenrock.router.task.LogTask;
@@ -68,6 +69,7 @@
   private final Decisions decisions;
   private final ListTask listTask;
   private final ReportTask reportTask;
+  private final CacheEventTask eventTask;
   private final LogTask logTask;
   private final RouterMetrics metrics = new RouterMetrics();
   private final RouterTls tls;
@@ -108,6 +110,9 @@
     this.reportTask =
         new ReportTask(
             loops.next(), clients.engines(), decisions, config.times().reportInterval().toNanos());
+    this.eventTask =
+        new CacheEventTask(
+            loops.next(), clients.engines(), decisions, config.times().reportInterval().toNanos());
     this.logTask =
         new LogTask(
             loops.next(),
@@ -223,6 +228,7 @@
   public void start() {
     decisionTask.start();
     reportTask.start();
+    eventTask.start();
     listTask.start();
     logTask.start();
     tls.start();
@@ -288,6 +294,7 @@
     logTask.stop();
     listTask.stop();
     reportTask.stop();
+    eventTask.stop();
     decisionTask.stop();
     clients.transport().close();
     timer.stop();
@@ -371,6 +378,7 @@
     @Override
     public void watchReports(List<ServerEntry> servers) {
       reportTask.servers(servers);
+      eventTask.servers(servers);
     }
 
     @Override
--- a/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
+++ b/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.pollenrock.core.cache.CacheEvent;
 import org.pollenrock.core.claim.ClaimCoordinator;
 import org.pollenrock.core.claim.ClaimSettings;
 import org.pollenrock.core.connection.ConnectionSettings;
@@ -271,6 +272,18 @@
     refreshModels();
   }
 
+  /**
+   * Takes cache events of an engine.
+   *
+   * @param server the engine
+   * @param incarnation the incarnation that they belong to
+   * @param events the events in ascending order
+   */
+  public void cacheEvents(
+      BackendServerId server, Incarnation incarnation, List<CacheEvent> events) {
+    placement.placer().cacheEvents(server, incarnation, events, now());
+  }
+
   /**
    * Takes a plain server's report.
    *
