--- a/bench/src/main/java/org/pollenrock/bench/fault/FaultInjector.java
+++ b/bench/src/main/java/org/pollenrock/bench/fault/FaultInjector.java
@@ -21,6 +21,7 @@
   private static final int ACKNOWLEDGEMENTS_LOST = 3;
   private static final int FOREIGN_ANSWERS = 2;
   private static final double SLOWDOWN = 2.0;
+  private static final String NEW_VERSION = "v2";
 
   private final TestBed bed;
   private final Random random;
@@ -80,10 +81,12 @@
       case ENGINE_CRASH -> crash(random.nextInt(cluster.engines().size()));
       case ROUTER_HERD -> bed.restartDataCentre(0);
       case LOG_OUTAGE -> cluster.log().outage(true);
+      case CONFIG_RACE -> bed.publishConflictingChanges();
       case SILENT_CONNECTIONS -> cluster.silenceConnections();
       case PARTITION -> cluster.partition(bed.deployment().dataCentres().getLast(), true);
       case SERVER_LEAVES -> leave(nowNanos);
       case ROUTER_STOPS -> bed.restartRouter(0);
+      case WEIGHTS_ROLLOUT -> bed.publishWeights(NEW_VERSION);
       case LATE_ANSWERS -> engines().forEach(engine -> engine.slowdown(SLOWDOWN));
       case EVENT_GAPS, LOG_LOST_ACK, HOT_SHIFT -> repeat(fault);
     }
@@ -98,10 +101,12 @@
           ROUTER_HERD,
           HOT_SHIFT,
           LOG_OUTAGE,
+          CONFIG_RACE,
           SILENT_CONNECTIONS,
           PARTITION,
           SERVER_LEAVES,
-          ROUTER_STOPS -> {
+          ROUTER_STOPS,
+          WEIGHTS_ROLLOUT -> {
         return;
       }
     }
@@ -118,9 +123,11 @@
           ENGINE_CRASH,
           ROUTER_HERD,
           HOT_SHIFT,
+          CONFIG_RACE,
           SILENT_CONNECTIONS,
           SERVER_LEAVES,
-          ROUTER_STOPS -> {
+          ROUTER_STOPS,
+          WEIGHTS_ROLLOUT -> {
         return;
       }
     }
