--- a/core/src/test/java/org/pollenrock/core/placement/PlacerTest.java
+++ b/core/src/test/java/org/pollenrock/core/placement/PlacerTest.java
@@ -240,16 +240,21 @@
   void spillDoesNotOscillate() {
     Placer split = placer(PlacementFixture.twoDataCentres(), 1);
     split.report(report(2, 1, FAR, V1, 0, 0), 0);
+    PlacementRequest request = request("c", 1).withLevels(List.of(8));
+    long missing = request.promptTokens();
+    PlacementWeights weights = PlacementWeights.DEFAULT;
+    long marginTokens = weights.spillMarginNanos() * PlacementFixture.RATE / SECOND;
+    long begin = (long) (missing * weights.hitWeight()) + marginTokens;
     int changes = 0;
     BackendServerId previous = null;
-    long copies = 9_000;
     for (int round = 0; round < 100; round++) {
-      split.report(report(1, 1, V1, copies + (round % 2 == 0 ? 100 : -100)), 0);
-      BackendServerId chosen = place(split, request("c", 1), 0).server();
+      long wobble = round % 2 == 0 ? marginTokens / 5 : -marginTokens / 5;
+      split.report(report(1, 1, V1, begin + wobble), 0);
+      BackendServerId chosen = place(split, request, 0).server();
       changes += previous == null || previous.equals(chosen) ? 0 : 1;
       previous = chosen;
-      copies -= copies > 4_500 ? 90 : 0;
     }
+    assertThat(previous).isEqualTo(server(2));
     assertThat(changes).isLessThanOrEqualTo(1);
   }
 
