--- a/core/src/main/java/org/pollenrock/core/placement/CostModel.java
+++ b/core/src/main/java/org/pollenrock/core/placement/CostModel.java
@@ -1,5 +1,7 @@
 package org.pollenrock.core.placement;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.pollenrock.core.cache.ChainLookup;
 import org.pollenrock.core.model.BackendServerId;
@@ -127,8 +129,7 @@
     ChainLookup lookup = context.lookup(server.weights());
     int first = (int) ownBlocks;
     KvImport best = null;
-    for (BackendServerId source :
-        state.cache().holders(lookup, IMPORT_SOURCES, context.nowNanos())) {
+    for (BackendServerId source : importSources(context, transfer, lookup)) {
       int end = source.equals(server.server()) ? 0 : exported(context, transfer, source, lookup);
       if (end > first && (best == null || end > best.endBlock())) {
         best = new KvImport(source, first, end, transfer.nanos(end - first));
@@ -141,6 +142,17 @@
     return best.expectedNanos() < computeNanos ? Optional.of(best) : Optional.empty();
   }
 
+  /** The store and the engines that used the deepest blocks most recently. */
+  private List<BackendServerId> importSources(
+      PlacementContext context, KvTransfer transfer, ChainLookup lookup) {
+    List<BackendServerId> sources = new ArrayList<>();
+    transfer.store().ifPresent(sources::add);
+    if (transfer.fromEngines()) {
+      sources.addAll(state.cache().holders(lookup, IMPORT_SOURCES, context.nowNanos()));
+    }
+    return sources;
+  }
+
   /** Leading blocks that a source can export; a store has one endless incarnation. */
   private int exported(
       PlacementContext context, KvTransfer transfer, BackendServerId source, ChainLookup lookup) {
@@ -152,7 +164,7 @@
               .expectedBlocks(lookup, source, Placer.STORE_INCARNATION, context.nowNanos());
     }
     Optional<ServerLoad> engine = state.loads().server(source);
-    if (!transfer.fromEngines() || engine.isEmpty()) {
+    if (engine.isEmpty()) {
       return 0;
     }
     return (int)
--- a/core/src/test/java/org/pollenrock/core/placement/PlacerTest.java
+++ b/core/src/test/java/org/pollenrock/core/placement/PlacerTest.java
@@ -316,6 +316,24 @@
     return place(importing, request("c", 1), 0).kvImport();
   }
 
+  /** Guards against a store that is overlooked because many engines used the blocks later. */
+  @Test
+  void storeIsASourceHoweverManyEnginesHoldTheBlocks() {
+    BackendServerId store = new BackendServerId("kv");
+    KvTransfer transfer = new KvTransfer(Optional.of(store), false, 1_000_000, 1e9, MILLI);
+    Placer importing = placer(PlacerConfig.of(NEAR).withKvTransfer(transfer), 1);
+    reportAll(importing, SERVERS, 0, 0);
+    PlacementResult.Chosen chosen = place(importing, request("c", 1), 0);
+    importing.storeHolds(chosen.chain(), 0);
+    for (int holder = 1; holder < SERVERS; holder++) {
+      importing.cache().observed(server(holder), FIRST, chosen.chain(), 0, MILLI);
+    }
+    Set<BackendServerId> holders = new HashSet<>(servers(SERVERS - 1));
+    Optional<KvImport> found =
+        place(importing, request("c", 1).excluding(holders), MILLI).kvImport();
+    assertThat(found.map(KvImport::source)).contains(store);
+  }
+
   /** Guards against an import from an engine that no longer holds the blocks. */
   @Test
   void engineIsASourceOnlyInItsCurrentLife() {
