Detect a peer that takes data but no longer sends any

Cause: own writes postponed the receive deadline, so a router link that was silent in one direction only could stay in use. Change: writes count as progress only before the first byte of an answer; a test sends heartbeats into such a link.

--- a/core/src/main/java/org/pollenrock/core/connection/MonitoredConnection.java
+++ b/core/src/main/java/org/pollenrock/core/connection/MonitoredConnection.java
@@ -9,6 +9,7 @@
   private long progressAt;
   private long receiveDeadlineNanos;
   private long betweenNanos;
+  private boolean answering;
   private boolean sending;
   private long lastSentAt;
 
@@ -37,6 +38,7 @@
 
   void begin(long firstNanos, long nextNanos, long nowNanos) {
     state = ConnectionState.BUSY;
+    answering = false;
     progressAt = nowNanos;
     receiveDeadlineNanos = firstNanos;
     betweenNanos = nextNanos;
@@ -44,6 +46,7 @@
 
   void received(long nowNanos) {
     lastReceivedAt = nowNanos;
+    answering = true;
     progressAt = nowNanos;
     receiveDeadlineNanos = betweenNanos;
   }
@@ -56,11 +59,11 @@
   }
 
   void writeProgressed(boolean drained, long nowNanos) {
-    sending = !drained;
-    lastSentAt = nowNanos;
-    if (state == ConnectionState.BUSY && nowNanos > progressAt) {
+    if (sending && !answering) {
       progressAt = nowNanos;
     }
+    sending = !drained;
+    lastSentAt = nowNanos;
   }
 
   boolean sending() {
@@ -79,10 +82,13 @@
     state = ConnectionState.CLOSED;
   }
 
-  /** While own data still waits to be written, the peer cannot be expected to answer. */
+  /**
+   * Before its first byte the peer cannot be expected to answer a request that is still being sent.
+   * After it, own writes prove nothing: a peer may take data and no longer send any.
+   */
   boolean receiveSilent(long nowNanos) {
     return state == ConnectionState.BUSY
-        && !sending
+        && (answering || !sending)
         && nowNanos - progressAt > receiveDeadlineNanos;
   }
 
--- a/core/src/test/java/org/pollenrock/core/connection/ConnectionMonitorTest.java
+++ b/core/src/test/java/org/pollenrock/core/connection/ConnectionMonitorTest.java
@@ -87,6 +87,19 @@
     assertThat(monitor.tick(691 * MS)).contains(close(IDLE, CloseReason.RECEIVE_SILENCE));
   }
 
+  @Test
+  void ownWritesDoNotHideAPeerThatNoLongerSends() {
+    monitor.opened(OLD, 0);
+    monitor.exchangeStarted(OLD, 1_500 * MS, 1_500 * MS, 0);
+    monitor.received(OLD, 100 * MS);
+    for (long at = 500; at <= 1_500; at += 500) {
+      monitor.writeWaits(OLD, at * MS);
+      monitor.writeProgressed(OLD, true, (at + 1) * MS);
+      assertThat(monitor.tick((at + 1) * MS)).isEmpty();
+    }
+    assertThat(monitor.tick(1_601 * MS)).contains(close(OLD, CloseReason.RECEIVE_SILENCE));
+  }
+
   @Test
   void nonIdempotentCallsNeedAConnectionProvenRecently() {
     monitor.opened(OLD, 0);
