--- a/core/src/main/java/org/pollenrock/core/retry/RetryPolicy.java
+++ b/core/src/main/java/org/pollenrock/core/retry/RetryPolicy.java
@@ -92,18 +92,25 @@
       FailedAttempt failed, CallProgress call, ErrorCode code, String reason) {
     String message = "Attempt " + call.attempts() + " failed (" + failed.kind() + ") and " + reason;
     var peer = Optional.of(failed.peer());
+    Step step = step(failed);
     RunState runState = combine(call.earlierRunState(), failed.runState());
     RequestError error =
         switch (runState) {
-          case NOT_RUN -> new RequestError.Refusal(code, Step.SEND, peer, message);
-          case RAN ->
-              new RequestError.AfterRun(codeAfterRun(failed, code), Step.SEND, peer, message);
+          case NOT_RUN -> new RequestError.Refusal(code, step, peer, message);
+          case RAN -> new RequestError.AfterRun(codeAfterRun(failed, code), step, peer, message);
           case UNKNOWN ->
-              new RequestError.Uncertain(codeIfUnknown(call, code), Step.SEND, peer, message);
+              new RequestError.Uncertain(codeIfUnknown(call, code), step, peer, message);
         };
     return new RetryDecision.GiveUp(error);
   }
 
+  private static Step step(FailedAttempt failed) {
+    if (failed.tokensRelayed() > 0) {
+      return Step.RELAY;
+    }
+    return failed.kind() == FailureKind.ANSWER_MISMATCH ? Step.VERIFY : Step.SEND;
+  }
+
   private static ErrorCode codeAfterRun(FailedAttempt failed, ErrorCode code) {
     return failed.tokensRelayed() > 0 ? ErrorCode.STREAM_INTERRUPTED : code;
   }
--- a/core/src/test/java/org/pollenrock/core/retry/RetryPolicyTest.java
+++ b/core/src/test/java/org/pollenrock/core/retry/RetryPolicyTest.java
@@ -14,6 +14,7 @@
 import org.pollenrock.core.error.Peer;
 import org.pollenrock.core.error.RequestError;
 import org.pollenrock.core.error.RunState;
+import org.pollenrock.core.error.Step;
 import org.pollenrock.core.model.CustomerId;
 
 /** Guards against repeated non-idempotent calls, retry storms and untruthful refusals. */
@@ -65,6 +66,9 @@
     assertThat(error(refused, call(true, 3, RunState.RAN)).runState()).isEqualTo(RunState.RAN);
     assertThat(error(refused, call(true, 3, RunState.NOT_RUN)).runState())
         .isEqualTo(RunState.NOT_RUN);
+    FailedAttempt swapped =
+        new FailedAttempt(FailureKind.ANSWER_MISMATCH, PEER, RunState.UNKNOWN, true, 0);
+    assertThat(error(swapped, call(true, 3, RunState.NOT_RUN)).step()).isEqualTo(Step.VERIFY);
     assertThat(RetryPolicy.combine(RunState.UNKNOWN, RunState.RAN)).isEqualTo(RunState.RAN);
   }
 
@@ -75,8 +79,9 @@
         .isEqualTo(new RetryDecision.Resume(12));
     assertThat(budget.available(ALPHA)).isEqualTo(before);
     CallProgress late = new CallProgress(ALPHA, true, 1, RunState.NOT_RUN, 0);
-    assertThat(error(lost(RunState.RAN, true, 12), late).code())
-        .isEqualTo(ErrorCode.STREAM_INTERRUPTED);
+    RequestError error = error(lost(RunState.RAN, true, 12), late);
+    assertThat(error.code()).isEqualTo(ErrorCode.STREAM_INTERRUPTED);
+    assertThat(error.step()).isEqualTo(Step.RELAY);
   }
 
   @Test
