Check that no connection stays suspect after overlapping silences

Cause: removing the second probe after overlapping silences went undetected, and the property shared one monitor between its tries. Change: a monitor per try, a second silence before or after the first, and a connection opened in between.

--- a/core/src/test/java/org/pollenrock/core/connection/ConnectionMonitorTest.java
+++ b/core/src/test/java/org/pollenrock/core/connection/ConnectionMonitorTest.java
@@ -146,47 +146,56 @@
 
   /**
    * Silences connections at one moment and expects all of them resolved within the stated time,
-   * whenever exchanges and an earlier probe began and whether or not the server still answers.
+   * whenever another silence and its probe began and whether or not the server still answers. A
+   * connection that was opened meanwhile must not stay suspect for ever.
    */
   @Property(seed = "4107", tries = 10_000, shrinking = ShrinkingMode.BOUNDED)
   void silenceIsResolvedWithinTheStatedTime(
       @ForAll @LongRange(min = 1, max = 200) long progressMs,
-      @ForAll @LongRange(min = 0, max = 150) long earlierMs,
+      @ForAll @LongRange(min = -150, max = 150) long earlierMs,
+      @ForAll @LongRange(min = 0, max = 200) long youngMs,
       @ForAll @IntRange(min = 1, max = 99) int probeMs,
       @ForAll @IntRange(min = 0, max = 19) int phaseMs,
       @ForAll boolean serverAnswers) {
     long silentAt = 400;
-    long deadline = silentAt * MS + SETTINGS.worstRecoveryNanos(progressMs * MS);
-    ConnectionId earlier = new ConnectionId(9);
-    monitor.opened(earlier, 0);
-    monitor.opened(OLD, 0);
+    long otherSilentAt = Math.max(phaseMs, silentAt - earlierMs);
+    long deadline =
+        Math.max(silentAt, otherSilentAt) * MS + SETTINGS.worstRecoveryNanos(progressMs * MS);
+    ConnectionId other = new ConnectionId(9);
+    ConnectionMonitor checked = new ConnectionMonitor(SETTINGS);
+    checked.opened(other, 0);
+    checked.opened(OLD, 0);
     List<long[]> probes = new ArrayList<>();
     Set<ConnectionId> idleAtSilence = new HashSet<>();
     for (long ms = phaseMs; ms * MS <= deadline; ms++) {
       long now = ms * MS;
-      if (ms == Math.max(phaseMs, silentAt - earlierMs - 2)) {
-        monitor.exchangeStarted(earlier, MS, MS, now);
+      if (ms == otherSilentAt && checked.canCarry(other)) {
+        checked.exchangeStarted(other, MS, MS, now);
+      }
+      if (ms == silentAt + youngMs) {
+        checked.opened(YOUNG, now);
       }
-      if (ms == silentAt && monitor.canCarry(OLD)) {
-        monitor.exchangeStarted(OLD, progressMs * MS, progressMs * MS, now);
-        monitor.opened(IDLE, now);
+      if (ms == silentAt && checked.canCarry(OLD)) {
+        checked.exchangeStarted(OLD, progressMs * MS, progressMs * MS, now);
+        checked.opened(IDLE, now);
         idleAtSilence.add(IDLE);
       }
       for (long[] probe : List.copyOf(probes)) {
         if (serverAnswers && ms == probe[1]) {
-          collect(monitor.probeSucceeded(probe[0], now), probes, ms, probeMs);
+          collect(checked.probeSucceeded(probe[0], now), probes, ms, probeMs);
         }
       }
       if ((ms - phaseMs) % 20 == 0) {
-        collect(monitor.tick(now), probes, ms, probeMs);
+        collect(checked.tick(now), probes, ms, probeMs);
       }
     }
-    collect(monitor.tick(deadline), probes, deadline / MS, probeMs);
-    assertThat(monitor.state(OLD)).isEqualTo(ConnectionState.CLOSED);
+    collect(checked.tick(deadline), probes, deadline / MS, probeMs);
+    assertThat(checked.state(OLD)).isEqualTo(ConnectionState.CLOSED);
     for (ConnectionId connection : idleAtSilence) {
-      assertThat(monitor.state(connection)).isEqualTo(ConnectionState.CLOSED);
+      assertThat(checked.state(connection)).isEqualTo(ConnectionState.CLOSED);
     }
-    assertThat(monitor.serverSuspect()).isEqualTo(!serverAnswers);
+    assertThat(checked.state(YOUNG)).isNotEqualTo(ConnectionState.SUSPECT);
+    assertThat(checked.serverSuspect()).isEqualTo(!serverAnswers);
   }
 
   private static void collect(
