--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/claim/ClaimTableTest.java
@@ -0,0 +1,165 @@
+package org.pollenrock.core.claim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.pollenrock.core.model.CustomerId;
+import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.InstanceId;
+import org.pollenrock.core.record.RecordWriter;
+
+class ClaimTableTest {
+  private static final InstanceId ROUTER = new InstanceId("router-1");
+  private static final Incarnation LIFE = new Incarnation(3);
+  private static final Digest256 BODY = new Digest256(0, 0, 0, 1);
+  private static final int TRIES = 2_000;
+
+  private static ClaimRecord.Claimed claim(long number, long keyTimeMillis) {
+    ClaimId id = new ClaimId(ROUTER, LIFE, number);
+    return new ClaimRecord.Claimed(id, new Digest256(number, 0, 0, 0), BODY, keyTimeMillis);
+  }
+
+  /** Guards against keys that are not time-ordered and against a wrong embedded time. */
+  @Test
+  void keysAreUuidV7OrUlid() {
+    assertThat(IdempotencyKey.parse("017F22E2-79B0-7CC3-98C4-DC0C0C07398F"))
+        .contains(new IdempotencyKey("017f22e2-79b0-7cc3-98c4-dc0c0c07398f", 1_645_557_742_000L));
+    assertThat(IdempotencyKey.parse("01arz3ndektsv4rrffq69g5fav"))
+        .contains(new IdempotencyKey("01ARZ3NDEKTSV4RRFFQ69G5FAV", 1_469_922_850_259L));
+    assertThat(IdempotencyKey.parse("6fa459ea-ee8a-4ca4-894e-db77e160355e")).isEmpty();
+    assertThat(IdempotencyKey.parse("81ARZ3NDEKTSV4RRFFQ69G5FAV")).isEmpty();
+    assertThat(IdempotencyKey.parse("")).isEmpty();
+  }
+
+  /** Guards against a key of one customer or service that blocks another's. */
+  @Test
+  void keyDigestCoversTheScope() {
+    IdempotencyKey key = IdempotencyKey.parse("01ARZ3NDEKTSV4RRFFQ69G5FAV").orElseThrow();
+    Digest256 digest = Digest256.ofKey(new CustomerId("ab"), "c", key);
+    assertThat(Digest256.ofKey(new CustomerId("a"), "bc", key)).isNotEqualTo(digest);
+    assertThat(Digest256.ofKey(new CustomerId("ab"), "d", key)).isNotEqualTo(digest);
+    assertThat(Digest256.ofKey(new CustomerId("ab"), "c", key)).isEqualTo(digest);
+  }
+
+  /** Guards against a record that changes on its way through the log. */
+  @Test
+  void recordsSurviveTheCodec() {
+    ClaimId id = new ClaimId(ROUTER, LIFE, 9);
+    List<ClaimRecord> records =
+        List.of(
+            claim(9, 77),
+            new ClaimRecord.Released(id, BODY),
+            new ClaimRecord.Unknown(id, BODY),
+            new ClaimRecord.TimeMark(id));
+    byte[] batch = ClaimCodec.encodeBatch(ROUTER, LIFE, records);
+    assertThat(new ClaimCodec().decode(batch)).isEqualTo(records);
+    byte[] tooLong = new byte[CallOutcome.MAX_BODY_BYTES + 1];
+    ClaimRecord settled =
+        new ClaimRecord.Settled(id, BODY, CallOutcome.of(200, "text/plain", tooLong));
+    ClaimRecord.Settled decoded =
+        (ClaimRecord.Settled)
+            new ClaimCodec()
+                .decode(ClaimCodec.encodeBatch(ROUTER, LIFE, List.of(settled)))
+                .getFirst();
+    assertThat(decoded.outcome().status()).isEqualTo(200);
+    assertThat(decoded.outcome().bodyKept()).isFalse();
+  }
+
+  /** Guards against a corrupt record that stops the reader or hides its neighbours. */
+  @Test
+  void corruptAndUnknownRecordsAreSkippedAndCounted() {
+    byte[] batch = ClaimCodec.encodeBatch(ROUTER, LIFE, List.of(claim(1, 5), claim(2, 5)));
+    int second = batch.length - 1;
+    batch[second] ^= 1;
+    byte[] unknown = new RecordWriter().writeLong(1).frame(250);
+    byte[] both = Arrays.copyOf(batch, batch.length + unknown.length);
+    System.arraycopy(unknown, 0, both, batch.length, unknown.length);
+    ClaimCodec codec = new ClaimCodec();
+    assertThat(codec.decode(both)).containsExactly(claim(1, 5));
+    assertThat(codec.corruptFrames()).isEqualTo(1);
+    assertThat(codec.unknownTypes()).isEqualTo(1);
+  }
+
+  /** Guards against bytes of any kind that make the decoder throw. */
+  @Property(seed = "7501", tries = TRIES, shrinking = ShrinkingMode.BOUNDED)
+  void anyBytesAreDecodedWithoutAnError(@ForAll @Size(max = 200) byte[] bytes) {
+    byte[] batch = ClaimCodec.encodeBatch(ROUTER, LIFE, List.of(claim(1, 5)));
+    for (int i = 0; i < bytes.length && i < batch.length; i++) {
+      batch[(i * 7 + bytes.length) % batch.length] ^= bytes[i];
+    }
+    ClaimCodec codec = new ClaimCodec();
+    assertThat(codec.decode(bytes)).isNotNull();
+    assertThat(codec.decode(batch)).isIn(List.of(), List.of(claim(1, 5)));
+  }
+
+  /** Guards against a table that outgrows its bound, or forgets a claim and admits its key. */
+  @Test
+  void bytesAreBoundedAndForgottenKeysAreIncomplete() {
+    long bound = 20L * ClaimTable.ENTRY_BYTES;
+    ClaimTable table = new ClaimTable(100_000, 1_000, bound);
+    table.restart(0);
+    for (int i = 0; i < 50; i++) {
+      table.beginEntry(1_000 + i);
+      table.apply(claim(i, 1_000 + i), 1_000 + i);
+    }
+    assertThat(table.bytes()).isLessThanOrEqualTo(bound);
+    assertThat(table.size()).isEqualTo(20);
+    assertThat(table.completeFor(1_029)).isFalse();
+    assertThat(table.completeFor(1_030)).isTrue();
+  }
+
+  /** Guards against a dropped body that turns a run into an unknown one. */
+  @Test
+  void oldestBodyIsDroppedFirstAndTheRunStaysKnown() {
+    int bodyBytes = 4_000;
+    long bound = 2L * (ClaimTable.ENTRY_BYTES + ClaimTable.OUTCOME_BYTES) + bodyBytes + 10;
+    ClaimTable table = new ClaimTable(100_000, 1_000, bound);
+    table.restart(0);
+    for (int i = 0; i < 2; i++) {
+      ClaimRecord.Claimed claimed = claim(i, 1_000);
+      table.apply(claimed, 1_000);
+      CallOutcome outcome = CallOutcome.of(200, "", new byte[bodyBytes]);
+      table.apply(new ClaimRecord.Settled(claimed.claim(), claimed.key(), outcome), 1_000);
+    }
+    assertThat(table.find(claim(0, 0).key()).orElseThrow().outcome().bodyKept()).isFalse();
+    assertThat(table.find(claim(1, 0).key()).orElseThrow().outcome().bodyKept()).isTrue();
+    assertThat(table.size()).isEqualTo(2);
+  }
+
+  /** Guards against entries and bytes that stay after the window. */
+  @Test
+  void entriesLeaveWithTheWindow() {
+    ClaimTable table = new ClaimTable(1_000, 100, 1_000_000);
+    table.restart(0);
+    ClaimRecord.Claimed claimed = claim(1, 500);
+    table.apply(claimed, 500);
+    CallOutcome outcome = CallOutcome.of(200, "", new byte[10]);
+    table.apply(new ClaimRecord.Settled(claimed.claim(), claimed.key(), outcome), 501);
+    table.apply(new ClaimRecord.Released(claim(2, 0).claim(), claim(2, 0).key()), 501);
+    table.observeTime(1_500);
+    assertThat(table.size()).isEqualTo(2);
+    table.observeTime(1_602);
+    assertThat(table.size()).isZero();
+    assertThat(table.bytes()).isZero();
+  }
+
+  /** Guards against appends more often than the interval and against one that is too large. */
+  @Test
+  void batcherAppendsOnceAnIntervalAndBoundsTheBatch() {
+    ClaimBatcher batcher = new ClaimBatcher(ROUTER, LIFE, ClaimSettings.defaults());
+    for (int i = 0; i < 1_000; i++) {
+      batcher.offer(claim(i, 1));
+    }
+    long interval = ClaimSettings.defaults().batchIntervalNanos();
+    ClaimBatcher.Append append = batcher.poll(0).orElseThrow();
+    assertThat(append.data().length).isLessThanOrEqualTo(ClaimBatcher.MAX_BATCH_BYTES);
+    assertThat(batcher.poll(interval - 1)).isEmpty();
+    assertThat(batcher.poll(interval)).isPresent();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/lease/LeaseHolderTest.java
@@ -0,0 +1,85 @@
+package org.pollenrock.core.lease;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.InstanceId;
+import org.pollenrock.core.record.InMemoryLog;
+
+class LeaseHolderTest {
+  private static final long MILLI = 1_000_000L;
+  private static final LeaseSettings SETTINGS =
+      new LeaseSettings(3_000 * MILLI, 300 * MILLI, 500 * MILLI, 1_000 * MILLI, 0);
+
+  private final InMemoryLog log = new InMemoryLog(0);
+  private final LeaseTable table = new LeaseTable();
+  private final LeaseHolder holder =
+      new LeaseHolder("orders", new LeaseOwner(new InstanceId("a"), new Incarnation(1)), SETTINGS);
+  private final List<LeaseDecision> decisions = new ArrayList<>();
+
+  /** Carries out appends and reads the log back at a time. */
+  private void appendAndRead(long nowNanos) {
+    for (LeaseDecision decision : List.copyOf(decisions)) {
+      if (decision instanceof LeaseDecision.AppendLease append) {
+        log.append(append.data());
+      }
+    }
+    decisions.clear();
+    for (LeaseTable.Applied applied : table.apply(log.read(table.nextOffset(), 100))) {
+      decisions.addAll(holder.applied(applied, nowNanos));
+    }
+  }
+
+  /** Guards against a validity that is counted from the answer instead of the request. */
+  @Test
+  void validityCountsFromBeforeTheAppendMinusTheMargin() {
+    decisions.addAll(holder.start(0));
+    appendAndRead(900 * MILLI);
+    assertThat(holder.fence(900 * MILLI)).contains(new FencingNumber(0));
+    decisions.addAll(holder.tick(1_800 * MILLI));
+    decisions.addAll(holder.tick(2_600 * MILLI));
+    assertThat(holder.fence(2_699 * MILLI)).isPresent();
+    assertThat(holder.fence(2_700 * MILLI)).isEmpty();
+  }
+
+  /** Guards against an order that is sent directly after a pause, before any check. */
+  @Test
+  void pauseEndsTheLeaseUntilALaterRequestIsGranted() {
+    decisions.addAll(holder.start(0));
+    appendAndRead(10 * MILLI);
+    assertThat(holder.fence(1_011 * MILLI)).isEmpty();
+    decisions.addAll(holder.tick(1_500 * MILLI));
+    assertThat(decisions).contains(new LeaseDecision.Lost("paused"));
+    appendAndRead(1_510 * MILLI);
+    assertThat(holder.fence(1_510 * MILLI)).contains(new FencingNumber(1));
+  }
+
+  /** Guards against a lease that runs out because nobody renews it in time. */
+  @Test
+  void leaseIsRenewedWellBeforeItsEnd() {
+    decisions.addAll(holder.start(0));
+    appendAndRead(10 * MILLI);
+    decisions.addAll(holder.tick(1_000 * MILLI));
+    log.timeMillis(1_000);
+    appendAndRead(1_010 * MILLI);
+    assertThat(table.holder("orders").orElseThrow().expiresMillis()).isEqualTo(4_000);
+    assertThat(holder.fence(1_010 * MILLI)).contains(new FencingNumber(1));
+  }
+
+  /** Guards against a release that takes effect late and frees a newer grant. */
+  @Test
+  void stoppedHolderReleasesAndDoesNotAskAgain() {
+    decisions.addAll(holder.start(0));
+    appendAndRead(10 * MILLI);
+    decisions.clear();
+    decisions.addAll(holder.stop(20 * MILLI));
+    assertThat(holder.fence(20 * MILLI)).isEmpty();
+    appendAndRead(30 * MILLI);
+    assertThat(table.holder("orders")).isEmpty();
+    assertThatThrownBy(() -> holder.start(40 * MILLI)).isInstanceOf(IllegalStateException.class);
+  }
+}
