Judge the log's retention by the age of dropped entries

A quiet log keeps few entries however long it keeps them, so the age of the oldest kept entry refused claims for half an hour after a quiet night.

--- a/core/src/main/java/org/pollenrock/core/claim/ClaimLog.java
+++ b/core/src/main/java/org/pollenrock/core/claim/ClaimLog.java
@@ -46,6 +46,7 @@
    * @return true when entries were missed
    */
   boolean align(LogRead read) {
+    horizon.firstOffset(read.first());
     if (nextOffset >= 0 && read.from() <= nextOffset) {
       return false;
     }
@@ -57,7 +58,6 @@
   }
 
   void apply(LogRead read, BiConsumer<ClaimRecord, ClaimTable.Verdict> sink) {
-    horizon.firstOffset(read.first());
     for (LogEntry entry : read.entries()) {
       if (entry.offset() >= nextOffset) {
         apply(entry, sink);
--- a/core/src/main/java/org/pollenrock/core/claim/LogHorizon.java
+++ b/core/src/main/java/org/pollenrock/core/claim/LogHorizon.java
@@ -3,16 +3,17 @@
 import java.util.ArrayDeque;
 
 /**
- * How far back the log reaches, from the times of the entries that were read.
+ * Whether the log keeps entries long enough, from the times of the entries that it dropped.
  *
- * <p>Keeps one sample per fraction of the window, so its size does not depend on traffic.
+ * <p>A quiet log may keep few entries and still keep them long, so only the age of dropped ones
+ * counts. Keeps one sample per fraction of the window, so its size does not depend on traffic.
  */
 final class LogHorizon {
   private static final int SAMPLES_PER_WINDOW = 16;
 
   private final long windowMillis;
   private final ArrayDeque<Sample> samples = new ArrayDeque<>();
-  private long firstOffset;
+  private long newestDroppedMillis = Long.MIN_VALUE;
 
   private record Sample(long offset, long timeMillis) {}
 
@@ -32,17 +33,14 @@
   }
 
   void firstOffset(long offset) {
-    firstOffset = Math.max(firstOffset, offset);
-    while (!samples.isEmpty() && samples.peek().offset() < firstOffset) {
-      samples.remove();
+    while (!samples.isEmpty() && samples.peek().offset() < offset) {
+      newestDroppedMillis = Math.max(newestDroppedMillis, samples.remove().timeMillis());
     }
   }
 
-  /** Whether the log, once it drops entries, still keeps twice the window as the design demands. */
+  /** False while the log has dropped an entry that is younger than twice the window. */
   boolean longEnough(long newestTimeMillis) {
-    if (firstOffset == 0) {
-      return true;
-    }
-    return !samples.isEmpty() && newestTimeMillis - samples.peek().timeMillis() >= 2 * windowMillis;
+    return newestDroppedMillis == Long.MIN_VALUE
+        || newestTimeMillis - newestDroppedMillis >= 2 * windowMillis;
   }
 }
