--- a/core/src/test/java/org/pollenrock/core/settings/SettingsFixtures.java
+++ b/core/src/test/java/org/pollenrock/core/settings/SettingsFixtures.java
@@ -221,12 +221,15 @@
 
   /** All that acceptance depends on, in a comparable form. */
   static Map<String, Object> state(SettingsHistory history) {
-    SettingsSnapshot snapshot = history.snapshot();
+    return state(history.snapshot());
+  }
+
+  static Map<String, Object> state(SettingsSnapshot snapshot) {
     return Map.of(
         "next", snapshot.next(),
         "revision", snapshot.revision(),
         "tree", snapshot.tree(),
-        "digest", history.digest().toString(),
+        "digest", snapshot.digest(),
         "outcomes", snapshot.outcomes(),
         "paths", snapshot.pathRevisions());
   }
--- a/core/src/test/java/org/pollenrock/core/settings/SettingsHistoryPropertyTest.java
+++ b/core/src/test/java/org/pollenrock/core/settings/SettingsHistoryPropertyTest.java
@@ -65,28 +65,33 @@
   void stateNeverReverts(@ForAll long seed) {
     Random random = new Random(seed);
     List<LogRecord> log = logWithSnapshots(random);
-    List<Map<String, Object>> states = statesOfPrefixes(log);
+    List<SettingsSnapshot> prefixes = prefixes(log);
     SettingsHistory history = new SettingsHistory();
     for (int step = 0; step < 30; step++) {
       long revision = history.revision();
       long next = history.next();
-      step(history, log, random);
+      step(history, log, prefixes, random);
       assertThat(history.revision()).isGreaterThanOrEqualTo(revision);
       assertThat(history.next()).isGreaterThanOrEqualTo(next);
       if (history.next() > 0) {
-        assertThat(SettingsFixtures.state(history)).isEqualTo(states.get((int) history.next()));
+        assertThat(SettingsFixtures.state(history))
+            .isEqualTo(SettingsFixtures.state(prefixes.get((int) history.next() - 1)));
       }
     }
   }
 
-  private static void step(SettingsHistory history, List<LogRecord> log, Random random) {
+  private static void step(
+      SettingsHistory history,
+      List<LogRecord> log,
+      List<SettingsSnapshot> prefixes,
+      Random random) {
     int from = random.nextInt(log.size());
     int to = from + random.nextInt(log.size() - from + 1);
     switch (random.nextInt(4)) {
       case 0 -> history.apply(new LogBatch(from, to, log.subList(from, to)));
       case 1 -> {
         if (from > 0) {
-          history.install(SettingsFixtures.read(log.subList(0, from)).snapshot());
+          history.install(prefixes.get(from - 1));
         }
       }
       case 2 -> history.truncated(from);
@@ -98,15 +103,15 @@
     }
   }
 
-  private static List<Map<String, Object>> statesOfPrefixes(List<LogRecord> log) {
-    List<Map<String, Object>> states = new ArrayList<>();
-    states.add(Map.of());
+  /** The state after each record. */
+  private static List<SettingsSnapshot> prefixes(List<LogRecord> log) {
+    List<SettingsSnapshot> prefixes = new ArrayList<>();
     SettingsHistory history = new SettingsHistory();
     for (LogRecord entry : log) {
       history.apply(new LogBatch(entry.offset(), entry.offset() + 1, List.of(entry)));
-      states.add(SettingsFixtures.state(history));
+      prefixes.add(history.snapshot());
     }
-    return states;
+    return prefixes;
   }
 
   /**
@@ -136,12 +141,14 @@
   /** A log whose routers wrote snapshots now and then. */
   private static List<LogRecord> logWithSnapshots(Random random) {
     List<LogRecord> log = new ArrayList<>();
+    SettingsHistory history = new SettingsHistory();
     for (LogRecord entry : SettingsFixtures.randomLog(random, LENGTH)) {
       log.add(new LogRecord(log.size(), log.size(), entry.data()));
+      history.apply(new LogBatch(history.next(), log.size(), List.of(log.getLast())));
       if (random.nextInt(8) == 0) {
-        SettingsSnapshot snapshot = SettingsFixtures.read(log).snapshot();
-        for (SnapshotPart part : SnapshotCodec.encode(snapshot)) {
+        for (SnapshotPart part : SnapshotCodec.encode(history.snapshot())) {
           log.add(new LogRecord(log.size(), log.size(), SettingsCodec.encode(part)));
+          history.apply(new LogBatch(history.next(), log.size(), List.of(log.getLast())));
         }
       }
     }
