--- a/ctl/src/main/java/org/pollenrock/ctl/command/CheckCommand.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/command/CheckCommand.java
@@ -41,7 +41,7 @@
         json,
         out -> {
           errors.forEach(out::println);
-          out.println(errors.isEmpty() ? "valid" : errors.size() + " errors");
+          out.println(errors.isEmpty() ? "valid" : "errors: " + errors.size());
         });
     return errors.isEmpty() ? 0 : CommandFailure.NEGATIVE;
   }
--- a/ctl/src/main/java/org/pollenrock/ctl/load/LoadFigures.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/load/LoadFigures.java
@@ -119,8 +119,10 @@
     kinds.forEach((name, kind) -> printKind(out, name, kind));
     kinds.forEach(
         (name, kind) -> {
-          out.printf("%nTime to first token of %s%n", name);
-          printDistribution(out, kind.firstByte);
+          if (kind.firstByte.getTotalCount() > 0) {
+            out.printf("%nTime to first token or answer of %s%n", name);
+            printDistribution(out, kind.firstByte);
+          }
         });
   }
 
--- a/ctl/src/main/java/org/pollenrock/ctl/log/LogClient.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/log/LogClient.java
@@ -118,7 +118,8 @@
     try {
       return http.send(request, HttpResponse.BodyHandlers.ofString());
     } catch (ConnectException e) {
-      throw new LogException("the log at " + records.getAuthority() + " refused", false);
+      throw new LogException(
+          "the log at " + records.getAuthority() + " refused the connection", false);
     } catch (IOException e) {
       throw new LogException("the log at " + records.getAuthority() + ": " + e, append);
     }
--- a/ctl/src/main/java/org/pollenrock/ctl/log/SettingsLog.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/log/SettingsLog.java
@@ -70,7 +70,8 @@
       long from = history.readFrom();
       end = Math.min(readPage(limit, Duration.ZERO), limit);
       if (history.readFrom() == from && from < end) {
-        throw new LogException("the log returned no record from " + from + ", below its head", false);
+        throw new LogException(
+            "the log returned no record from " + from + ", below its head", false);
       }
     } while (history.readFrom() < end);
   }
