Settle claims of calls that were never sent, and bound whole answers by their length

A claim whose call could not be connected stayed held for ever after the request gave up. The head of an answer no longer counts as progress, because an engine may send it before its prefill; an answer that is not streamed is given time for its tokens instead of the whole deadline.

--- a/router/src/main/java/org/pollenrock/router/filter/ClaimFilter.java
+++ b/router/src/main/java/org/pollenrock/router/filter/ClaimFilter.java
@@ -61,7 +61,14 @@
       exchange.refuse(ErrorCode.OVERLOADED, "too many requests wait for a decision");
       return;
     }
-    exchange.atEnd(ticket::cancelUnlessSent);
+    exchange.atEnd(
+        () ->
+            ticket.requestEnded(
+                new RequestError.Refusal(
+                    ErrorCode.SERVER_FAILED,
+                    Step.SEND,
+                    Optional.empty(),
+                    "the call could not be sent")));
   }
 
   /** Covers method and target too: a key stands for one call. */
--- a/router/src/main/java/org/pollenrock/router/filter/ClaimTicket.java
+++ b/router/src/main/java/org/pollenrock/router/filter/ClaimTicket.java
@@ -10,6 +10,7 @@
   private final long callId;
   private final Decisions decisions;
   private boolean asked;
+  private boolean inFlight;
   private boolean settled;
 
   ClaimTicket(long callId, Decisions decisions) {
@@ -30,6 +31,16 @@
     decisions.maySendClaimed(callId, reply);
   }
 
+  /** Notes that bytes may leave from now on, until {@link #returned}. */
+  void sending() {
+    inFlight = true;
+  }
+
+  /** Notes that an attempt ended. */
+  void returned() {
+    inFlight = false;
+  }
+
   void finished(CallOutcome outcome) {
     if (settle()) {
       decisions.claimFinished(callId, outcome);
@@ -48,8 +59,17 @@
     }
   }
 
-  void cancelUnlessSent() {
-    if (!asked && settle()) {
+  /**
+   * Ends the claim with its request, unless an attempt is in flight, which settles it later. No
+   * byte left then: an attempt after which bytes may have left settles the claim itself.
+   */
+  void requestEnded(RequestError.Refusal reason) {
+    if (inFlight || !settle()) {
+      return;
+    }
+    if (asked) {
+      decisions.claimNotSent(callId, reason);
+    } else {
       decisions.claimCancelled(callId);
     }
   }
--- a/router/src/main/java/org/pollenrock/router/filter/EngineAttempt.java
+++ b/router/src/main/java/org/pollenrock/router/filter/EngineAttempt.java
@@ -33,6 +33,12 @@
   private static final int OK = 200;
   private static final int MAX_MESSAGE_CHARS = 300;
 
+  /** Tokens assumed for an answer whose length the caller did not bound. */
+  private static final long UNBOUNDED_ANSWER_TOKENS = 1_024;
+
+  /** Tokens that a working engine decodes at least within the longest gap between two tokens. */
+  private static final int TOKENS_WITHIN_GAP = 8;
+
   private final Exchange exchange;
   private final Choice.Engine choice;
   private final AttemptContext context;
@@ -100,11 +106,15 @@
         Math.max(
             context.times().leastFirstToken().toNanos(),
             (long) (expected * context.times().firstTokenFactor()));
-    // An answer that is not streamed arrives at its end, so only the caller's deadline bounds it.
     long between = context.times().betweenTokens().toNanos();
-    return call.streamed()
-        ? new ProgressDeadline(first, between)
-        : new ProgressDeadline(exchange.deadlineNanos() - now(), between);
+    if (call.streamed()) {
+      return new ProgressDeadline(first, between);
+    }
+    // An answer that is not streamed arrives at its end, after all of its tokens.
+    long tokens = call.maxTokens().orElse(UNBOUNDED_ANSWER_TOKENS);
+    long left = exchange.deadlineNanos() - now();
+    double whole = first + (double) tokens * between / TOKENS_WITHIN_GAP;
+    return new ProgressDeadline((long) Math.min(left, whole), between);
   }
 
   private long now() {
@@ -123,7 +133,7 @@
 
   @Override
   public void onHead(EngineHead answerHead) {
-    progressNanos = now();
+    // An engine may send the head before its prefill, so only a token counts as progress.
     onLoop(
         () -> {
           head = answerHead;
--- a/router/src/main/java/org/pollenrock/router/filter/PlainAttempt.java
+++ b/router/src/main/java/org/pollenrock/router/filter/PlainAttempt.java
@@ -75,6 +75,7 @@
   }
 
   private void sendNow() {
+    exchange.claim().ifPresent(ClaimTicket::sending);
     progressNanos = now();
     long left = Math.max(LEAST_TIMEOUT_NANOS, exchange.deadlineNanos() - progressNanos);
     PlainCall call =
@@ -101,17 +102,19 @@
 
   /** Records the outcome of a claimed call whose caller was answered or has left. */
   private void answeredAfterEnd(Result<PlainAnswer> result) {
-    exchange
-        .claim()
-        .ifPresent(
-            claim -> {
-              if (result instanceof Result.Success<PlainAnswer>(PlainAnswer received)
-                  && accepted(received)) {
-                claim.finished(outcome(received));
-              } else {
-                claim.unknown();
-              }
-            });
+    exchange.claim().ifPresent(claim -> settleAfterEnd(claim, result));
+  }
+
+  private void settleAfterEnd(ClaimTicket claim, Result<PlainAnswer> result) {
+    claim.returned();
+    switch (result) {
+      case Result.Success<PlainAnswer>(PlainAnswer received) when isLeavingRefusal(received) ->
+          claim.notSent(refusal(FailureKind.REFUSED_LEAVING, "the server refused the call"));
+      case Result.Success<PlainAnswer>(PlainAnswer received) when accepted(received) ->
+          claim.finished(outcome(received));
+      case Result.Failure<PlainAnswer>(RequestError.Refusal notSent) -> claim.notSent(notSent);
+      default -> claim.unknown();
+    }
   }
 
   private static CallOutcome outcome(PlainAnswer received) {
@@ -161,6 +164,7 @@
     if (over) {
       return;
     }
+    exchange.claim().ifPresent(ClaimTicket::returned);
     switch (result) {
       case Result.Success<PlainAnswer>(PlainAnswer received) -> {
         answer = received;
@@ -216,6 +220,7 @@
   private void failed(FailureKind kind, RunState runState, boolean bytesMayHaveLeft) {
     end(kind == FailureKind.REFUSED_LEAVING);
     work.cancel();
+    exchange.claim().ifPresent(ClaimTicket::returned);
     if (bytesMayHaveLeft) {
       exchange.claim().ifPresent(claim -> settle(claim, kind, runState));
     }
--- a/router/src/main/java/org/pollenrock/router/task/ReportConversion.java
+++ b/router/src/main/java/org/pollenrock/router/task/ReportConversion.java
@@ -29,7 +29,6 @@
             report.running(),
             report.slots(),
             report.prefillTokensPerSecond(),
-            report.decodeTokensPerSecond(),
             report.cacheCapacityBlocks(),
             report.storedBlocksPerSecond()),
         report.timeMillis());
