--- a/router/src/main/java/org/pollenrock/router/Router.java
+++ b/router/src/main/java/org/pollenrock/router/Router.java
@@ -8,21 +8,27 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.pollenrock.adapters.engine.EngineAddress;
 import org.pollenrock.core.connection.ConnectionSettings;
 import org.pollenrock.core.error.Result;
+import org.pollenrock.core.membership.ListedRouter;
+import org.pollenrock.core.membership.ServerEvidence;
 import org.pollenrock.core.model.BackendServerId;
-import org.pollenrock.core.model.InstanceId;
 import org.pollenrock.core.placement.PlacerConfig;
+import org.pollenrock.core.settings.LogRecord;
+import org.pollenrock.protocol.link.PeerIdentity;
 import org.pollenrock.router.caller.CallerLimits;
 import org.pollenrock.router.caller.CallerListener;
 import org.pollenrock.router.decision.DecisionState;
@@ -41,8 +47,8 @@
 import org.pollenrock.router.task.ListTask;
 import org.pollenrock.router.task.LogReader;
 import org.pollenrock.router.task.LogTask;
+import org.pollenrock.router.task.PeerTask;
 import org.pollenrock.router.task.ReportTask;
-import org.pollenrock.router.task.RouterEntry;
 import org.pollenrock.settings.HostPort;
 import org.pollenrock.settings.ProcessSettings;
 import org.pollenrock.settings.StopSettings;
@@ -71,6 +77,7 @@
   private final ReportTask reportTask;
   private final CacheEventTask eventTask;
   private final LogTask logTask;
+  private final PeerTask peerTask;
   private final RouterMetrics metrics = new RouterMetrics();
   private final RouterTls tls;
   private final CallerListener callers;
@@ -121,6 +128,15 @@
                 process.log().readRecords(), Duration.ofNanos(process.log().pollWaitNanos())),
             random(config),
             decisions);
+    this.peerTask =
+        new PeerTask(
+            loops,
+            new PeerIdentity(name, process.dataCentre().value(), config.incarnation().value()),
+            socket(process.listen().peers()),
+            tls.peers(),
+            process.seeds().stream().map(Router::socket).collect(Collectors.toSet()),
+            random(config),
+            decisions);
     this.callers =
         new CallerListener(
             loops,
@@ -197,7 +213,8 @@
         process.limits().queuedRequests(),
         process.limits().queuedPerCustomer(),
         TimeUnit.NANOSECONDS.toMillis(process.log().retentionNanos()),
-        process.memory().claimBytes());
+        process.memory().claimBytes(),
+        process.seeds().size());
   }
 
   private static ConnectionSettings connections(RouterTimes times) {
@@ -229,6 +246,7 @@
     decisionTask.start();
     reportTask.start();
     eventTask.start();
+    peerTask.start();
     listTask.start();
     logTask.start();
     tls.start();
@@ -247,6 +265,7 @@
     CompletableFuture<Integer> aborted = new CompletableFuture<>();
     StopSettings stop = config.process().stop();
     draining = true;
+    peerTask.drain();
     LOG.info("draining");
     long hardStop = System.nanoTime() + stop.hardStopAfterNanos();
     loops
@@ -291,6 +310,7 @@
     callers.stop();
     operators.stop();
     tls.stop();
+    peerTask.stop();
     logTask.stop();
     listTask.stop();
     reportTask.stop();
@@ -328,6 +348,15 @@
     return callers.boundAddress();
   }
 
+  /**
+   * Where other routers connect.
+   *
+   * @return the bound address
+   */
+  public InetSocketAddress peerAddress() {
+    return peerTask.boundAddress();
+  }
+
   /**
    * Where operators connect.
    *
@@ -344,19 +373,46 @@
   }
 
   private void listed(ListTask.Listing listing) {
-    String dataCentre = config.process().dataCentre().value();
-    var routers = listing.routers().stream().filter(entry -> !entry.leaving()).toList();
-    var ids = routers.stream().map(RouterEntry::id).map(InstanceId::new).toList();
-    int local =
-        (int) routers.stream().filter(entry -> entry.dataCentre().equals(dataCentre)).count();
     decisions.tell(
         state -> {
           state.servers(listing.version(), listing.servers());
-          state.routers(ids, local);
+          state.routers(listing.version(), listing.routers());
         });
+    Set<InetSocketAddress> peers = new HashSet<>();
+    for (ListedRouter router : listing.routers()) {
+      if (!router.id().equals(config.process().instance())) {
+        HostPort.parse(router.address()).map(Router::socket).ifPresent(peers::add);
+      }
+    }
+    peerTask.connectTo(peers);
   }
 
   private final class Outside implements DecisionState.Outside {
+    @Override
+    public void applied(long offset) {
+      peerTask.applied(offset);
+    }
+
+    @Override
+    public void pull(String peer, long from) {
+      peerTask.pull(peer, from);
+    }
+
+    @Override
+    public void sendRecords(String peer, List<LogRecord> records) {
+      peerTask.sendRecords(peer, records);
+    }
+
+    @Override
+    public void broadcastRecords(List<LogRecord> records) {
+      peerTask.broadcastRecords(records);
+    }
+
+    @Override
+    public void broadcastDigests(List<ServerEvidence.PeerDigest> digests) {
+      peerTask.broadcastDigests(digests);
+    }
+
     @Override
     public void probe(ServerEntry entry, long probe) {
       clients
--- a/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
+++ b/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
@@ -13,6 +13,11 @@
 import org.pollenrock.core.connection.ConnectionSettings;
 import org.pollenrock.core.limits.ShareLedger;
 import org.pollenrock.core.limits.ShareSettings;
+import org.pollenrock.core.membership.ListedRouter;
+import org.pollenrock.core.membership.MembershipSettings;
+import org.pollenrock.core.membership.RouterHeartbeat;
+import org.pollenrock.core.membership.RouterTable;
+import org.pollenrock.core.membership.ServerEvidence;
 import org.pollenrock.core.model.BackendServerId;
 import org.pollenrock.core.model.DataCentreId;
 import org.pollenrock.core.model.Incarnation;
@@ -31,6 +36,7 @@
 /** All state that decisions are made on; confined to the decision thread. */
 public final class DecisionState {
   private static final long MILLI = 1_000_000L;
+  private static final long TELL_INTERVAL_NANOS = 400 * MILLI;
   private static final int LEND_PERCENT = 50;
   private static final int MAX_LOANS = 1_000;
 
@@ -44,15 +50,17 @@
   private final LinkWatch links;
   private final Claims claims;
   private final SettingsLog settingsLog;
+  private final RouterTable routerTable;
   private final Outside outside;
   private final LongSupplier nanoClock;
   private final Set<ModelId> models = new HashSet<>();
   private List<ServerEntry> watched = List.of();
   private List<InstanceId> routerIds;
   private int routers = 1;
+  private long nextTellNanos;
 
   /** What the state asks of the tasks that own connections. */
-  public interface Outside {
+  public interface Outside extends PeerLinks {
     /**
      * Tests on a fresh connection whether a server answers; the end is told by {@link
      * DecisionState#probeEnded}.
@@ -112,6 +120,7 @@
    * @param maxQueuedPerCustomer most of one customer
    * @param logRetentionMillis time for which the log keeps records, in milliseconds
    * @param claimBytes memory of the claim table
+   * @param seeds number of peer addresses in the process settings
    */
   public record Parameters(
       InstanceId instance,
@@ -123,7 +132,8 @@
       int maxQueued,
       int maxQueuedPerCustomer,
       long logRetentionMillis,
-      long claimBytes) {
+      long claimBytes,
+      int seeds) {
     /**
      * The strategy of normal operation.
      *
@@ -174,8 +184,17 @@
             new SnapshotSchedule(parameters.instance(), parameters.logRetentionMillis()),
             this::inForce,
             outside::appendSnapshot,
+            outside,
+            random,
             nanoClock);
+    this.routerTable =
+        new RouterTable(
+            parameters.instance(),
+            parameters.dataCentre(),
+            parameters.seeds(),
+            MembershipSettings.defaults());
     this.routerIds = List.of(parameters.instance());
+    this.nextTellNanos = nanoClock.getAsLong();
   }
 
   /** The window must be less than half of the retention, or an old key could run again. */
@@ -246,19 +265,58 @@
   }
 
   /**
-   * Takes the names of the routers in the list.
+   * Takes the routers of the instance list.
    *
-   * @param all every router of the deployment
-   * @param inDataCentre number of those in the own data centre
+   * @param version version of the list
+   * @param listed every router in it
    */
-  public void routers(List<InstanceId> all, int inDataCentre) {
-    routerIds = List.copyOf(all);
-    routers = Math.max(1, all.size());
-    shares.setRouters(all);
-    placement.placer().routers(Math.max(1, inDataCentre));
+  public void routers(long version, List<ListedRouter> listed) {
+    routerTable.listRead(version, listed);
+    routerIds = listed.stream().filter(entry -> !entry.leaving()).map(ListedRouter::id).toList();
+    routers = Math.max(1, routerIds.size());
+    shares.setRouters(routerIds);
+    refreshWorkers();
     refreshModels();
   }
 
+  /**
+   * Takes a heartbeat of another router.
+   *
+   * @param heartbeat the heartbeat
+   */
+  public void routerHeartbeat(RouterHeartbeat heartbeat) {
+    if (routerTable.heartbeat(heartbeat, now())) {
+      settingsLog.peerApplied(heartbeat.from().value(), heartbeat.settingsRevision());
+    }
+  }
+
+  /**
+   * Takes what a peer passes on of servers.
+   *
+   * @param digests one entry for each server
+   */
+  public void peerDigests(List<ServerEvidence.PeerDigest> digests) {
+    directory.passedOn(digests);
+  }
+
+  /** Passes on to all peers what servers said to this router. */
+  public void tellPeers() {
+    refreshWorkers();
+    long now = now();
+    if (now - nextTellNanos < 0) {
+      return;
+    }
+    nextTellNanos = now + TELL_INTERVAL_NANOS;
+    List<ServerEvidence.PeerDigest> digests = directory.digests();
+    if (!digests.isEmpty()) {
+      outside.broadcastDigests(digests);
+    }
+  }
+
+  private void refreshWorkers() {
+    placement.placer().routers(Math.max(1, routerTable.workers(now()).size()));
+  }
+
   /**
    * Takes an engine's report.
    *
@@ -326,6 +384,7 @@
       links.gone(gone);
     }
     watchReports();
+    routerTable.tick(now());
     admission.tick(now());
     links.tick(now());
     claims.tick();
--- a/router/src/main/java/org/pollenrock/router/decision/ServerDirectory.java
+++ b/router/src/main/java/org/pollenrock/router/decision/ServerDirectory.java
@@ -64,6 +64,19 @@
     refresh();
   }
 
+  /** Takes what a peer passes on. */
+  void passedOn(List<ServerEvidence.PeerDigest> digests) {
+    digests.forEach(digest -> table.observe(digest, now()));
+    refresh();
+  }
+
+  /** What is passed on to peers: words of leaving servers, and recent ones of live servers. */
+  List<ServerEvidence.PeerDigest> digests() {
+    return table.digests(now()).stream()
+        .filter(digest -> digest.leaving() || digest.ageNanos() <= PeerLinks.MAX_DIGEST_AGE_NANOS)
+        .toList();
+  }
+
   /** Lets evidence grow old; returns the servers that are gone since the last time. */
   Set<BackendServerId> tick() {
     table.tick(now());
--- a/router/src/main/java/org/pollenrock/router/task/ListTask.java
+++ b/router/src/main/java/org/pollenrock/router/task/ListTask.java
@@ -12,8 +12,10 @@
 import org.pollenrock.adapters.list.InstanceList;
 import org.pollenrock.adapters.list.InstanceListClient;
 import org.pollenrock.core.error.Result;
+import org.pollenrock.core.membership.ListedRouter;
 import org.pollenrock.core.model.BackendServerId;
 import org.pollenrock.core.model.DataCentreId;
+import org.pollenrock.core.model.InstanceId;
 import org.pollenrock.core.model.ServerRole;
 import org.pollenrock.router.decision.ServerEntry;
 
@@ -36,7 +38,7 @@
    * @param servers backend servers
    * @param routers routers
    */
-  public record Listing(long version, List<ServerEntry> servers, List<RouterEntry> routers) {}
+  public record Listing(long version, List<ServerEntry> servers, List<ListedRouter> routers) {}
 
   /**
    * Creates the task.
@@ -91,7 +93,7 @@
     }
     version = list.version();
     List<ServerEntry> servers = new ArrayList<>();
-    List<RouterEntry> routers = new ArrayList<>();
+    List<ListedRouter> routers = new ArrayList<>();
     for (InstanceList.Entry entry : list.instances()) {
       server(entry).ifPresent(servers::add);
       router(entry).ifPresent(routers::add);
@@ -122,19 +124,26 @@
     }
   }
 
-  private static Optional<RouterEntry> router(InstanceList.Entry entry) {
+  private static Optional<ListedRouter> router(InstanceList.Entry entry) {
     boolean usable =
         "router".equals(entry.kind())
-            && entry.id() != null
-            && entry.address() != null
-            && entry.dataCentre() != null;
+            && isNamed(entry.id())
+            && isNamed(entry.address())
+            && isNamed(entry.dataCentre());
     return usable
         ? Optional.of(
-            new RouterEntry(
-                entry.id(), entry.dataCentre(), entry.address(), "leaving".equals(entry.state())))
+            new ListedRouter(
+                new InstanceId(entry.id()),
+                entry.address(),
+                new DataCentreId(entry.dataCentre()),
+                "leaving".equals(entry.state())))
         : Optional.empty();
   }
 
+  private static boolean isNamed(String text) {
+    return text != null && !text.isBlank();
+  }
+
   private void noteAvailable(boolean now, String reason) {
     if (now != available) {
       available = now;
--- a/router/src/test/java/org/pollenrock/router/TestCluster.java
+++ b/router/src/test/java/org/pollenrock/router/TestCluster.java
@@ -41,13 +41,13 @@
   private final InstanceListStandin list = new InstanceListStandin(group, Duration.ZERO);
   private final LogStandin log =
       new LogStandin(group, System::currentTimeMillis, Duration.ofHours(1), 1_000);
+  private final List<ListedInstance> listed = new ArrayList<>();
   private final Router router;
   private final HttpClient client = HttpClient.newHttpClient();
 
   TestCluster(int engineCount, RouterTimes times) {
     list.start();
     log.start();
-    List<ListedInstance> listed = new ArrayList<>();
     for (int i = 0; i < engineCount; i++) {
       EngineStandin engine =
           new EngineStandin(
@@ -67,14 +67,7 @@
       listed.add(instance("ledger-" + i, "plain-server", "ledger", ledger.address()));
     }
     list.showNow(listed);
-    router =
-        new Router(
-            new RouterConfig(
-                process(),
-                new Incarnation(1),
-                2,
-                times,
-                RouterConfig.of(process(), new Incarnation(1), 2).strategy()));
+    router = newRouter("router-1", "[]", times);
     publish(SettingsTree.EMPTY, tree());
     router.start();
     await(router::ready);
@@ -97,19 +90,34 @@
     return log;
   }
 
-  ProcessSettings process() {
+  /** Adds a started router to the instance list, so that the others open links to it. */
+  void listRouter(String name, Router added) {
+    String address = "127.0.0.1:" + added.peerAddress().getPort();
+    listed.add(instance(name, "router", "", address));
+    list.showNow(listed);
+  }
+
+  /** Makes a router that is not started; its owner stops it. */
+  Router newRouter(String name, String seeds, RouterTimes times) {
+    RouterConfig standard = RouterConfig.of(process(name, seeds), new Incarnation(1), 2);
+    return new Router(
+        new RouterConfig(standard.process(), new Incarnation(1), 2, times, standard.strategy()));
+  }
+
+  private ProcessSettings process(String name, String seeds) {
     return SettingsReader.readProcess(
             "process.yaml",
             """
-            instance: router-1
+            instance: %s
             data-centre: dc-1
             listen: {callers: "127.0.0.1:0", operators: "127.0.0.1:0", peers: "127.0.0.1:0"}
             log: {address: "%s"}
             list: {address: "%s", poll-interval: 20ms}
             stop: {drain-delay: 0s, hard-stop-after: 10s}
             random-seed: 1
+            seeds: %s
             """
-                .formatted(log.address(), list.address()))
+                .formatted(name, log.address(), list.address(), seeds))
         .orElseThrow();
   }
 
