Keep agreement on homes, and trust blocks whose eviction would have been announced

Cause: five routers each see a fifth of the traffic. A router that did not know that a peer had just sent a dossier to its home chose a server with a slightly shorter queue and computed a second copy. Change: the cost of a first home of unknown content uses the share that such homes had cached so far (0.6 at the start); belief about a server ages only from its last complete page of events while there is no gap; a request in flight counts with 0.95 instead of 0.7. The belief that a placement relies on is unchanged, so cache-identity is not affected.

--- a/bench/src/main/java/org/pollenrock/bench/cluster/RouterNode.java
+++ b/bench/src/main/java/org/pollenrock/bench/cluster/RouterNode.java
@@ -81,7 +81,19 @@
    * @return IP number and port
    */
   public String address() {
-    InetSocketAddress address = router.callerAddress();
+    return text(router.callerAddress());
+  }
+
+  /**
+   * Address of the operator listener.
+   *
+   * @return IP number and port
+   */
+  public String operatorAddress() {
+    return text(router.operatorAddress());
+  }
+
+  private static String text(InetSocketAddress address) {
     return address.getAddress().getHostAddress() + ":" + address.getPort();
   }
 
--- a/core/src/main/java/org/pollenrock/core/cache/CacheIndex.java
+++ b/core/src/main/java/org/pollenrock/core/cache/CacheIndex.java
@@ -205,6 +205,20 @@
     return true;
   }
 
+  /**
+   * Notes that every event that a server shows at present has been applied.
+   *
+   * @param server the server
+   * @param incarnation the incarnation that the events belong to
+   * @param nowNanos the time
+   */
+  public void eventsFollowed(BackendServerId server, Incarnation incarnation, long nowNanos) {
+    ServerKnowledge knowledge = servers.get(server);
+    if (knowledge != null && knowledge.incarnation().equals(incarnation)) {
+      knowledge.followed(nowNanos);
+    }
+  }
+
   /**
    * Replaces the event-based knowledge of a server by a digest of its cache, which repairs suspect
    * entries.
--- a/core/src/main/java/org/pollenrock/core/cache/IndexStore.java
+++ b/core/src/main/java/org/pollenrock/core/cache/IndexStore.java
@@ -12,8 +12,11 @@
 final class IndexStore {
   private static final int NONE = IndexLists.NONE;
 
-  /** Halvings of a belief that rests on a request in flight, so that its confidence is 0.7. */
-  private static final double PENDING_HALVINGS = Math.log(1 / 0.7) / Math.log(2);
+  /**
+   * Halvings of a belief that rests on a request in flight, so that its confidence is 0.95: an
+   * engine prefills in order, and few requests fail before their first token.
+   */
+  private static final double PENDING_HALVINGS = Math.log(1 / 0.95) / Math.log(2);
 
   /** Customers whose oldest entries are compared per eviction; bounds its cost at 10,000. */
   private static final int CUSTOMERS_PER_EVICTION = 16;
@@ -187,19 +190,34 @@
     blocks.assign(block, scope, customer);
   }
 
-  /** Age of a belief in nanoseconds; every reason for doubt counts as additional age. */
+  /**
+   * Age of a belief in nanoseconds; every reason for doubt counts as additional age.
+   *
+   * <p>While the events of a server are followed without a gap, a block that it has not announced
+   * as evicted is still there, so such a belief ages only from the last event page.
+   */
   double age(ServerKnowledge knowledge, int entry, long nowNanos) {
-    long used = entries.usedNanos(entry);
+    long used = confirmedNanos(knowledge, entry);
     double halvings = 0;
     if (entries.is(entry, BeliefSource.EVENT)) {
       halvings += knowledge.gapEpoch() - entries.epoch(entry);
     } else if (entries.is(entry, BeliefSource.PENDING)) {
       halvings += PENDING_HALVINGS;
     }
-    if (used <= knowledge.missedNanos()) {
+    if (entries.usedNanos(entry) <= knowledge.missedNanos()) {
       halvings += 1;
     }
-    return nowNanos - used + knowledge.estimator().penaltyNanos(halvings);
+    return Math.max(0, nowNanos - used) + knowledge.estimator().penaltyNanos(halvings);
+  }
+
+  private long confirmedNanos(ServerKnowledge knowledge, int entry) {
+    long used = entries.usedNanos(entry);
+    boolean followed =
+        entries.epoch(entry) == knowledge.gapEpoch()
+            && used > knowledge.missedNanos()
+            && !entries.is(entry, BeliefSource.PENDING)
+            && !entries.is(entry, BeliefSource.EVICTED);
+    return followed ? Math.max(used, knowledge.followedNanos()) : used;
   }
 
   double confidence(int entry, long nowNanos) {
--- a/core/src/main/java/org/pollenrock/core/cache/ServerKnowledge.java
+++ b/core/src/main/java/org/pollenrock/core/cache/ServerKnowledge.java
@@ -11,6 +11,7 @@
   private EventStreamState events = new EventStreamState();
   private EvictionEstimator estimator = new EvictionEstimator();
   private long missedNanos = Long.MIN_VALUE;
+  private long followedNanos = Long.MIN_VALUE;
   private int gapEpoch;
   private int entries;
 
@@ -25,6 +26,7 @@
     events = new EventStreamState();
     estimator = new EvictionEstimator();
     missedNanos = Long.MIN_VALUE;
+    followedNanos = Long.MIN_VALUE;
     gapEpoch = 0;
   }
 
@@ -66,6 +68,15 @@
     missedNanos = Math.max(missedNanos, usedNanos);
   }
 
+  /** Up to this time every event that the server showed has been applied. */
+  long followedNanos() {
+    return followedNanos;
+  }
+
+  void followed(long nowNanos) {
+    followedNanos = nowNanos;
+  }
+
   int entries() {
     return entries;
   }
--- a/core/src/main/java/org/pollenrock/core/placement/CostModel.java
+++ b/core/src/main/java/org/pollenrock/core/placement/CostModel.java
@@ -26,23 +26,36 @@
     this.state = state;
   }
 
+  /**
+   * Describes a candidate.
+   *
+   * @param knownBlocks blocks that the server is believed to hold
+   * @param likelyBlocks blocks that it is likely to hold, for the cost only
+   */
   Candidate candidate(
-      PlacementContext context, EligibleServer server, CandidateOrigin origin, double blocks) {
+      PlacementContext context,
+      EligibleServer server,
+      CandidateOrigin origin,
+      double knownBlocks,
+      double likelyBlocks) {
     PlacementRequest request = context.request();
-    double cached = Math.min(blocks * request.tokensPerBlock(), request.promptTokens() - 1);
-    Optional<KvImport> kvImport = kvImport(context, server, blocks);
-    CostTerms cost = cost(context, server, origin, cached, kvImport);
+    Optional<KvImport> kvImport = kvImport(context, server, likelyBlocks);
+    CostTerms cost = cost(context, server, origin, cachedTokens(request, likelyBlocks), kvImport);
     return new Candidate(
         server.server(),
         server.load().dataCentre(),
         server.load().incarnation(),
         server.weights(),
         origin,
-        cached,
+        cachedTokens(request, knownBlocks),
         cost,
         kvImport);
   }
 
+  private static double cachedTokens(PlacementRequest request, double blocks) {
+    return Math.min(blocks * request.tokensPerBlock(), request.promptTokens() - 1);
+  }
+
   private CostTerms cost(
       PlacementContext context,
       EligibleServer server,
--- a/core/src/main/java/org/pollenrock/core/placement/ExpectedCostStrategy.java
+++ b/core/src/main/java/org/pollenrock/core/placement/ExpectedCostStrategy.java
@@ -64,11 +64,13 @@
         seeds[at] = eligible.localSeeds()[shared[at]];
       }
       int home = shared[RendezvousHash.top(key, seeds, 1)[0]];
-      collector.add(eligible.local().get(home), CandidateOrigin.HOME);
+      collector.addFirstHome(eligible.local().get(home));
       return;
     }
-    for (int home : RendezvousHash.top(key, eligible.localSeeds(), context.homes())) {
-      collector.add(eligible.local().get(home), CandidateOrigin.HOME);
+    int[] homes = RendezvousHash.top(key, eligible.localSeeds(), context.homes());
+    collector.addFirstHome(eligible.local().get(homes[0]));
+    for (int rank = 1; rank < homes.length; rank++) {
+      collector.add(eligible.local().get(homes[rank]), CandidateOrigin.HOME);
     }
   }
 
@@ -129,6 +131,11 @@
       List<EligibleServer> chosen,
       List<Candidate> local,
       List<Candidate> remote) {
+    void addFirstHome(EligibleServer server) {
+      chosen.add(server);
+      local.add(context.firstHome(server));
+    }
+
     void add(EligibleServer server, CandidateOrigin origin) {
       for (EligibleServer known : chosen) {
         if (known == server) {
--- a/core/src/main/java/org/pollenrock/core/placement/HomePrior.java
+++ b/core/src/main/java/org/pollenrock/core/placement/HomePrior.java
@@ -12,7 +12,7 @@
    * Share before the first observation. It is high, so that routers that have just started agree on
    * the homes instead of each computing a copy elsewhere.
    */
-  private static final double INITIAL = 0.8;
+  private static final double INITIAL = 0.6;
 
   /** Lower bound: without it, a burst of new prefixes would end the agreement on homes. */
   private static final double LEAST = 0.2;
--- a/core/src/main/java/org/pollenrock/core/placement/PlacementContext.java
+++ b/core/src/main/java/org/pollenrock/core/placement/PlacementContext.java
@@ -3,9 +3,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.pollenrock.core.cache.CacheIndex;
 import org.pollenrock.core.cache.ChainLookup;
+import org.pollenrock.core.model.BackendServerId;
 import org.pollenrock.core.model.BlockKey;
 import org.pollenrock.core.model.WeightsVersion;
 import org.pollenrock.core.prefix.CacheScope;
@@ -21,6 +23,9 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
+  /** Share of a prompt under which the content of a home counts as unknown. */
+  private static final double KNOWN_SHARE = 0.5;
+
   private final PlacementRequest request;
   private final long nowNanos;
   private final EligibleServers eligible;
@@ -32,6 +37,7 @@
   private final double rate;
   private final int homes;
   private final Map<WeightsVersion, ChainLookup> lookups = new HashMap<>(4);
+  private BackendServerId guessedHome;
 
   PlacementContext(
       PlacementRequest request, long nowNanos, EligibleServers eligible, PlacerState state) {
@@ -143,11 +149,32 @@
    * @return the candidate
    */
   public Candidate candidate(EligibleServer server, CandidateOrigin origin) {
-    double blocks =
-        cache()
-            .expectedBlocks(
-                lookup(server.weights()), server.server(), server.load().incarnation(), nowNanos);
-    return state.costs().candidate(this, server, origin, blocks);
+    double known = expectedBlocks(server);
+    return state.costs().candidate(this, server, origin, known, known);
+  }
+
+  /** Describes the first home of the prefix, which peers that know more may have used already. */
+  Candidate firstHome(EligibleServer server) {
+    double known = expectedBlocks(server);
+    int length = lookup(server.weights()).chain().length();
+    boolean unknown = known < KNOWN_SHARE * length;
+    if (!unknown) {
+      return state.costs().candidate(this, server, CandidateOrigin.HOME, known, known);
+    }
+    guessedHome = server.server();
+    double guessed = known + state.homePrior().share() * (length - known);
+    return state.costs().candidate(this, server, CandidateOrigin.HOME, known, guessed);
+  }
+
+  /** The first home, when this router knows of no cached prefix there. */
+  Optional<BackendServerId> guessedHome() {
+    return Optional.ofNullable(guessedHome);
+  }
+
+  private double expectedBlocks(EligibleServer server) {
+    return cache()
+        .expectedBlocks(
+            lookup(server.weights()), server.server(), server.load().incarnation(), nowNanos);
   }
 
   PlacerState state() {
--- a/core/src/main/java/org/pollenrock/core/placement/Placer.java
+++ b/core/src/main/java/org/pollenrock/core/placement/Placer.java
@@ -83,6 +83,7 @@
         request,
         (int) best.expectedCachedTokens(),
         newPrefix,
+        context.guessedHome().filter(best.server()::equals).isPresent(),
         best.kvImport(),
         ranked);
   }
@@ -94,8 +95,7 @@
    * @param nowNanos the time
    */
   public void sent(PlacementResult.Chosen chosen, long nowNanos) {
-    double missing =
-        chosen.request().promptTokens() - chosen.expectedCachedTokens() - importedTokens(chosen);
+    double missing = chosen.candidates().get(0).cost().missingTokens() - importedTokens(chosen);
     InFlight request = new InFlight(chosen, missing, nowNanos);
     inFlight.put(chosen.id(), request);
     Optional<ServerLoad> load = state.loads().server(chosen.server());
@@ -145,6 +145,9 @@
     int cachedBlocks = cachedBlocks(chosen, cachedTokens);
     state.cache().observed(chosen.server(), incarnation, chosen.chain(), cachedBlocks, nowNanos);
     boolean atHome = chosen.candidates().get(0).origin() == CandidateOrigin.HOME;
+    if (chosen.guessedHome() && chosen.chain().length() > 0) {
+      state.homePrior().observe((double) cachedBlocks / chosen.chain().length());
+    }
     if (chosen.newPrefix() && atHome) {
       learnTail(chosen.request(), cachedBlocks);
     }
@@ -293,6 +296,17 @@
         && state.cache().apply(server, incarnation, events, nowNanos);
   }
 
+  /**
+   * Notes that every event that a server shows at present has been applied.
+   *
+   * @param server the server
+   * @param incarnation the incarnation that the events belong to
+   * @param nowNanos the time
+   */
+  public void cacheEventsFollowed(BackendServerId server, Incarnation incarnation, long nowNanos) {
+    state.cache().eventsFollowed(server, incarnation, nowNanos);
+  }
+
   /**
    * Replaces the event-based knowledge of a server by a digest of its cache.
    *
--- a/core/src/main/java/org/pollenrock/core/placement/PlacerState.java
+++ b/core/src/main/java/org/pollenrock/core/placement/PlacerState.java
@@ -18,6 +18,7 @@
   private final PrefixFingerprinter fingerprinter = new PrefixFingerprinter();
   private final CostModel costs;
   private final ArrivalRate arrivals = new ArrivalRate();
+  private final HomePrior homePrior = new HomePrior();
   private int routers = 1;
   private double holdNanos = DEFAULT_HOLD_NANOS;
 
@@ -55,6 +56,10 @@
     return arrivals;
   }
 
+  HomePrior homePrior() {
+    return homePrior;
+  }
+
   SpillState spill() {
     return spill;
   }
--- a/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
+++ b/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
@@ -336,10 +336,15 @@
    * @param server the engine
    * @param incarnation the incarnation that they belong to
    * @param events the events in ascending order
+   * @param complete whether the engine shows no more at present
    */
   public void cacheEvents(
-      BackendServerId server, Incarnation incarnation, List<CacheEvent> events) {
-    placement.placer().cacheEvents(server, incarnation, events, now());
+      BackendServerId server, Incarnation incarnation, List<CacheEvent> events, boolean complete) {
+    long now = now();
+    boolean current = placement.placer().cacheEvents(server, incarnation, events, now);
+    if (current && complete) {
+      placement.placer().cacheEventsFollowed(server, incarnation, now);
+    }
   }
 
   /**
--- a/router/src/main/java/org/pollenrock/router/task/CacheEventTask.java
+++ b/router/src/main/java/org/pollenrock/router/task/CacheEventTask.java
@@ -128,14 +128,14 @@
         return;
       }
     }
-    if (page.events().isEmpty()) {
-      return;
+    if (!page.events().isEmpty()) {
+      position.after = Math.max(position.after, page.events().getLast().sequence());
     }
-    position.after = Math.max(position.after, page.events().getLast().sequence());
     List<CacheEvent> events = convert(page.events());
     Incarnation incarnation = new Incarnation(page.incarnation());
     BackendServerId server = position.entry.id();
-    decisions.tell(state -> state.cacheEvents(server, incarnation, events));
+    boolean complete = page.events().size() < PAGE_EVENTS;
+    decisions.tell(state -> state.cacheEvents(server, incarnation, events, complete));
   }
 
   private static List<CacheEvent> convert(List<CacheEvents.Entry> entries) {
