Close gaps that mutations showed in the tests

Mutations without the completeness check at the grant, without the release guard, with late reads accepted, without the future tolerance, with foreign loads uncounted and with reordered reports survived; each now has a test. The claim schedules use keys ahead of the log and rarer outages, so that runs over all schedules stay above half of the tries.

--- a/core/src/test/java/org/pollenrock/core/claim/ClaimCoordinatorTest.java
+++ b/core/src/test/java/org/pollenrock/core/claim/ClaimCoordinatorTest.java
@@ -3,20 +3,17 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.pollenrock.core.claim.ClaimHarness.BODY;
 import static org.pollenrock.core.claim.ClaimHarness.MILLI;
+import static org.pollenrock.core.claim.ClaimHarness.NO_SERVER;
 import static org.pollenrock.core.claim.ClaimHarness.START_MILLIS;
 
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.RequestError;
 import org.pollenrock.core.error.RunState;
-import org.pollenrock.core.error.Step;
 import org.pollenrock.core.record.InMemoryLog;
 
 class ClaimCoordinatorTest {
   private static final CallOutcome OUTCOME = CallOutcome.of(201, "text/plain", new byte[] {7});
-  private static final RequestError.Refusal NO_SERVER =
-      new RequestError.Refusal(ErrorCode.NO_SERVER, Step.SEND, Optional.empty(), "no server");
 
   private final InMemoryLog log = ClaimHarness.newLog();
   private final ClaimHarness first = new ClaimHarness(log, "router-1", 1);
@@ -358,7 +355,6 @@
     assertThat(first.error(1)).isEmpty();
     first.append();
     first.read();
-    first.append();
     first.advance(20);
     first.append();
     first.read();
@@ -374,19 +370,23 @@
       first.read();
       first.advance(1_000);
     }
-    first.append();
-    first.read();
     assertRefused(first, 1, ErrorCode.INVALID_IDEMPOTENCY_KEY);
   }
 
-  /** Guards against an old read that arrives late and takes the position back. */
+  /** Guards against an old read that arrives late and passes for a sign of life of the log. */
   @Test
   void lateReadIsIgnored() {
     var late = log.read(0, 100);
     first.claimAndRead(1);
     long position = first.coordinator().nextOffset();
+    first.advance(1_500);
     first.accept(first.coordinator().logRead(late, first.now()));
     assertThat(first.coordinator().nextOffset()).isEqualTo(position);
+    first.advance(600);
     assertThat(first.granted()).containsExactly(1L);
+    ClaimCall other =
+        new ClaimCall(3, new Digest256(9, 9, 9, 9), START_MILLIS, BODY, 9_000 * MILLI);
+    first.accept(first.coordinator().begin(other, first.now()));
+    assertRefused(first, 3, ErrorCode.CLAIM_UNAVAILABLE);
   }
 }
--- a/core/src/test/java/org/pollenrock/core/claim/ClaimHarness.java
+++ b/core/src/test/java/org/pollenrock/core/claim/ClaimHarness.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.RequestError;
+import org.pollenrock.core.error.Step;
 import org.pollenrock.core.model.Incarnation;
 import org.pollenrock.core.model.InstanceId;
 import org.pollenrock.core.record.InMemoryLog;
@@ -14,6 +16,8 @@
   static final long START_MILLIS = 1_800_000_000_000L;
   static final Digest256 KEY = new Digest256(1, 2, 3, 4);
   static final Digest256 BODY = new Digest256(5, 6, 7, 8);
+  static final RequestError.Refusal NO_SERVER =
+      new RequestError.Refusal(ErrorCode.NO_SERVER, Step.SEND, Optional.empty(), "no server");
   static final long DEADLINE = 5_000 * MILLI;
 
   private final InMemoryLog log;
--- a/core/src/test/java/org/pollenrock/core/claim/ClaimScheduleTest.java
+++ b/core/src/test/java/org/pollenrock/core/claim/ClaimScheduleTest.java
@@ -16,29 +16,26 @@
  * generated schedules of faults.
  */
 class ClaimScheduleTest {
-  private static final int TRIES = 12_000;
+  private static final int TRIES = 18_000;
   private static long executions;
   private static long outcomes;
 
   @Property(seed = "7101", tries = TRIES, shrinking = ShrinkingMode.BOUNDED)
-  void threeRoutersKeepTheClaimInvariants(@ForAll("schedules") List<Integer> schedule) {
-    run(3, schedule);
-  }
-
-  @Property(seed = "7102", tries = TRIES / 2, shrinking = ShrinkingMode.BOUNDED)
-  void twoRoutersKeepTheClaimInvariantsOverLongSchedules(
-      @ForAll("longSchedules") List<Integer> schedule) {
-    run(2, schedule);
+  void twoAndThreeRoutersKeepTheClaimInvariants(@ForAll("schedules") List<Integer> schedule) {
+    ClaimWorld world = new ClaimWorld(2 + schedule.size() % 2);
+    for (int number : schedule) {
+      world.step(number);
+      assertThat(world.breaches()).isEmpty();
+    }
+    world.heal();
+    assertThat(world.breaches()).isEmpty();
+    executions += world.executions();
+    outcomes += world.outcomes();
   }
 
   @Provide
   Arbitrary<List<Integer>> schedules() {
-    return Schedules.ofLength(60, 200);
-  }
-
-  @Provide
-  Arbitrary<List<Integer>> longSchedules() {
-    return Schedules.ofLength(200, 300);
+    return Schedules.ofLength(150, 300);
   }
 
   @AfterContainer
@@ -46,16 +43,4 @@
     assertThat(executions).as("runs over all schedules").isGreaterThan(TRIES / 2);
     assertThat(outcomes).as("outcomes delivered over all schedules").isGreaterThan(TRIES / 4);
   }
-
-  private static void run(int routers, List<Integer> schedule) {
-    ClaimWorld world = new ClaimWorld(routers);
-    for (int number : schedule) {
-      world.step(number);
-      assertThat(world.breaches()).isEmpty();
-    }
-    world.heal();
-    assertThat(world.breaches()).isEmpty();
-    executions += world.executions();
-    outcomes += world.outcomes();
-  }
 }
--- a/core/src/test/java/org/pollenrock/core/claim/ClaimTableTest.java
+++ b/core/src/test/java/org/pollenrock/core/claim/ClaimTableTest.java
@@ -62,13 +62,11 @@
     byte[] tooLong = new byte[CallOutcome.MAX_BODY_BYTES + 1];
     ClaimRecord settled =
         new ClaimRecord.Settled(id, BODY, CallOutcome.of(200, "text/plain", tooLong));
-    ClaimRecord.Settled decoded =
-        (ClaimRecord.Settled)
-            new ClaimCodec()
-                .decode(ClaimCodec.encodeBatch(ROUTER, LIFE, List.of(settled)))
-                .getFirst();
-    assertThat(decoded.outcome().status()).isEqualTo(200);
-    assertThat(decoded.outcome().bodyKept()).isFalse();
+    byte[] encoded = ClaimCodec.encodeBatch(ROUTER, LIFE, List.of(settled));
+    ClaimRecord decoded = new ClaimCodec().decode(encoded).getFirst();
+    CallOutcome outcome = ((ClaimRecord.Settled) decoded).outcome();
+    assertThat(outcome.status()).isEqualTo(200);
+    assertThat(outcome.bodyKept()).isFalse();
   }
 
   /** Guards against a corrupt record that stops the reader or hides its neighbours. */
@@ -114,6 +112,17 @@
     assertThat(table.completeFor(1_030)).isTrue();
   }
 
+  /** Guards against a key from ahead of its claim's time, whose claim left the log unread. */
+  @Test
+  void historyMustReachBackByTheFutureTolerance() {
+    ClaimTable table = new ClaimTable(10_000, 100, 1_000_000);
+    table.restart(5);
+    assertThat(table.completeFor(9_000)).as("before the first entry").isFalse();
+    table.beginEntry(1_000);
+    assertThat(table.completeFor(1_100)).isFalse();
+    assertThat(table.completeFor(1_101)).isTrue();
+  }
+
   /** Guards against a dropped body that turns a run into an unknown one. */
   @Test
   void oldestBodyIsDroppedFirstAndTheRunStaysKnown() {
--- a/core/src/test/java/org/pollenrock/core/claim/ClaimWorld.java
+++ b/core/src/test/java/org/pollenrock/core/claim/ClaimWorld.java
@@ -5,11 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.RequestError;
 import org.pollenrock.core.error.RunState;
-import org.pollenrock.core.error.Step;
 import org.pollenrock.core.model.Incarnation;
 import org.pollenrock.core.model.InstanceId;
 import org.pollenrock.core.record.InMemoryLog;
@@ -20,12 +17,11 @@
  * at-most-once, truthful-refusal and the time bound of answers.
  */
 final class ClaimWorld {
-  static final long MILLI = 1_000_000L;
-  private static final long START_MILLIS = 1_800_000_000_000L;
+  private static final long MILLI = ClaimHarness.MILLI;
+  private static final long START_MILLIS = ClaimHarness.START_MILLIS;
   private static final long RETENTION_MILLIS = 40 * 60_000L;
+  private static final int MAX_AHEAD_MILLIS = 50_000;
   private static final int KEYS = 3;
-  private static final RequestError.Refusal NOT_SENT =
-      new RequestError.Refusal(ErrorCode.NO_SERVER, Step.SEND, Optional.empty(), "no server");
 
   private final InMemoryLog log = new InMemoryLog(START_MILLIS);
   private final List<Node> nodes = new ArrayList<>();
@@ -206,8 +202,8 @@
       case 22 -> advance(argument % 8 == 0 ? 25 * 60_000 * MILLI : 700 * MILLI);
       case 23 -> crash(node, argument);
       case 24 -> pause(node, argument);
-      case 25 -> outage = argument % 3 == 0;
-      case 26 -> node.isolated = argument % 2 == 0;
+      case 25 -> outage = argument % 8 == 0;
+      case 26 -> node.isolated = argument % 6 == 0;
       case 27 -> truncate(argument);
       case 28 -> takeLateEffect();
       case 29 -> delayRead(node);
@@ -296,7 +292,9 @@
         execute(attempt);
         node.accept(node.coordinator.responseLost(callId, node.clock()));
       }
-      case 4 -> node.accept(node.coordinator.certainlyNotSent(callId, NOT_SENT, node.clock()));
+      case 4 ->
+          node.accept(
+              node.coordinator.certainlyNotSent(callId, ClaimHarness.NO_SERVER, node.clock()));
       default -> {
         execute(attempt);
         CallOutcome outcome = results.get(attempt.call.key());
@@ -331,7 +329,7 @@
   }
 
   private void pause(Node node, int argument) {
-    long length = argument % 4 == 0 ? 3_600_000 * MILLI : argument % 3_000 * MILLI;
+    long length = argument % 12 == 0 ? 3_600_000 * MILLI : argument % 1_500 * MILLI;
     node.pausedUntil = nowNanos + length;
   }
 
@@ -376,6 +374,6 @@
   private void newKey(int argument) {
     int index = argument % KEYS;
     keyGeneration[index]++;
-    keyTimes[index] = log.timeMillis();
+    keyTimes[index] = log.timeMillis() + argument % MAX_AHEAD_MILLIS;
   }
 }
--- a/core/src/test/java/org/pollenrock/core/lease/LeaseHolderTest.java
+++ b/core/src/test/java/org/pollenrock/core/lease/LeaseHolderTest.java
@@ -21,14 +21,17 @@
       new LeaseHolder("orders", new LeaseOwner(new InstanceId("a"), new Incarnation(1)), SETTINGS);
   private final List<LeaseDecision> decisions = new ArrayList<>();
 
-  /** Carries out appends and reads the log back at a time. */
-  private void appendAndRead(long nowNanos) {
-    for (LeaseDecision decision : List.copyOf(decisions)) {
+  private void append() {
+    for (LeaseDecision decision : decisions) {
       if (decision instanceof LeaseDecision.AppendLease append) {
         log.append(append.data());
       }
     }
     decisions.clear();
+  }
+
+  private void appendAndRead(long nowNanos) {
+    append();
     for (LeaseTable.Applied applied : table.apply(log.read(table.nextOffset(), 100))) {
       decisions.addAll(holder.applied(applied, nowNanos));
     }
@@ -98,13 +101,7 @@
     }
     for (long now = 0; now < 240_000 * MILLI; now += 500 * MILLI) {
       log.timeMillis(now / MILLI);
-      List<LeaseDecision> due = List.copyOf(decisions);
-      decisions.clear();
-      for (LeaseDecision decision : due) {
-        if (decision instanceof LeaseDecision.AppendLease append) {
-          log.append(append.data());
-        }
-      }
+      append();
       for (int i = 0; i < holders.size(); i++) {
         LeaseTable each = tables.get(i);
         for (LeaseTable.Applied applied : each.apply(log.read(each.nextOffset(), 100))) {
--- a/core/src/test/java/org/pollenrock/core/membership/MembershipScheduleTest.java
+++ b/core/src/test/java/org/pollenrock/core/membership/MembershipScheduleTest.java
@@ -11,9 +11,7 @@
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.lifecycle.AfterContainer;
 import org.pollenrock.core.model.BackendServerId;
-import org.pollenrock.core.model.DataCentreId;
 import org.pollenrock.core.model.Incarnation;
-import org.pollenrock.core.model.ServerRole;
 import org.pollenrock.core.record.Schedules;
 
 /**
@@ -99,13 +97,7 @@
     }
 
     private static ListedServer listing(Server server) {
-      return new ListedServer(
-          server.id,
-          ServerRole.MODEL_SERVER,
-          "",
-          server.id + ":80",
-          new DataCentreId("mbezi"),
-          server.leaving);
+      return ServerTableTest.listed(server.id.value(), server.id + ":80", server.leaving);
     }
 
     private void readList(int router, int argument) {
--- a/core/src/test/java/org/pollenrock/core/membership/ServerTableTest.java
+++ b/core/src/test/java/org/pollenrock/core/membership/ServerTableTest.java
@@ -14,7 +14,7 @@
   private static final BackendServerId ID = new BackendServerId("engine-1");
   private final ServerTable table = new ServerTable(MembershipSettings.defaults());
 
-  private static ListedServer listed(String name, String address, boolean leaving) {
+  static ListedServer listed(String name, String address, boolean leaving) {
     return new ListedServer(
         new BackendServerId(name),
         ServerRole.MODEL_SERVER,
--- a/core/src/test/java/org/pollenrock/core/order/RolloutPlannerTest.java
+++ b/core/src/test/java/org/pollenrock/core/order/RolloutPlannerTest.java
@@ -125,7 +125,7 @@
   /** Guards against loads of a predecessor that a new holder does not count. */
   @Test
   void newHolderContinuesFromReportsAlone() {
-    target(LIMITS, 4);
+    target(new RolloutLimits(2, 0, 2, 20 * SECOND, 4 * SECOND, SECOND, 3 * SECOND), 4);
     hold(10);
     advance(LIMITS.settleNanos());
     report(0, ServerReport.Phase.SERVING, NEW, 0);
@@ -161,6 +161,18 @@
     assertThat(ordered()).hasSize(before + 2);
   }
 
+  /** Guards against a late report that hides a newer one. */
+  @Test
+  void reportMadeBeforeAKnownOneIsIgnored() {
+    target(LIMITS, 1);
+    hold(10);
+    advance(LIMITS.settleNanos() + 1);
+    report(0, ServerReport.Phase.SERVING, NEW, 0);
+    nowNanos--;
+    report(0, ServerReport.Phase.SERVING, OLD, 0);
+    assertThat(planner.state().phase()).isEqualTo(RolloutState.Phase.DONE);
+  }
+
   /** Guards against a server that stays wrong after it applied a late order of another holder. */
   @Test
   void divergenceFromTheTargetIsOrderedAgain() {
