Roll out weights by the router that holds the lease

LeaseHolder asks for the lease of orders over the log; RolloutPlanner drains, orders and resumes servers until they report the version of the settings. Drains reach the routers over a stream of the log, because the messages between routers have none for them; each holds for what is left of its time by the log's clock.

--- a/adapters/src/main/java/org/pollenrock/adapters/log/LogStreams.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/log/LogStreams.java
@@ -8,5 +8,11 @@
   /** Claims and outcomes of non-idempotent calls. */
   public static final String CLAIMS = "claims";
 
+  /** Leases, whose offsets are fencing numbers. */
+  public static final String LEASES = "leases";
+
+  /** Servers from which new work is held back while they are drained for a load. */
+  public static final String DRAINS = "drains";
+
   private LogStreams() {}
 }
--- a/router/src/main/java/org/pollenrock/router/Router.java
+++ b/router/src/main/java/org/pollenrock/router/Router.java
@@ -21,11 +21,13 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.pollenrock.adapters.engine.EngineAddress;
+import org.pollenrock.adapters.engine.ServerOrderMessage;
 import org.pollenrock.core.connection.ConnectionSettings;
 import org.pollenrock.core.error.Result;
 import org.pollenrock.core.membership.ListedRouter;
 import org.pollenrock.core.membership.ServerEvidence;
 import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.order.ServerOrder;
 import org.pollenrock.core.placement.PlacerConfig;
 import org.pollenrock.core.settings.LogRecord;
 import org.pollenrock.protocol.link.PeerIdentity;
@@ -34,6 +36,7 @@
 import org.pollenrock.router.decision.DecisionState;
 import org.pollenrock.router.decision.DecisionTask;
 import org.pollenrock.router.decision.Decisions;
+import org.pollenrock.router.decision.Outside;
 import org.pollenrock.router.decision.ServerEntry;
 import org.pollenrock.router.filter.AttemptIds;
 import org.pollenrock.router.filter.Filters;
@@ -107,7 +110,7 @@
     this.tls = new RouterTls(process.tls(), loops);
     this.clients = RouterClients.create(config, loops, timer);
     DecisionState state =
-        new DecisionState(parameters(config), random(config), new Outside(), System::nanoTime);
+        new DecisionState(parameters(config), random(config), new Ports(), System::nanoTime);
     this.decisionTask =
         new DecisionTask(name + "-decisions", MAILBOX_SIZE, TICK_NANOS, () -> tick(state));
     this.decisions = new Decisions(decisionTask, state, System::nanoTime);
@@ -387,7 +390,31 @@
     peerTask.connectTo(peers);
   }
 
-  private final class Outside implements DecisionState.Outside {
+  private final class Ports implements Outside {
+    @Override
+    public void append(String stream, byte[] data) {
+      logTask.append(stream, data);
+    }
+
+    @Override
+    public void order(ServerEntry entry, ServerOrder order) {
+      ServerOrderMessage message =
+          new ServerOrderMessage(
+              order.orderId(),
+              order.assignment().model().value(),
+              order.assignment().version().value(),
+              order.assignment().role(),
+              order.fence().value());
+      clients
+          .engines()
+          .order(new EngineAddress(entry.id(), entry.address()), message)
+          .thenAccept(
+              result ->
+                  decisions.tell(
+                      state ->
+                          state.rollouts().ordered(order, result.equals(Result.success(false)))));
+    }
+
     @Override
     public void applied(long offset) {
       peerTask.applied(offset);
--- a/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
+++ b/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
@@ -11,6 +11,7 @@
 import org.pollenrock.core.claim.ClaimCoordinator;
 import org.pollenrock.core.claim.ClaimSettings;
 import org.pollenrock.core.connection.ConnectionSettings;
+import org.pollenrock.core.lease.LeaseOwner;
 import org.pollenrock.core.limits.ShareLedger;
 import org.pollenrock.core.limits.ShareSettings;
 import org.pollenrock.core.membership.ListedRouter;
@@ -51,6 +52,7 @@
   private final Claims claims;
   private final SettingsLog settingsLog;
   private final RouterTable routerTable;
+  private final Rollouts rollouts;
   private final Outside outside;
   private final LongSupplier nanoClock;
   private final Set<ModelId> models = new HashSet<>();
@@ -59,54 +61,6 @@
   private int routers = 1;
   private long nextTellNanos;
 
-  /** What the state asks of the tasks that own connections. */
-  public interface Outside extends PeerLinks {
-    /**
-     * Tests on a fresh connection whether a server answers; the end is told by {@link
-     * DecisionState#probeEnded}.
-     *
-     * @param entry the server
-     * @param probe number of the probe
-     */
-    void probe(ServerEntry entry, long probe);
-
-    /**
-     * Reads a server's report soon.
-     *
-     * @param server the server
-     */
-    void pokeReport(BackendServerId server);
-
-    /**
-     * Sets the servers whose reports are read.
-     *
-     * @param servers the servers
-     */
-    void watchReports(List<ServerEntry> servers);
-
-    /**
-     * Appends to the claim stream; the end is told to {@link Claims}.
-     *
-     * @param appendId number of the append
-     * @param data the record
-     */
-    void appendClaims(long appendId, byte[] data);
-
-    /**
-     * Appends the records of a snapshot; the end is told to {@link SettingsLog}.
-     *
-     * @param records the records in order
-     */
-    void appendSnapshot(List<byte[]> records);
-
-    /**
-     * Puts accepted settings in force for new requests.
-     *
-     * @param settings the settings
-     */
-    void inForce(RouterSettings settings);
-  }
-
   /**
    * Who decides, and within which bounds.
    *
@@ -187,6 +141,12 @@
             outside,
             random,
             nanoClock);
+    this.rollouts =
+        new Rollouts(
+            new LeaseOwner(parameters.instance(), parameters.incarnation()),
+            directory,
+            outside,
+            nanoClock);
     this.routerTable =
         new RouterTable(
             parameters.instance(),
@@ -215,6 +175,7 @@
 
   private void inForce(RouterSettings settings) {
     retries.settings(settings.tree());
+    rollouts.settings(settings);
     outside.inForce(settings);
   }
 
@@ -321,11 +282,13 @@
    * Takes an engine's report.
    *
    * @param report the report
-   * @param leaving whether it says that it takes no new work
+   * @param work the same report as rollouts read it
    */
-  public void engineReport(ServerReport report, boolean leaving) {
+  public void engineReport(ServerReport report, org.pollenrock.core.order.ServerReport work) {
+    boolean leaving = work.phase() == org.pollenrock.core.order.ServerReport.Phase.LEAVING;
     directory.reported(report.server(), report.incarnation(), leaving);
     placement.report(report, now());
+    rollouts.report(work);
     report.models().forEach(served -> models.add(served.model()));
     refreshModels();
   }
@@ -389,6 +352,7 @@
     links.tick(now());
     claims.tick();
     settingsLog.tick(routerIds);
+    rollouts.tick();
   }
 
   /**
@@ -454,6 +418,15 @@
     return claims;
   }
 
+  /**
+   * Rollouts of weights.
+   *
+   * @return the rollouts
+   */
+  public Rollouts rollouts() {
+    return rollouts;
+  }
+
   /**
    * Settings as the log has them.
    *
--- a/router/src/main/java/org/pollenrock/router/decision/ServerDirectory.java
+++ b/router/src/main/java/org/pollenrock/router/decision/ServerDirectory.java
@@ -27,6 +27,7 @@
   private final LongSupplier nanoClock;
   private final Map<BackendServerId, ServerEntry> entries = new HashMap<>();
   private final Set<BackendServerId> suspect = new HashSet<>();
+  private final Map<BackendServerId, Long> heldUntilNanos = new HashMap<>();
   private Set<BackendServerId> known = Set.of();
   private Set<BackendServerId> usable = Set.of();
 
@@ -85,6 +86,7 @@
     Set<BackendServerId> gone = new HashSet<>(before);
     gone.removeAll(known);
     suspect.removeAll(gone);
+    heldUntilNanos.keySet().removeAll(gone);
     entries.keySet().removeAll(gone);
     return gone;
   }
@@ -125,7 +127,22 @@
   }
 
   boolean isUsable(BackendServerId server) {
-    return usable.contains(server) && !suspect.contains(server);
+    return usable.contains(server) && !suspect.contains(server) && !isHeld(server);
+  }
+
+  private boolean isHeld(BackendServerId server) {
+    Long until = heldUntilNanos.get(server);
+    return until != null && now() - until < 0;
+  }
+
+  /** Holds new work back from a server that is drained for a load. */
+  void hold(BackendServerId server, long untilNanos) {
+    heldUntilNanos.put(server, untilNanos);
+  }
+
+  /** Ends a hold before its time. */
+  void release(BackendServerId server) {
+    heldUntilNanos.remove(server);
   }
 
   /** Servers that may not get new work. */
--- a/router/src/main/java/org/pollenrock/router/task/LogTask.java
+++ b/router/src/main/java/org/pollenrock/router/task/LogTask.java
@@ -24,6 +24,8 @@
   private final Decisions decisions;
   private final LogReader settingsReader;
   private final LogReader claimReader;
+  private final LogReader leaseReader;
+  private final LogReader drainReader;
 
   /**
    * Creates the task.
@@ -48,6 +50,10 @@
         new LogReader.Bounds(bounds.records(), shorter(bounds.longestWait(), CLAIM_WAIT));
     this.claimReader =
         new LogReader(loop, client, LogStreams.CLAIMS, claimBounds, random, new ClaimListener());
+    this.leaseReader =
+        new LogReader(loop, client, LogStreams.LEASES, bounds, random, new LeaseListener());
+    this.drainReader =
+        new LogReader(loop, client, LogStreams.DRAINS, bounds, random, new DrainListener());
   }
 
   private static Duration shorter(Duration one, Duration other) {
@@ -58,12 +64,16 @@
   public void start() {
     settingsReader.start();
     claimReader.start();
+    leaseReader.start();
+    drainReader.start();
   }
 
   /** Reads no more. */
   public void stop() {
     settingsReader.stop();
     claimReader.stop();
+    leaseReader.stop();
+    drainReader.stop();
   }
 
   /**
@@ -135,13 +145,7 @@
   private final class ClaimListener implements LogReader.Listener {
     @Override
     public void read(long readFrom, LogRead.Records records) {
-      List<LogEntry> entries =
-          records.records().stream()
-              .map(entry -> new LogEntry(entry.offset(), entry.timeMillis(), entry.data()))
-              .toList();
-      var read =
-          new org.pollenrock.core.record.LogRead(
-              readFrom, records.first(), records.head(), records.headTimeMillis(), entries);
+      var read = toCore(readFrom, records);
       decisions.tell(state -> state.claims().logRead(read));
     }
 
@@ -155,4 +159,59 @@
       decisions.tell(state -> state.claims().logUnavailable());
     }
   }
+
+  private static org.pollenrock.core.record.LogRead toCore(long readFrom, LogRead.Records records) {
+    List<LogEntry> entries =
+        records.records().stream()
+            .map(entry -> new LogEntry(entry.offset(), entry.timeMillis(), entry.data()))
+            .toList();
+    return new org.pollenrock.core.record.LogRead(
+        readFrom, records.first(), records.head(), records.headTimeMillis(), entries);
+  }
+
+  /**
+   * Appends a record; whether it took effect is seen by reading the stream.
+   *
+   * @param stream name of the stream
+   * @param data the record
+   */
+  public void append(String stream, byte[] data) {
+    client.append(stream, data);
+  }
+
+  private final class LeaseListener implements LogReader.Listener {
+    @Override
+    public void read(long readFrom, LogRead.Records records) {
+      var read = toCore(readFrom, records);
+      decisions.tell(state -> state.rollouts().leaseRead(read));
+    }
+
+    @Override
+    public void truncated(long first) {
+      // The next read starts beyond the expected offset, which tells the table of the gap.
+    }
+
+    @Override
+    public void unavailable() {
+      // A lease that is not renewed expires by itself.
+    }
+  }
+
+  private final class DrainListener implements LogReader.Listener {
+    @Override
+    public void read(long readFrom, LogRead.Records records) {
+      var read = toCore(readFrom, records);
+      decisions.tell(state -> state.rollouts().drainsRead(read));
+    }
+
+    @Override
+    public void truncated(long first) {
+      // A drain that is still wanted is repeated.
+    }
+
+    @Override
+    public void unavailable() {
+      // Drains end by themselves.
+    }
+  }
 }
--- a/router/src/main/java/org/pollenrock/router/task/ReportConversion.java
+++ b/router/src/main/java/org/pollenrock/router/task/ReportConversion.java
@@ -3,14 +3,18 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.pollenrock.adapters.engine.ServerReport;
 import org.pollenrock.core.model.AdapterId;
 import org.pollenrock.core.model.Incarnation;
 import org.pollenrock.core.model.ModelId;
 import org.pollenrock.core.model.WeightsVersion;
+import org.pollenrock.core.order.Assignment;
+import org.pollenrock.core.order.ServerReport.Phase;
 import org.pollenrock.core.placement.ReportedLoad;
 import org.pollenrock.core.placement.ServedModel;
+import org.pollenrock.router.decision.Rollouts;
 import org.pollenrock.router.decision.ServerEntry;
 
 /** Conversion of a report from its wire form to that of the decisions. */
@@ -34,6 +38,30 @@
         report.timeMillis());
   }
 
+  /** The report as rollouts read it. */
+  static org.pollenrock.core.order.ServerReport toWork(ServerEntry entry, ServerReport report) {
+    Optional<Assignment> serves =
+        models(report).stream()
+            .findFirst()
+            .map(model -> new Assignment(model.model(), model.weights(), Rollouts.ROLE));
+    return new org.pollenrock.core.order.ServerReport(
+        entry.id(),
+        new Incarnation(report.incarnation()),
+        report.timeMillis(),
+        phase(report, serves.isPresent()),
+        serves,
+        report.running());
+  }
+
+  private static Phase phase(ServerReport report, boolean serves) {
+    return switch (report.state()) {
+      case "leaving" -> Phase.LEAVING;
+      case "loading" -> Phase.LOADING;
+      case "load_failed" -> Phase.LOAD_FAILED;
+      default -> serves ? Phase.SERVING : Phase.EMPTY;
+    };
+  }
+
   private static List<ServedModel> models(ServerReport report) {
     List<ServedModel> models = new ArrayList<>();
     for (ServerReport.ServedModel served : report.models()) {
--- a/router/src/main/java/org/pollenrock/router/task/ReportTask.java
+++ b/router/src/main/java/org/pollenrock/router/task/ReportTask.java
@@ -114,6 +114,7 @@
       return;
     }
     var converted = ReportConversion.toCore(entry, report);
-    decisions.tell(state -> state.engineReport(converted, report.leaving()));
+    var work = ReportConversion.toWork(entry, report);
+    decisions.tell(state -> state.engineReport(converted, work));
   }
 }
--- a/router/src/test/java/org/pollenrock/router/TestCluster.java
+++ b/router/src/test/java/org/pollenrock/router/TestCluster.java
@@ -122,6 +122,10 @@
   }
 
   static SettingsTree tree() {
+    return tree("v1");
+  }
+
+  static SettingsTree tree(String version) {
     return SettingsReader.readTree(
             "tree.yaml",
             """
@@ -130,14 +134,14 @@
               customer-1:
                 callers: {desk: {}, batch: {limits: {concurrent-requests: 1}}}
                 api-keys: {"%s": desk, "%s": batch}
-            models: {model-a: {version: v1}}
+            models: {model-a: {version: %s}}
             services:
               ledger:
                 path: /ledger
                 backend: ledger
                 rules: [{method: GET, path: "/**", idempotent: true}]
             """
-                .formatted(ApiKeyHash.ofKey(KEY), ApiKeyHash.ofKey("key-batch")))
+                .formatted(ApiKeyHash.ofKey(KEY), ApiKeyHash.ofKey("key-batch"), version))
         .orElseThrow();
   }
 
