--- a/core/src/test/java/org/pollenrock/core/placement/PlacerTest.java
+++ b/core/src/test/java/org/pollenrock/core/placement/PlacerTest.java
@@ -240,16 +240,21 @@
   void spillDoesNotOscillate() {
     Placer split = placer(PlacementFixture.twoDataCentres(), 1);
     split.report(report(2, 1, FAR, V1, 0, 0), 0);
+    PlacementRequest request = request("c", 1).withLevels(List.of(8));
+    long missing = request.promptTokens();
+    PlacementWeights weights = PlacementWeights.DEFAULT;
+    long marginTokens = weights.spillMarginNanos() * PlacementFixture.RATE / SECOND;
+    long begin = (long) (missing * weights.hitWeight()) + marginTokens;
     int changes = 0;
     BackendServerId previous = null;
-    long copies = 9_000;
     for (int round = 0; round < 100; round++) {
-      split.report(report(1, 1, V1, copies + (round % 2 == 0 ? 100 : -100)), 0);
-      BackendServerId chosen = place(split, request("c", 1), 0).server();
+      long wobble = round % 2 == 0 ? marginTokens / 5 : -marginTokens / 5;
+      split.report(report(1, 1, V1, begin + wobble), 0);
+      BackendServerId chosen = place(split, request, 0).server();
       changes += previous == null || previous.equals(chosen) ? 0 : 1;
       previous = chosen;
-      copies -= copies > 4_500 ? 90 : 0;
     }
+    assertThat(previous).isEqualTo(server(2));
     assertThat(changes).isLessThanOrEqualTo(1);
   }
 
@@ -311,6 +316,24 @@
     return place(importing, request("c", 1), 0).kvImport();
   }
 
+  /** Guards against a store that is overlooked because many engines used the blocks later. */
+  @Test
+  void storeIsASourceHoweverManyEnginesHoldTheBlocks() {
+    BackendServerId store = new BackendServerId("kv");
+    KvTransfer transfer = new KvTransfer(Optional.of(store), false, 1_000_000, 1e9, MILLI);
+    Placer importing = placer(PlacerConfig.of(NEAR).withKvTransfer(transfer), 1);
+    reportAll(importing, SERVERS, 0, 0);
+    PlacementResult.Chosen chosen = place(importing, request("c", 1), 0);
+    importing.storeHolds(chosen.chain(), 0);
+    for (int holder = 1; holder < SERVERS; holder++) {
+      importing.cache().observed(server(holder), FIRST, chosen.chain(), 0, MILLI);
+    }
+    Set<BackendServerId> holders = new HashSet<>(servers(SERVERS - 1));
+    Optional<KvImport> found =
+        place(importing, request("c", 1).excluding(holders), MILLI).kvImport();
+    assertThat(found.map(KvImport::source)).contains(store);
+  }
+
   /** Guards against an import from an engine that no longer holds the blocks. */
   @Test
   void engineIsASourceOnlyInItsCurrentLife() {
