Count own requests in full while the content of their home is unknown

Cause: a guessed share of cached tokens also lowered the own tokens in flight, so LoadTableTest and ServerLoadPropertyTest saw a queue that was too short (13,377 instead of 18,292 tokens). Change: requests in flight count by belief, as before; the guess is part of the cost only. Seen: both tests pass again.

--- a/core/src/main/java/org/pollenrock/core/placement/Placer.java
+++ b/core/src/main/java/org/pollenrock/core/placement/Placer.java
@@ -95,7 +95,8 @@
    * @param nowNanos the time
    */
   public void sent(PlacementResult.Chosen chosen, long nowNanos) {
-    double missing = chosen.candidates().get(0).cost().missingTokens() - importedTokens(chosen);
+    double missing =
+        chosen.request().promptTokens() - chosen.expectedCachedTokens() - importedTokens(chosen);
     InFlight request = new InFlight(chosen, missing, nowNanos);
     inFlight.put(chosen.id(), request);
     Optional<ServerLoad> load = state.loads().server(chosen.server());
