--- a/core/src/test/java/org/pollenrock/core/claim/ClaimTableTest.java
+++ b/core/src/test/java/org/pollenrock/core/claim/ClaimTableTest.java
@@ -18,7 +18,6 @@
   private static final InstanceId ROUTER = new InstanceId("router-1");
   private static final Incarnation LIFE = new Incarnation(3);
   private static final Digest256 BODY = new Digest256(0, 0, 0, 1);
-  private static final int TRIES = 2_000;
 
   private static ClaimRecord.Claimed claim(long number, long keyTimeMillis) {
     ClaimId id = new ClaimId(ROUTER, LIFE, number);
@@ -73,8 +72,7 @@
   @Test
   void corruptAndUnknownRecordsAreSkippedAndCounted() {
     byte[] batch = ClaimCodec.encodeBatch(ROUTER, LIFE, List.of(claim(1, 5), claim(2, 5)));
-    int second = batch.length - 1;
-    batch[second] ^= 1;
+    batch[batch.length - 1] ^= 1;
     byte[] unknown = new RecordWriter().writeLong(1).frame(250);
     byte[] both = Arrays.copyOf(batch, batch.length + unknown.length);
     System.arraycopy(unknown, 0, both, batch.length, unknown.length);
@@ -85,7 +83,7 @@
   }
 
   /** Guards against bytes of any kind that make the decoder throw. */
-  @Property(seed = "7501", tries = TRIES, shrinking = ShrinkingMode.BOUNDED)
+  @Property(seed = "7501", tries = 2_000, shrinking = ShrinkingMode.BOUNDED)
   void anyBytesAreDecodedWithoutAnError(@ForAll @Size(max = 200) byte[] bytes) {
     byte[] batch = ClaimCodec.encodeBatch(ROUTER, LIFE, List.of(claim(1, 5)));
     for (int i = 0; i < bytes.length && i < batch.length; i++) {
--- a/core/src/test/java/org/pollenrock/core/lease/LeaseHolderTest.java
+++ b/core/src/test/java/org/pollenrock/core/lease/LeaseHolderTest.java
@@ -78,7 +78,6 @@
   void stoppedHolderReleasesAndDoesNotAskAgain() {
     decisions.addAll(holder.start(0));
     appendAndRead(10 * MILLI);
-    decisions.clear();
     decisions.addAll(holder.stop(20 * MILLI));
     assertThat(holder.fence(20 * MILLI)).isEmpty();
     appendAndRead(30 * MILLI);
@@ -95,7 +94,10 @@
     List<LeaseTable> tables = new ArrayList<>();
     for (String name : List.of("a", "b", "c")) {
       LeaseOwner self = new LeaseOwner(new InstanceId(name), new Incarnation(1));
-      holders.add(new LeaseHolder("orders", self, SETTINGS));
+      long stagger = holders.size() * 10_000 * MILLI;
+      LeaseSettings settings =
+          new LeaseSettings(3_000 * MILLI, 300 * MILLI, 500 * MILLI, 1_000 * MILLI, stagger);
+      holders.add(new LeaseHolder("orders", self, settings));
       tables.add(new LeaseTable());
       decisions.addAll(holders.getLast().start(0));
     }
