Let urgent requests wait for urgent ones and one prefill chunk only

Cause: the whole queue counted for a short urgent request, although engines run it before patient ones, so it left its prefix for an idle server and computed 2,048 tokens there. Change: the queue of an urgent request is the urgent work ahead plus at most one chunk; with up to 16 servers all are compared for it. The setting for a long prefill ahead is gone. Test: urgentRequestAvoidsALongPrefillAhead is replaced by a stricter one (one chunk exactly, no queue) and one for urgent requests ahead.

--- a/core/src/main/java/org/pollenrock/core/placement/CostModel.java
+++ b/core/src/main/java/org/pollenrock/core/placement/CostModel.java
@@ -71,7 +71,7 @@
       prefill = load.prefillNanos(missing - imported) + kvImport.get().expectedNanos();
     }
     double queueTokens = load.queueTokens(context.nowNanos());
-    double queue = load.prefillNanos(queueTokens);
+    double queue = load.prefillNanos(aheadTokens(request.priority(), load, queueTokens));
     double slot = slotNanos(request.priority(), load);
     double urgent = urgentNanos(request.priority(), load, queueTokens);
     double invested =
@@ -80,7 +80,7 @@
     if (isStray(context, origin, cachedTokens)) {
       eviction *= STRAY_COPY_FACTOR;
     }
-    double delay = delayNanos(context, load.prefillNanos(missing), queue);
+    double delay = delayNanos(context, load.prefillNanos(missing), load.prefillNanos(queueTokens));
     double ttft = prefill + queue + slot + server.roundTripNanos() + urgent;
     PlacementWeights weights = request.tuning();
     double total =
@@ -148,12 +148,19 @@
     return (ahead + pressure) * state.holdNanos() / load.slots();
   }
 
+  /** Engines honour priorities, so an urgent request waits for urgent ones and for one chunk. */
+  private double aheadTokens(Priority priority, ServerLoad load, double queueTokens) {
+    if (priority != Priority.URGENT) {
+      return queueTokens;
+    }
+    return Math.min(queueTokens, load.urgentTokens() * state.routers());
+  }
+
   private double urgentNanos(Priority priority, ServerLoad load, double queueTokens) {
-    boolean longPrefill = queueTokens >= state.config().longPrefillTokens();
-    if (priority != Priority.URGENT || !longPrefill) {
+    if (priority != Priority.URGENT) {
       return 0;
     }
-    return load.prefillNanos(state.config().prefillChunkTokens());
+    return load.prefillNanos(Math.min(queueTokens, state.config().prefillChunkTokens()));
   }
 
   private Optional<KvImport> kvImport(
--- a/core/src/main/java/org/pollenrock/core/placement/ExpectedCostStrategy.java
+++ b/core/src/main/java/org/pollenrock/core/placement/ExpectedCostStrategy.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.pollenrock.core.model.BackendServerId;
 import org.pollenrock.core.model.BlockKey;
+import org.pollenrock.core.model.Priority;
 import org.pollenrock.core.model.WeightsVersion;
 
 /**
@@ -19,6 +20,9 @@
   /** Holders that are compared for each weights version. */
   private static final int HOLDERS = 8;
 
+  /** Most servers that are all compared for an urgent request; bounds the time of a decision. */
+  private static final int COMPARED_FOR_URGENT = 16;
+
   /** Sampled servers: the power of two choices. */
   private static final int SAMPLES = 2;
 
@@ -95,8 +99,14 @@
     }
   }
 
+  /** Urgent requests add little work, so a few servers can all be compared without a herd. */
   private static void addSamples(PlacementContext context, Collector collector) {
     List<EligibleServer> servers = context.eligible().local();
+    boolean urgent = context.request().priority() == Priority.URGENT;
+    if (urgent && servers.size() <= COMPARED_FOR_URGENT) {
+      servers.forEach(server -> collector.add(server, CandidateOrigin.SAMPLED));
+      return;
+    }
     for (int sample = 0; sample < SAMPLES; sample++) {
       int drawn = context.random().nextInt(servers.size());
       collector.add(servers.get(drawn), CandidateOrigin.SAMPLED);
--- a/core/src/main/java/org/pollenrock/core/placement/PlacerConfig.java
+++ b/core/src/main/java/org/pollenrock/core/placement/PlacerConfig.java
@@ -16,7 +16,6 @@
  * @param maximumHomes most homes of a prefix; also bounds the cost of a decision
  * @param coldHomes servers that the cold prefixes below one level share
  * @param urgentReserveSlots slots of each server that only urgent requests take
- * @param longPrefillTokens prefill work ahead that urgent requests avoid, in tokens
  * @param prefillChunkTokens part of a prefill that cannot be interrupted, in tokens
  * @param reportLagNanos age of a report when it arrives: requests sent within this time before are
  *     not in it
@@ -33,7 +32,6 @@
     int maximumHomes,
     int coldHomes,
     int urgentReserveSlots,
-    int longPrefillTokens,
     int prefillChunkTokens,
     long reportLagNanos,
     int cacheEntries,
@@ -75,7 +73,6 @@
         16,
         2,
         1,
-        4_000,
         2_048,
         50_000_000L,
         200_000,
@@ -100,7 +97,6 @@
         maximumHomes,
         coldHomes,
         urgentReserveSlots,
-        longPrefillTokens,
         prefillChunkTokens,
         reportLagNanos,
         cacheEntries,
@@ -125,7 +121,6 @@
         maximumHomes,
         coldHomes,
         urgentReserveSlots,
-        longPrefillTokens,
         prefillChunkTokens,
         reportLagNanos,
         entries,
@@ -149,7 +144,6 @@
         maximumHomes,
         coldHomes,
         urgentReserveSlots,
-        longPrefillTokens,
         prefillChunkTokens,
         reportLagNanos,
         cacheEntries,
--- a/core/src/main/java/org/pollenrock/core/placement/ServerLoad.java
+++ b/core/src/main/java/org/pollenrock/core/placement/ServerLoad.java
@@ -6,6 +6,7 @@
 import org.pollenrock.core.model.BackendServerId;
 import org.pollenrock.core.model.DataCentreId;
 import org.pollenrock.core.model.Incarnation;
+import org.pollenrock.core.model.Priority;
 
 /**
  * Load of one server: its last report, aged, plus what this router has sent since.
@@ -191,6 +192,20 @@
     return Math.max(0, report.load().queueTokens() - drained) + sentTokens;
   }
 
+  /**
+   * Prompt tokens of urgent requests that this router has sent and that are not answered.
+   *
+   * @return tokens
+   */
+  public double urgentTokens() {
+    double tokens = 0;
+    for (InFlight request : inFlight.values()) {
+      boolean urgent = request.chosen().request().priority() == Priority.URGENT;
+      tokens += urgent && !request.answered() ? request.missingTokens() : 0;
+    }
+    return tokens;
+  }
+
   /**
    * Requests that hold a slot.
    *
--- a/core/src/test/java/org/pollenrock/core/placement/PlacerTest.java
+++ b/core/src/test/java/org/pollenrock/core/placement/PlacerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.within;
 import static org.pollenrock.core.placement.PlacementFixture.FAR;
 import static org.pollenrock.core.placement.PlacementFixture.FIRST;
 import static org.pollenrock.core.placement.PlacementFixture.MILLI;
@@ -112,22 +113,41 @@
     assertThat(place(placer, request("c", 1), 2 * MILLI).expectedCachedTokens()).isZero();
   }
 
-  /** Guards against urgent requests that wait behind a prefill chunk they cannot interrupt. */
+  /**
+   * Guards against urgent requests that ignore a prefill chunk they cannot interrupt, and against
+   * urgent requests that leave their prefix for a queue that they do not wait in.
+   */
   @Test
-  void urgentRequestAvoidsALongPrefillAhead() {
+  void urgentRequestWaitsForOneChunkOfALongPrefillAhead() {
     reportAll(placer, 2, 0, 0);
     PlacementRequest urgent = request("c", 1, 2, Priority.URGENT);
     PlacementRequest patient = request("c", 1, 2, Priority.INTERACTIVE);
     PlacementResult.Chosen home = serve(placer, patient, 0);
     int busy = Integer.parseInt(home.server().value().substring(1));
-    placer.report(report(busy, 1, V1, 3_900), MILLI);
+    double chunkNanos = 2_048.0 / PlacementFixture.RATE * SECOND;
+    assertThat(costOn(place(placer, urgent, MILLI), home.server()).urgentNanos()).isZero();
+
+    placer.report(report(busy, 1, V1, 1_000), MILLI);
+    CostTerms shortQueue = costOn(place(placer, urgent, MILLI), home.server());
+    assertThat(shortQueue.urgentNanos()).isBetween(0.4 * chunkNanos, 0.6 * chunkNanos);
+
+    placer.report(report(busy, 1, V1, 60_000), MILLI);
     CostTerms urgentCost = costOn(place(placer, urgent, MILLI), home.server());
     CostTerms patientCost = costOn(place(placer, patient, MILLI), home.server());
-    assertThat(urgentCost.urgentNanos()).isZero();
+    assertThat(urgentCost.urgentNanos()).isCloseTo(chunkNanos, within(1.0));
+    assertThat(urgentCost.queueNanos()).isZero();
     assertThat(patientCost.urgentNanos()).isZero();
-    placer.report(report(busy, 1, V1, 4_100), MILLI);
-    assertThat(costOn(place(placer, urgent, MILLI), home.server()).urgentNanos()).isPositive();
-    assertThat(costOn(place(placer, patient, MILLI), home.server()).urgentNanos()).isZero();
+    assertThat(patientCost.queueNanos()).isGreaterThan(20 * chunkNanos);
+  }
+
+  /** Guards against urgent requests that pile up behind each other on one server. */
+  @Test
+  void urgentRequestWaitsForUrgentOnesAhead() {
+    reportAll(placer, 2, 0, 0);
+    PlacementRequest urgent = request("c", 1, 2, Priority.URGENT);
+    PlacementResult.Chosen first = place(placer, urgent, 0);
+    placer.sent(first, 0);
+    assertThat(costOn(place(placer, urgent, MILLI), first.server()).queueNanos()).isPositive();
   }
 
   private static CostTerms costOn(PlacementResult.Chosen chosen, BackendServerId server) {
