Exchange loans of limit shares between routers

A limit that is used up makes the router ask a peer for what its demand exceeds its share by; a stopping router returns its loans. PeerTest lets both routers run a caller whose limit of 1 gives one of them no share.

--- a/router/src/main/java/org/pollenrock/router/Router.java
+++ b/router/src/main/java/org/pollenrock/router/Router.java
@@ -24,9 +24,11 @@
 import org.pollenrock.adapters.engine.ServerOrderMessage;
 import org.pollenrock.core.connection.ConnectionSettings;
 import org.pollenrock.core.error.Result;
+import org.pollenrock.core.limits.LoanMessage;
 import org.pollenrock.core.membership.ListedRouter;
 import org.pollenrock.core.membership.ServerEvidence;
 import org.pollenrock.core.model.BackendServerId;
+import org.pollenrock.core.model.InstanceId;
 import org.pollenrock.core.order.ServerOrder;
 import org.pollenrock.core.placement.PlacerConfig;
 import org.pollenrock.core.settings.LogRecord;
@@ -435,6 +437,11 @@
       peerTask.broadcastRecords(records);
     }
 
+    @Override
+    public void sendLoan(InstanceId to, LoanMessage message) {
+      peerTask.sendLoan(to, message);
+    }
+
     @Override
     public void broadcastDigests(List<ServerEvidence.PeerDigest> digests) {
       peerTask.broadcastDigests(digests);
--- a/router/src/main/java/org/pollenrock/router/decision/Admission.java
+++ b/router/src/main/java/org/pollenrock/router/decision/Admission.java
@@ -11,6 +11,7 @@
 import org.pollenrock.core.limits.AdmissionSettings;
 import org.pollenrock.core.limits.LimitDecision;
 import org.pollenrock.core.limits.LimitHold;
+import org.pollenrock.core.limits.LimitKey;
 import org.pollenrock.core.limits.LimitTable;
 import org.pollenrock.core.limits.ShareSource;
 import org.pollenrock.core.model.ModelId;
@@ -34,6 +35,7 @@
   private final AdmissionSettings settings;
   private final Map<ModelId, AdmissionQueue> queues = new HashMap<>();
   private final Map<Long, Entry> entries = new HashMap<>();
+  private Consumer<LimitKey> whenExceeded = key -> {};
 
   private static final class Entry {
     private final LimitHold hold;
@@ -63,8 +65,10 @@
 
   void admit(long ticket, AdmitRequest request, Consumer<AdmitAnswer> reply, long nowNanos) {
     switch (limits.acquire(request.values().limits(), request.promptTokens(), nowNanos)) {
-      case LimitDecision.Exceeded exceeded ->
-          reply.accept(new AdmitAnswer.Refused(exceeded.refusal(), exceeded.retryAfterNanos()));
+      case LimitDecision.Exceeded exceeded -> {
+        whenExceeded.accept(exceeded.key());
+        reply.accept(new AdmitAnswer.Refused(exceeded.refusal(), exceeded.retryAfterNanos()));
+      }
       case LimitDecision.Granted(LimitHold hold) -> {
         Entry entry = new Entry(hold, request.model(), reply);
         entries.put(ticket, entry);
@@ -95,6 +99,15 @@
     queue.poll(nowNanos).forEach(decision -> apply(decision, nowNanos));
   }
 
+  /** Sets who hears of limits that are used up. */
+  void whenExceeded(Consumer<LimitKey> listener) {
+    whenExceeded = listener;
+  }
+
+  long demand(LimitKey key, long nowNanos) {
+    return limits.demand(key, nowNanos);
+  }
+
   /** Ends a request: frees what it holds, or takes it out of the queue. */
   void release(long ticket, boolean ran, long nowNanos) {
     Entry entry = entries.remove(ticket);
--- a/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
+++ b/router/src/main/java/org/pollenrock/router/decision/DecisionState.java
@@ -53,6 +53,7 @@
   private final SettingsLog settingsLog;
   private final RouterTable routerTable;
   private final Rollouts rollouts;
+  private final Loans loans;
   private final Outside outside;
   private final LongSupplier nanoClock;
   private final Set<ModelId> models = new HashSet<>();
@@ -141,6 +142,8 @@
             outside,
             random,
             nanoClock);
+    this.loans = new Loans(shares, admission, outside, nanoClock);
+    admission.whenExceeded(loans::exceeded);
     this.rollouts =
         new Rollouts(
             new LeaseOwner(parameters.instance(), parameters.incarnation()),
@@ -176,6 +179,7 @@
   private void inForce(RouterSettings settings) {
     retries.settings(settings.tree());
     rollouts.settings(settings);
+    loans.settings(settings);
     outside.inForce(settings);
   }
 
@@ -353,6 +357,7 @@
     claims.tick();
     settingsLog.tick(routerIds);
     rollouts.tick();
+    loans.tick();
   }
 
   /**
@@ -418,6 +423,15 @@
     return claims;
   }
 
+  /**
+   * Loans of limit shares.
+   *
+   * @return the loans
+   */
+  public Loans loans() {
+    return loans;
+  }
+
   /**
    * Rollouts of weights.
    *
--- a/router/src/main/java/org/pollenrock/router/decision/PeerLinks.java
+++ b/router/src/main/java/org/pollenrock/router/decision/PeerLinks.java
@@ -1,7 +1,9 @@
 package org.pollenrock.router.decision;
 
 import java.util.List;
+import org.pollenrock.core.limits.LoanMessage;
 import org.pollenrock.core.membership.ServerEvidence;
+import org.pollenrock.core.model.InstanceId;
 import org.pollenrock.core.settings.LogRecord;
 
 /** What the decisions send to other routers; called on the decision thread. */
@@ -53,4 +55,12 @@
    * @param digests one entry for each server
    */
   void broadcastDigests(List<ServerEvidence.PeerDigest> digests);
+
+  /**
+   * Sends a message about a loan of a limit share.
+   *
+   * @param to the other router
+   * @param message the message
+   */
+  void sendLoan(InstanceId to, LoanMessage message);
 }
--- a/router/src/main/java/org/pollenrock/router/settings/LimitScopes.java
+++ b/router/src/main/java/org/pollenrock/router/settings/LimitScopes.java
@@ -60,6 +60,16 @@
     return scopes;
   }
 
+  /** Limits of a scope, whether or not a request was charged to it here. */
+  static Optional<LimitValues> of(SettingsTree tree, LimitScope scope) {
+    return tree.customer(scope.customer())
+        .map(
+            known ->
+                limits(
+                    EffectiveSettings.resolve(
+                        tree, Optional.of(scope.customer()), scope.caller(), scope.kind())));
+  }
+
   private static void add(
       List<ScopedLimits> scopes,
       LimitScope scope,
--- a/router/src/main/java/org/pollenrock/router/settings/RouterSettings.java
+++ b/router/src/main/java/org/pollenrock/router/settings/RouterSettings.java
@@ -4,6 +4,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import org.pollenrock.core.limits.LimitScope;
+import org.pollenrock.core.limits.LimitValues;
 import org.pollenrock.core.model.RequestKind;
 import org.pollenrock.core.placement.PlacementWeights;
 import org.pollenrock.core.settings.ApiKeyHash;
@@ -87,6 +89,16 @@
         key.kind(), effective, LimitScopes.of(tree, key.owner(), key.kind()), weights(effective));
   }
 
+  /**
+   * Limits of a scope.
+   *
+   * @param scope whose requests are counted
+   * @return the limits, empty for a customer that the settings do not name
+   */
+  public Optional<LimitValues> limits(LimitScope scope) {
+    return LimitScopes.of(tree, scope);
+  }
+
   private static PlacementWeights weights(EffectiveSettings effective) {
     double ttft = effective.decimal(SettingKey.TTFT_WEIGHT);
     double hit = effective.decimal(SettingKey.HIT_WEIGHT);
--- a/router/src/main/java/org/pollenrock/router/task/PeerTask.java
+++ b/router/src/main/java/org/pollenrock/router/task/PeerTask.java
@@ -12,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.pollenrock.core.limits.LoanMessage;
 import org.pollenrock.core.membership.RouterHeartbeat;
 import org.pollenrock.core.membership.ServerEvidence;
 import org.pollenrock.core.model.BackendServerId;
@@ -96,6 +97,7 @@
   /** Tells peers that this router is leaving. */
   public void drain() {
     draining = true;
+    decisions.tell(state -> state.loans().returnAll());
   }
 
   /**
@@ -148,6 +150,12 @@
         List<LogRecord> records = fromWire(frame.getSettingsRecords());
         decisions.tell(state -> state.settingsLog().receivedFromPeer(records));
       }
+      case LOAN_REQUEST, LOAN_GRANT, LOAN_RETURN ->
+          LoanWire.fromWire(frame)
+              .ifPresent(
+                  message ->
+                      decisions.tell(
+                          state -> state.loans().received(new InstanceId(from), message)));
       default -> {
         // Messages of a later release are skipped.
       }
@@ -221,6 +229,11 @@
     network.broadcast(PeerFrame.newBuilder().setServerStates(states).build());
   }
 
+  @Override
+  public void sendLoan(InstanceId to, LoanMessage message) {
+    network.send(to.value(), LoanWire.toWire(message));
+  }
+
   private static List<PeerFrame> frames(List<LogRecord> records) {
     List<PeerFrame> frames = new ArrayList<>();
     SettingsRecords.Builder builder = SettingsRecords.newBuilder();
--- a/router/src/test/java/org/pollenrock/router/PeerTest.java
+++ b/router/src/test/java/org/pollenrock/router/PeerTest.java
@@ -53,4 +53,34 @@
     TestCluster.await(() -> cluster.router().revision() == revision);
     assertThat(second.revision()).isEqualTo(cluster.router().revision());
   }
+
+  /** The caller may run one request over both routers, so one of them has no share of its own. */
+  @Test
+  void routerWithoutAShareOfALimitBorrowsIt() {
+    second.start();
+    cluster.listRouter("router-1", cluster.router());
+    cluster.listRouter("router-2", second);
+    TestCluster.await(second::ready);
+    TestCluster.await(() -> cluster.operator("/state").contains("\"routers\":2"));
+    TestCluster.await(() -> completes(cluster.router()));
+    TestCluster.await(() -> completes(second));
+  }
+
+  private boolean completes(Router router) {
+    HttpRequest request =
+        HttpRequest.newBuilder(
+                URI.create(
+                    "http://127.0.0.1:"
+                        + router.callerAddress().getPort()
+                        + "/v1/chat/completions"))
+            .header("Authorization", "Bearer key-batch")
+            .POST(HttpRequest.BodyPublishers.ofString(TestCluster.chat(true, 1)))
+            .build();
+    return cluster
+        .client()
+        .sendAsync(request, HttpResponse.BodyHandlers.ofString())
+        .join()
+        .body()
+        .endsWith("data: [DONE]\n\n");
+  }
 }
--- a/router/src/test/java/org/pollenrock/router/decision/SettingsLogTest.java
+++ b/router/src/test/java/org/pollenrock/router/decision/SettingsLogTest.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.UUID;
 import org.junit.jupiter.api.Test;
+import org.pollenrock.core.limits.LoanMessage;
 import org.pollenrock.core.membership.ServerEvidence;
 import org.pollenrock.core.model.InstanceId;
 import org.pollenrock.core.settings.LogBatch;
@@ -49,6 +50,11 @@
       // Only answers to a pull are collected.
     }
 
+    @Override
+    public void sendLoan(InstanceId to, LoanMessage message) {
+      // Limits are not part of this test.
+    }
+
     @Override
     public void broadcastDigests(List<ServerEvidence.PeerDigest> digests) {
       // Servers are not part of this test.
