Resume a continued stream with the body that continued it

Cause: a stream that was continued on another engine and broke there was resumed with the caller's body and an event number of the continuation, so text was repeated and the stream still ended with its end marker. Change: a run with an index offset is resumed with the prompt and the text up to that offset; when that text is no longer kept, the stream is not resumed. Continuations name the block keys of the prompt, whose blocks they share.

--- a/router/src/main/java/org/pollenrock/router/filter/EngineAttempt.java
+++ b/router/src/main/java/org/pollenrock/router/filter/EngineAttempt.java
@@ -1,7 +1,6 @@
 package org.pollenrock.router.filter;
 
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -82,19 +81,21 @@
             Optional.of(choice.placement().weights()),
             exchange.values().effective().priority(),
             OptionalLong.of(Math.max(1, TimeUnit.NANOSECONDS.toMillis(left))),
-            mode instanceof SendMode.Continue ? List.of() : choice.placement().chain().keys(),
+            choice.placement().chain().keys(),
             mode instanceof SendMode.Resume resume ? resume.lastEventId() : OptionalLong.empty(),
             exchange.freshConnection() ? ConnectionUse.FRESH : ConnectionUse.ANY);
     context.decisions().watch(choice.server(), watchId, this, deadline());
     work = context.engines().open(request, this);
   }
 
+  /** A run that continues another one is resumed with the body that started it. */
   private byte[] body() {
     String salt = exchange.caller().customer().value();
-    return mode instanceof SendMode.Continue
-        ? CompletionBody.continuation(
-            call, salt, exchange.stream().text().orElseThrow(), mode.indexOffset())
-        : CompletionBody.forEngine(call, salt);
+    long offset = mode.indexOffset();
+    return offset == 0
+        ? CompletionBody.forEngine(call, salt)
+        : CompletionBody.continuation(
+            call, salt, exchange.stream().text(offset).orElseThrow(), offset);
   }
 
   private ProgressDeadline deadline() {
--- a/router/src/main/java/org/pollenrock/router/filter/Recovery.java
+++ b/router/src/main/java/org/pollenrock/router/filter/Recovery.java
@@ -72,6 +72,7 @@
   void broken(Exchange exchange, Choice.Engine choice, Identity identity, boolean sameFailed) {
     StreamRelay stream = exchange.stream();
     exchange.avoided().add(choice.server());
+    boolean bodyLost = stream.indexOffset() > 0 && stream.text().isEmpty();
     BrokenStream broken =
         new BrokenStream(
             choice.server(),
@@ -80,7 +81,7 @@
             stream.nextIndex(),
             stream.indexOffset(),
             stream.breaks(),
-            sameFailed,
+            sameFailed || bodyLost,
             stream.text().isPresent());
     EngineQuestion question = exchange.engineQuestion();
     decisions.resume(
--- a/router/src/main/java/org/pollenrock/router/filter/StreamRelay.java
+++ b/router/src/main/java/org/pollenrock/router/filter/StreamRelay.java
@@ -54,11 +54,16 @@
 
   /** The text relayed so far, empty when another run cannot continue from text. */
   Optional<String> text() {
-    if (keptChars > MAX_KEPT_CHARS) {
+    return keptChars > MAX_KEPT_CHARS ? Optional.empty() : text(relayed.size());
+  }
+
+  /** The text of the first tokens, empty when it is not kept. */
+  Optional<String> text(long tokens) {
+    if (tokens > relayed.size()) {
       return Optional.empty();
     }
     StringBuilder text = new StringBuilder();
-    for (String data : relayed) {
+    for (String data : relayed.subList(0, (int) tokens)) {
       Optional<String> part = CompletionBody.textOf(data);
       if (part.isEmpty()) {
         return Optional.empty();
