--- a/adapters/src/main/java/org/pollenrock/adapters/http/PeerChannelPool.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/PeerChannelPool.java
@@ -4,6 +4,7 @@
 import io.netty.util.AttributeKey;
 import io.netty.util.Timer;
 import java.time.Duration;
+import java.util.Map;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.asynchttpclient.channel.ChannelPool;
@@ -83,9 +84,8 @@
     pool.flushPartitions(predicate);
   }
 
-  // The library chose the name; the qualified type keeps the check of our own accessors off it.
   @Override
-  public java.util.Map<String, Long> getIdleChannelCountPerHost() {
+  public Map<String, Long> getIdleChannelCountPerHost() {
     return pool.getIdleChannelCountPerHost();
   }
 
