Measure throughput, open streams and added latency of one router

Cause: the targets for one router process had no measurement. Change: bench throughput, streams and overhead drive one router before paced engine stand-ins with an event-driven client. The plain stand-in answers a call without a body with its path, so that swapped answers of idempotent calls show, and no longer copies its whole record at each call.

--- a/bench/src/main/java/org/pollenrock/bench/cli/BenchCommand.java
+++ b/bench/src/main/java/org/pollenrock/bench/cli/BenchCommand.java
@@ -31,8 +31,7 @@
 
   @CommandLine.Option(
       names = "--deployment",
-      required = true,
-      description = "chama or directorate.")
+      description = "chama or directorate; required without a subcommand.")
   private String deployment;
 
   @CommandLine.Option(names = "--seed", defaultValue = "1", description = "Seed of the trace.")
@@ -59,6 +58,8 @@
   @CommandLine.Option(names = "--json", description = "Print one JSON object as the last line.")
   private boolean json;
 
+  @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
+
   private final PrintStream out;
   private final PrintStream progress;
 
@@ -79,14 +80,29 @@
    * @param arguments command line
    */
   public static void main(String[] arguments) {
-    System.exit(
-        new CommandLine(new BenchCommand(System.out, System.err))
-            .setCaseInsensitiveEnumValuesAllowed(true)
-            .execute(arguments));
+    System.exit(commandLine(System.out, System.err).execute(arguments));
+  }
+
+  /**
+   * Makes the command line with its subcommands.
+   *
+   * @param out where figures go
+   * @param progress where progress goes
+   * @return what parses and runs the arguments
+   */
+  static CommandLine commandLine(PrintStream out, PrintStream progress) {
+    return new CommandLine(new BenchCommand(out, progress))
+        .addSubcommand(new ThroughputCommand(out))
+        .addSubcommand(new StreamsCommand(out))
+        .addSubcommand(new OverheadCommand(out));
   }
 
   @Override
   public Integer call() throws InterruptedException {
+    if (deployment == null) {
+      throw new CommandLine.ParameterException(
+          spec.commandLine(), "missing option --deployment or a subcommand");
+    }
     ExperimentOptions options =
         new ExperimentOptions(
             Deployment.named(deployment),
--- a/bench/src/main/java/org/pollenrock/bench/cluster/RouterNode.java
+++ b/bench/src/main/java/org/pollenrock/bench/cluster/RouterNode.java
@@ -14,34 +14,23 @@
 
 /** A real router of a test bed. */
 public final class RouterNode {
-  private static final int IO_THREADS = 2;
-
   private final String name;
   private final Router router;
 
   /**
    * Makes a router; it listens once started.
    *
-   * @param name name of the instance
-   * @param incarnation number of this life
-   * @param dataCentre its data centre
-   * @param cluster the outside systems
+   * @param place its identity and surroundings
    * @param strategy how it places requests
    * @param seed seed of its random choices
    */
-  RouterNode(
-      String name,
-      long incarnation,
-      String dataCentre,
-      StandinCluster cluster,
-      PlacementStrategy strategy,
-      long seed) {
-    this.name = name;
+  RouterNode(RouterPlace place, PlacementStrategy strategy, long seed) {
+    this.name = place.name();
     RouterConfig config =
         new RouterConfig(
-            process(name, dataCentre, cluster, seed),
-            new Incarnation(incarnation),
-            IO_THREADS,
+            process(place, seed),
+            new Incarnation(place.incarnation()),
+            place.ioThreads(),
             RouterTimes.defaults(),
             strategy);
     this.router = new Router(config);
@@ -116,8 +105,7 @@
     return revision < 0 ? OptionalLong.empty() : OptionalLong.of(revision);
   }
 
-  private static ProcessSettings process(
-      String name, String dataCentre, StandinCluster cluster, long seed) {
+  private static ProcessSettings process(RouterPlace place, long seed) {
     String yaml =
         """
         instance: %s
@@ -130,12 +118,8 @@
         random-seed: %d
         """
             .formatted(
-                name,
-                dataCentre,
-                cluster.logAddress(dataCentre),
-                cluster.listAddress(dataCentre),
-                seed);
-    return switch (SettingsReader.readProcess(name + ".yaml", yaml)) {
+                place.name(), place.dataCentre(), place.logAddress(), place.listAddress(), seed);
+    return switch (SettingsReader.readProcess(place.name() + ".yaml", yaml)) {
       case ReadResult.Valid<ProcessSettings>(ProcessSettings settings) -> settings;
       case ReadResult.Invalid<ProcessSettings>(var errors) ->
           throw new IllegalStateException("process settings are invalid: " + errors);
--- a/bench/src/main/java/org/pollenrock/bench/cluster/TestBed.java
+++ b/bench/src/main/java/org/pollenrock/bench/cluster/TestBed.java
@@ -18,6 +18,7 @@
 public final class TestBed {
   private static final long READY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
   private static final long POLL_MS = 5;
+  private static final int ROUTER_IO_THREADS = 2;
 
   private final Deployment deployment;
   private final StandinCluster cluster;
@@ -147,16 +148,18 @@
   private RouterNode router(int index) {
     incarnations++;
     String dataCentre = deployment.dataCentres().get(index % deployment.dataCentres().size());
-    return new RouterNode(
-        "router-" + (index + 1),
-        incarnations,
-        dataCentre,
-        cluster,
-        strategies.get(),
-        seed * 1_000 + incarnations);
+    RouterPlace place =
+        new RouterPlace(
+            "router-" + (index + 1),
+            incarnations,
+            dataCentre,
+            cluster.logAddress(dataCentre),
+            cluster.listAddress(dataCentre),
+            ROUTER_IO_THREADS);
+    return new RouterNode(place, strategies.get(), seed * 1_000 + incarnations);
   }
 
-  private static void await(BooleanSupplier condition) throws InterruptedException {
+  static void await(BooleanSupplier condition) throws InterruptedException {
     long deadline = System.nanoTime() + READY_TIMEOUT_NANOS;
     while (!condition.getAsBoolean()) {
       if (System.nanoTime() > deadline) {
--- a/bench/src/main/java/org/pollenrock/bench/fault/FaultInjector.java
+++ b/bench/src/main/java/org/pollenrock/bench/fault/FaultInjector.java
@@ -77,60 +77,70 @@
 
   private void begin(FaultName fault, long nowNanos) {
     StandinCluster cluster = bed.cluster();
-    switch (fault) {
-      case ENGINE_CRASH -> crash(random.nextInt(cluster.engines().size()));
-      case ROUTER_HERD -> bed.restartDataCentre(0);
-      case LOG_OUTAGE -> cluster.log().outage(true);
-      case CONFIG_RACE -> bed.publishConflictingChanges();
-      case SILENT_CONNECTIONS -> cluster.silenceConnections();
-      case PARTITION -> cluster.partition(bed.deployment().dataCentres().getLast(), true);
-      case SERVER_LEAVES -> leave(nowNanos);
-      case ROUTER_STOPS -> bed.restartRouter(0);
-      case WEIGHTS_ROLLOUT -> bed.publishWeights(NEW_VERSION);
-      case LATE_ANSWERS -> engines().forEach(engine -> engine.slowdown(SLOWDOWN));
-      case EVENT_GAPS, LOG_LOST_ACK, HOT_SHIFT -> repeat(fault);
-    }
+    Runnable start =
+        switch (fault) {
+          case ENGINE_CRASH -> () -> crash(random.nextInt(cluster.engines().size()));
+          case ROUTER_HERD -> () -> bed.restartDataCentre(0);
+          case LOG_OUTAGE -> () -> cluster.log().outage(true);
+          case CONFIG_RACE -> bed::publishConflictingChanges;
+          case SILENT_CONNECTIONS -> cluster::silenceConnections;
+          case PARTITION -> () -> cluster.partition(lastDataCentre(), true);
+          case SERVER_LEAVES -> () -> leave(nowNanos);
+          case ROUTER_STOPS -> () -> bed.restartRouter(0);
+          case WEIGHTS_ROLLOUT -> () -> bed.publishWeights(NEW_VERSION);
+          case LATE_ANSWERS -> () -> engines().forEach(engine -> engine.slowdown(SLOWDOWN));
+          case EVENT_GAPS, LOG_LOST_ACK, HOT_SHIFT -> () -> repeat(fault);
+        };
+    start.run();
   }
 
   private void repeat(FaultName fault) {
-    switch (fault) {
-      case EVENT_GAPS -> engines().forEach(engine -> engine.loseEvents(EVENTS_LOST));
-      case LOG_LOST_ACK -> bed.cluster().log().loseAcknowledgements(ACKNOWLEDGEMENTS_LOST);
-      case LATE_ANSWERS -> engines().forEach(engine -> engine.answerForOthers(FOREIGN_ANSWERS));
-      case ENGINE_CRASH,
-          ROUTER_HERD,
-          HOT_SHIFT,
-          LOG_OUTAGE,
-          CONFIG_RACE,
-          SILENT_CONNECTIONS,
-          PARTITION,
-          SERVER_LEAVES,
-          ROUTER_STOPS,
-          WEIGHTS_ROLLOUT -> {
-        return;
-      }
-    }
+    Runnable event =
+        switch (fault) {
+          case EVENT_GAPS -> () -> engines().forEach(engine -> engine.loseEvents(EVENTS_LOST));
+          case LOG_LOST_ACK ->
+              () -> bed.cluster().log().loseAcknowledgements(ACKNOWLEDGEMENTS_LOST);
+          case LATE_ANSWERS ->
+              () -> engines().forEach(engine -> engine.answerForOthers(FOREIGN_ANSWERS));
+          case ENGINE_CRASH,
+              ROUTER_HERD,
+              HOT_SHIFT,
+              LOG_OUTAGE,
+              CONFIG_RACE,
+              SILENT_CONNECTIONS,
+              PARTITION,
+              SERVER_LEAVES,
+              ROUTER_STOPS,
+              WEIGHTS_ROLLOUT ->
+              () -> {};
+        };
+    event.run();
   }
 
   private void end(FaultName fault) {
     StandinCluster cluster = bed.cluster();
-    switch (fault) {
-      case LOG_OUTAGE -> cluster.log().outage(false);
-      case PARTITION -> cluster.partition(bed.deployment().dataCentres().getLast(), false);
-      case LATE_ANSWERS -> engines().forEach(engine -> engine.slowdown(1.0));
-      case EVENT_GAPS,
-          LOG_LOST_ACK,
-          ENGINE_CRASH,
-          ROUTER_HERD,
-          HOT_SHIFT,
-          CONFIG_RACE,
-          SILENT_CONNECTIONS,
-          SERVER_LEAVES,
-          ROUTER_STOPS,
-          WEIGHTS_ROLLOUT -> {
-        return;
-      }
-    }
+    Runnable end =
+        switch (fault) {
+          case LOG_OUTAGE -> () -> cluster.log().outage(false);
+          case PARTITION -> () -> cluster.partition(lastDataCentre(), false);
+          case LATE_ANSWERS -> () -> engines().forEach(engine -> engine.slowdown(1.0));
+          case EVENT_GAPS,
+              LOG_LOST_ACK,
+              ENGINE_CRASH,
+              ROUTER_HERD,
+              HOT_SHIFT,
+              CONFIG_RACE,
+              SILENT_CONNECTIONS,
+              SERVER_LEAVES,
+              ROUTER_STOPS,
+              WEIGHTS_ROLLOUT ->
+              () -> {};
+        };
+    end.run();
+  }
+
+  private String lastDataCentre() {
+    return bed.deployment().dataCentres().getLast();
   }
 
   private void crash(int first) {
--- a/standin/src/main/java/org/pollenrock/standin/service/PlainServiceStandin.java
+++ b/standin/src/main/java/org/pollenrock/standin/service/PlainServiceStandin.java
@@ -4,22 +4,25 @@
 import io.netty.channel.EventLoopGroup;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Collections;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.pollenrock.standin.http.StandinExchange;
 import org.pollenrock.standin.http.StandinHttpServer;
 import org.pollenrock.standin.http.StandinRequest;
 
-/** Server of a plain service: every call takes a fixed time, is recorded, and echoes its body. */
+/**
+ * Server of a plain service: every call takes a fixed time, is recorded, and echoes its body, or
+ * its path when it has no body.
+ */
 public final class PlainServiceStandin {
   private final String name;
   private final EventLoop loop;
   private final Duration callTime;
   private final StandinHttpServer server;
-  private final List<Execution> executions = new CopyOnWriteArrayList<>();
+  private final Queue<Execution> executions = new ConcurrentLinkedQueue<>();
   private int lostAnswers;
   private int foreignAnswers;
   private boolean leaving;
@@ -62,10 +65,10 @@
   /**
    * Calls that ran, in order.
    *
-   * @return a live, read-only view
+   * @return a copy
    */
   public List<Execution> executions() {
-    return Collections.unmodifiableList(executions);
+    return List.copyOf(executions);
   }
 
   /**
@@ -137,6 +140,8 @@
         200,
         Map.of("X-Attempt-Id", attempt, "X-Served-By", name),
         request.headers().get("Content-Type", "application/json"),
-        request.body());
+        request.body().length > 0
+            ? request.body()
+            : request.path().getBytes(StandardCharsets.UTF_8));
   }
 }
