Plot a run over time and measure recovery from faults

Cause: a run gave only totals, so the effect of a fault and the return to the earlier hit rate were not visible. With faults, table and JSON have recovery_seconds, null when nine tenths of the earlier hit rate were not reached within the trace.

--- a/bench/src/main/java/org/pollenrock/bench/cli/BenchCommand.java
+++ b/bench/src/main/java/org/pollenrock/bench/cli/BenchCommand.java
@@ -1,9 +1,13 @@
 package org.pollenrock.bench.cli;
 
+import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.stream.Collectors;
@@ -11,7 +15,10 @@
 import org.pollenrock.bench.experiment.ExperimentOptions;
 import org.pollenrock.bench.experiment.Policy;
 import org.pollenrock.bench.fault.FaultName;
+import org.pollenrock.bench.figure.FaultWindow;
 import org.pollenrock.bench.figure.FigureReport;
+import org.pollenrock.bench.figure.HitRateSeries;
+import org.pollenrock.bench.figure.PlotPage;
 import org.pollenrock.bench.figure.PolicyFigures;
 import org.pollenrock.bench.history.RunHistory;
 import org.pollenrock.bench.history.Violation;
@@ -28,6 +35,7 @@
   public static final int EXIT_VIOLATION = 3;
 
   private static final int SHOWN_VIOLATIONS = 5;
+  private static final double NANOS_PER_SECOND = 1e9;
 
   @CommandLine.Option(
       names = "--deployment",
@@ -55,6 +63,11 @@
       description = "Policies separated by commas; all when absent.")
   private String policies;
 
+  @CommandLine.Option(
+      names = "--report",
+      description = "Directory for an HTML page with plots over time.")
+  private Path reportDirectory;
+
   @CommandLine.Option(names = "--json", description = "Print one JSON object as the last line.")
   private boolean json;
 
@@ -98,7 +111,7 @@
   }
 
   @Override
-  public Integer call() throws InterruptedException {
+  public Integer call() throws InterruptedException, IOException {
     if (deployment == null) {
       throw new CommandLine.ParameterException(
           spec.commandLine(), "missing option --deployment or a subcommand");
@@ -114,20 +127,53 @@
         "deployment %s, seed %d, %.0f s, times scaled by 1, faults %s%n",
         deployment, seed, seconds, names(options.faults()));
     Map<String, PolicyFigures> figures = new LinkedHashMap<>();
+    PlotPage page = new PlotPage(title(options), seconds, window(options));
     for (Policy policy : options.policies()) {
-      figures.put(policy.wireName(), run(options, policy));
+      RunHistory history = run(options, policy);
+      figures.put(policy.wireName(), show(options, history));
+      page.add(policy.wireName(), history);
+    }
+    FigureReport report = new FigureReport(deployment, seed, figures, !options.faults().isEmpty());
+    if (reportDirectory != null) {
+      page.write(reportDirectory, report.table());
     }
-    FigureReport report = new FigureReport(deployment, seed, figures);
     out.print(json ? report.json() + System.lineSeparator() : report.table());
     PolicyFigures own = figures.get(Policy.POLLENROCK.wireName());
     return own == null || own.violations().isEmpty() ? 0 : EXIT_VIOLATION;
   }
 
-  private PolicyFigures run(ExperimentOptions options, Policy policy) throws InterruptedException {
+  private static String title(ExperimentOptions options) {
+    return "%s, seed %d, faults: %s"
+        .formatted(options.deployment().name(), options.seed(), names(options.faults()));
+  }
+
+  private static Optional<FaultWindow> window(ExperimentOptions options) {
+    return options.faults().isEmpty()
+        ? Optional.empty()
+        : Optional.of(
+            new FaultWindow(
+                Math.round(options.faultStartSeconds() * NANOS_PER_SECOND),
+                Math.round(options.faultEndSeconds() * NANOS_PER_SECOND)));
+  }
+
+  private static OptionalDouble recovery(ExperimentOptions options, RunHistory history) {
+    long traceEndNanos = Math.round(options.seconds() * NANOS_PER_SECOND);
+    return window(options)
+        .map(
+            window ->
+                new HitRateSeries(history.engineRuns()).recoverySeconds(window, traceEndNanos))
+        .orElse(OptionalDouble.empty());
+  }
+
+  private RunHistory run(ExperimentOptions options, Policy policy) throws InterruptedException {
     ProgressLine line = new ProgressLine(progress, policy.wireName(), options.seconds());
     RunHistory history = new Experiment(options, line::add).run(policy);
-    PolicyFigures figures = PolicyFigures.of(history);
     line.end();
+    return history;
+  }
+
+  private PolicyFigures show(ExperimentOptions options, RunHistory history) {
+    PolicyFigures figures = PolicyFigures.of(history, recovery(options, history));
     List<Violation> violations = figures.violations();
     violations.stream()
         .limit(SHOWN_VIOLATIONS)
--- a/bench/src/main/java/org/pollenrock/bench/figure/FigureReport.java
+++ b/bench/src/main/java/org/pollenrock/bench/figure/FigureReport.java
@@ -12,6 +12,7 @@
   private final String deployment;
   private final long seed;
   private final Map<String, PolicyFigures> byPolicy;
+  private final boolean withFaults;
 
   /**
    * Makes a report.
@@ -19,11 +20,14 @@
    * @param deployment name of the deployment
    * @param seed seed of the trace
    * @param byPolicy figures by policy, in the order to print
+   * @param withFaults whether to write the recovery from faults
    */
-  public FigureReport(String deployment, long seed, Map<String, PolicyFigures> byPolicy) {
+  public FigureReport(
+      String deployment, long seed, Map<String, PolicyFigures> byPolicy, boolean withFaults) {
     this.deployment = deployment;
     this.seed = seed;
     this.byPolicy = byPolicy;
+    this.withFaults = withFaults;
   }
 
   /**
@@ -50,7 +54,7 @@
     table.append(
         String.format(
             Locale.ROOT,
-            "%-16s %8s %9s %9s %9s %11s %10s %9s %8s %8s %10s %8s %10s%n",
+            "%-16s %8s %9s %9s %9s %11s %10s %9s %8s %8s %10s %8s %10s",
             "policy",
             "hit rate",
             "p50 ms",
@@ -64,30 +68,42 @@
             "incomplete",
             "repeated",
             "violations"));
+    table.append(withFaults ? "  recovery s%n".formatted() : System.lineSeparator());
     byPolicy.forEach((name, figures) -> table.append(row(name, figures)));
     return table.toString();
   }
 
-  private static String row(String name, PolicyFigures figures) {
-    return String.format(
-        Locale.ROOT,
-        "%-16s %8.4f %9.1f %9.1f %9.1f %11.1f %10d %9d %8d %8d %10d %8d %10d%n",
-        name,
-        figures.prefixHitRate(),
-        figures.ttftP50Ms(),
-        figures.ttftP95Ms(),
-        figures.ttftP99Ms(),
-        figures.verdictTtftP99Ms(),
-        figures.wastedTokens(),
-        figures.completed(),
-        figures.refusedNotRun(),
-        figures.unknown(),
-        figures.incompleteStreams(),
-        figures.repeatedRuns(),
-        figures.violations().size());
+  private String row(String name, PolicyFigures figures) {
+    String row =
+        String.format(
+            Locale.ROOT,
+            "%-16s %8.4f %9.1f %9.1f %9.1f %11.1f %10d %9d %8d %8d %10d %8d %10d",
+            name,
+            figures.prefixHitRate(),
+            figures.ttftP50Ms(),
+            figures.ttftP95Ms(),
+            figures.ttftP99Ms(),
+            figures.verdictTtftP99Ms(),
+            figures.wastedTokens(),
+            figures.completed(),
+            figures.refusedNotRun(),
+            figures.unknown(),
+            figures.incompleteStreams(),
+            figures.repeatedRuns(),
+            figures.violations().size());
+    return row + recovery(figures) + System.lineSeparator();
+  }
+
+  private String recovery(PolicyFigures figures) {
+    if (!withFaults) {
+      return "";
+    }
+    return figures.recoverySeconds().isPresent()
+        ? String.format(Locale.ROOT, " %11.2f", figures.recoverySeconds().getAsDouble())
+        : String.format(Locale.ROOT, " %11s", "not reached");
   }
 
-  private static void write(PolicyFigures figures, ObjectNode node) {
+  private void write(PolicyFigures figures, ObjectNode node) {
     node.put("prefix_hit_rate", rounded(figures.prefixHitRate()));
     node.put("ttft_p50_ms", rounded(figures.ttftP50Ms()));
     node.put("ttft_p95_ms", rounded(figures.ttftP95Ms()));
@@ -100,6 +116,14 @@
     node.put("incomplete_streams", figures.incompleteStreams());
     node.put("repeated_runs", figures.repeatedRuns());
     node.put("invariant_violations", figures.violations().size());
+    if (!withFaults) {
+      return;
+    }
+    if (figures.recoverySeconds().isPresent()) {
+      node.put("recovery_seconds", rounded(figures.recoverySeconds().getAsDouble()));
+    } else {
+      node.putNull("recovery_seconds");
+    }
   }
 
   private static double rounded(double value) {
--- a/bench/src/main/java/org/pollenrock/bench/figure/PolicyFigures.java
+++ b/bench/src/main/java/org/pollenrock/bench/figure/PolicyFigures.java
@@ -1,6 +1,7 @@
 package org.pollenrock.bench.figure;
 
 import java.util.List;
+import java.util.OptionalDouble;
 import org.HdrHistogram.Histogram;
 import org.pollenrock.bench.drive.Outcome;
 import org.pollenrock.bench.history.EngineRun;
@@ -23,6 +24,8 @@
  * @param unknown requests whose caller was told that they may have run
  * @param incompleteStreams streams that ended early
  * @param repeatedRuns runs of a key beyond its first
+ * @param recoverySeconds time from the end of the faults to nine tenths of the earlier hit rate, or
+ *     empty without faults or when it was not reached
  * @param violations every broken invariant
  */
 public record PolicyFigures(
@@ -37,6 +40,7 @@
     long unknown,
     long incompleteStreams,
     long repeatedRuns,
+    OptionalDouble recoverySeconds,
     List<Violation> violations) {
   private static final long HIGHEST_MICROS = 600_000_000L;
   private static final int DIGITS = 3;
@@ -45,9 +49,10 @@
    * Works out the figures of a history.
    *
    * @param history the history
+   * @param recoverySeconds time to recover from its faults, or empty
    * @return its figures
    */
-  public static PolicyFigures of(RunHistory history) {
+  public static PolicyFigures of(RunHistory history, OptionalDouble recoverySeconds) {
     Histogram all = new Histogram(HIGHEST_MICROS, DIGITS);
     Histogram shortOnes = new Histogram(HIGHEST_MICROS, DIGITS);
     for (Outcome outcome : history.outcomes()) {
@@ -73,6 +78,7 @@
         count(history, Outcome.End.UNKNOWN) + count(history, Outcome.End.RAN),
         count(history, Outcome.End.INCOMPLETE),
         HistoryRule.AT_MOST_ONCE.check(history).size(),
+        recoverySeconds,
         violations);
   }
 
