Measure settings changes, leaving servers and router restarts

Cause: the targets for control work had no measurement. Change: bench control publishes settings changes one by one, restarts routers one by one and lets a model server leave under traffic. The engine stand-in tells when the last model request arrived, refused ones included, because a leaving stand-in runs nothing new and would hide late requests.

--- a/bench/src/main/java/org/pollenrock/bench/cli/BenchCommand.java
+++ b/bench/src/main/java/org/pollenrock/bench/cli/BenchCommand.java
@@ -107,7 +107,8 @@
     return new CommandLine(new BenchCommand(out, progress))
         .addSubcommand(new ThroughputCommand(out))
         .addSubcommand(new StreamsCommand(out))
-        .addSubcommand(new OverheadCommand(out));
+        .addSubcommand(new OverheadCommand(out))
+        .addSubcommand(new ControlCommand(out));
   }
 
   @Override
--- a/bench/src/main/java/org/pollenrock/bench/cluster/TestBed.java
+++ b/bench/src/main/java/org/pollenrock/bench/cluster/TestBed.java
@@ -1,5 +1,6 @@
 package org.pollenrock.bench.cluster;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
@@ -19,6 +20,7 @@
   private static final long READY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
   private static final long POLL_MS = 5;
   private static final int ROUTER_IO_THREADS = 2;
+  private static final String DEADLINE = "root/deadline";
 
   private final Deployment deployment;
   private final StandinCluster cluster;
@@ -129,9 +131,19 @@
     publisher.put("models/" + Deployment.MODEL + "/version", version);
   }
 
+  /**
+   * Publishes another deadline of all requests.
+   *
+   * @param deadline the deadline, in whole seconds
+   * @return log offset of the change
+   */
+  public long publishDeadline(Duration deadline) {
+    return publisher.put(DEADLINE, deadline.toSeconds() + "s");
+  }
+
   /** Publishes two changes of one value that were made against the same revision. */
   public void publishConflictingChanges() {
-    publisher.race("root/deadline", "61s", "62s");
+    publisher.race(DEADLINE, "61s", "62s");
   }
 
   /**
--- a/bench/src/main/java/org/pollenrock/bench/cluster/TreePublisher.java
+++ b/bench/src/main/java/org/pollenrock/bench/cluster/TreePublisher.java
@@ -22,14 +22,17 @@
     this.log = log;
   }
 
-  /** Publishes edits made against the newest revision that this publisher knows. */
-  synchronized void publish(List<SettingsEdit> edits) {
+  /**
+   * Publishes edits made against the newest revision that this publisher knows; returns the offset.
+   */
+  synchronized long publish(List<SettingsEdit> edits) {
     base = append(edits, base);
+    return base;
   }
 
-  /** Publishes a new value at a path. */
-  void put(String path, String value) {
-    publish(List.of(edit(path, value)));
+  /** Publishes a new value at a path; returns the offset. */
+  long put(String path, String value) {
+    return publish(List.of(edit(path, value)));
   }
 
   /** Publishes two changes of one value, both made against the same revision. */
--- a/standin/src/main/java/org/pollenrock/standin/engine/EngineStandin.java
+++ b/standin/src/main/java/org/pollenrock/standin/engine/EngineStandin.java
@@ -34,6 +34,7 @@
   private final ObjectMapper json = new ObjectMapper();
   private long incarnation;
   private boolean down;
+  private volatile long lastArrivalNanos = System.nanoTime();
 
   /**
    * Makes an engine; it listens once started.
@@ -200,6 +201,15 @@
     return weights.version();
   }
 
+  /**
+   * When the last model request arrived, refused ones included.
+   *
+   * @return monotonic time; that of the engine's making before the first
+   */
+  public long lastArrivalNanos() {
+    return lastArrivalNanos;
+  }
+
   /**
    * Incarnation that answers now.
    *
@@ -262,6 +272,7 @@
   }
 
   private void complete(StandinRequest request, StandinExchange exchange) {
+    lastArrivalNanos = System.nanoTime();
     Optional<EnginePrompt> parsed = EnginePrompt.parse(request);
     if (parsed.isEmpty() || !parsed.get().model().equals(settings.model())) {
       exchange.respondJson(400, "{\"error\":{\"message\":\"bad request\"}}");
