Name where a wrong answer leaves the right text

Cause: a violation of answer-identity under engine_crash gave no hint whether words were missing, additional or of other weights. Change: the outcome of a wrong stream says after which word it differs and how many words it has.

--- a/bench/src/main/java/org/pollenrock/bench/drive/ExpectedText.java
+++ b/bench/src/main/java/org/pollenrock/bench/drive/ExpectedText.java
@@ -14,11 +14,33 @@
     this.versions = List.copyOf(versions);
   }
 
-  boolean matches(TimedRequest request, String text) {
+  /**
+   * Compares an answer with the right texts.
+   *
+   * @return empty when it is one of them, otherwise where it leaves the closest one, as a code
+   */
+  String difference(TimedRequest request, String text) {
     String prompt = promptText(request);
     int words = request.kind().maxTokens();
-    return versions.stream()
-        .anyMatch(version -> GeneratedText.whole(prompt, version, words).equals(text));
+    List<String> actual = List.of(text.strip().split(" "));
+    int alike = 0;
+    for (String version : versions) {
+      String right = GeneratedText.whole(prompt, version, words);
+      if (right.equals(text)) {
+        return "";
+      }
+      alike = Math.max(alike, commonWords(List.of(right.strip().split(" ")), actual));
+    }
+    return "differs_after_word_%d_of_%d_has_%d".formatted(alike, words, actual.size());
+  }
+
+  private static int commonWords(List<String> right, List<String> actual) {
+    int count = 0;
+    while (count < Math.min(right.size(), actual.size())
+        && right.get(count).equals(actual.get(count))) {
+      count++;
+    }
+    return count;
   }
 
   private static String promptText(TimedRequest request) {
--- a/bench/src/main/java/org/pollenrock/bench/drive/TraceClient.java
+++ b/bench/src/main/java/org/pollenrock/bench/drive/TraceClient.java
@@ -142,8 +142,9 @@
       }
       String data = line.substring(DATA.length());
       if (data.equals(DONE)) {
-        boolean right = expected.matches(recorder.request, text.toString());
-        return recorder.end(right ? Outcome.End.COMPLETED : Outcome.End.WRONG, "");
+        String difference = expected.difference(recorder.request, text.toString());
+        Outcome.End end = difference.isEmpty() ? Outcome.End.COMPLETED : Outcome.End.WRONG;
+        return recorder.end(end, difference);
       }
       JsonNode event = JSON.readTree(data);
       if (event.has("error")) {
