--- a/bench/src/main/java/org/pollenrock/bench/cluster/TestBed.java
+++ b/bench/src/main/java/org/pollenrock/bench/cluster/TestBed.java
@@ -1,5 +1,6 @@
 package org.pollenrock.bench.cluster;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
@@ -18,6 +19,8 @@
 public final class TestBed {
   private static final long READY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
   private static final long POLL_MS = 5;
+  private static final int ROUTER_IO_THREADS = 2;
+  private static final String DEADLINE = "root/deadline";
 
   private final Deployment deployment;
   private final StandinCluster cluster;
@@ -128,9 +131,19 @@
     publisher.put("models/" + Deployment.MODEL + "/version", version);
   }
 
+  /**
+   * Publishes another deadline of all requests.
+   *
+   * @param deadline the deadline, in whole seconds
+   * @return log offset of the change
+   */
+  public long publishDeadline(Duration deadline) {
+    return publisher.put(DEADLINE, deadline.toSeconds() + "s");
+  }
+
   /** Publishes two changes of one value that were made against the same revision. */
   public void publishConflictingChanges() {
-    publisher.race("root/deadline", "61s", "62s");
+    publisher.race(DEADLINE, "61s", "62s");
   }
 
   /**
@@ -147,16 +160,18 @@
   private RouterNode router(int index) {
     incarnations++;
     String dataCentre = deployment.dataCentres().get(index % deployment.dataCentres().size());
-    return new RouterNode(
-        "router-" + (index + 1),
-        incarnations,
-        dataCentre,
-        cluster,
-        strategies.get(),
-        seed * 1_000 + incarnations);
+    RouterPlace place =
+        new RouterPlace(
+            "router-" + (index + 1),
+            incarnations,
+            dataCentre,
+            cluster.logAddress(dataCentre),
+            cluster.listAddress(dataCentre),
+            ROUTER_IO_THREADS);
+    return new RouterNode(place, strategies.get(), seed * 1_000 + incarnations);
   }
 
-  private static void await(BooleanSupplier condition) throws InterruptedException {
+  static void await(BooleanSupplier condition) throws InterruptedException {
     long deadline = System.nanoTime() + READY_TIMEOUT_NANOS;
     while (!condition.getAsBoolean()) {
       if (System.nanoTime() > deadline) {
