--- a/router/src/main/java/org/pollenrock/router/decision/EnginePlacement.java
+++ b/router/src/main/java/org/pollenrock/router/decision/EnginePlacement.java
@@ -33,7 +33,12 @@
 
 /** Placement of model requests; confined to the decision thread. */
 final class EnginePlacement {
-  private static final int MAX_BREAKS = 4;
+  /**
+   * A crashed server costs a stream two breaks, the lost connection and the refused resumption.
+   * With 4 breaks, a stream that met two crashed servers in turn was interrupted.
+   */
+  private static final int MAX_BREAKS = 16;
+
   private static final int EXPLANATIONS_KEPT = 256;
 
   private final Placer placer;
