Keep a link broken that lost bytes

Cause: LinkRelay dropped bytes while it was cut and then passed later bytes of the same connection. TCP never does that, so a partition ended with garbled responses that no router could meet. Change: once a read was dropped, the connection passes nothing more in either direction; new connections work.

--- a/standin/src/main/java/org/pollenrock/standin/net/LinkRelay.java
+++ b/standin/src/main/java/org/pollenrock/standin/net/LinkRelay.java
@@ -20,6 +20,8 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
 /** Forwards the bytes of TCP connections after a delay; it can be cut, or silenced for good. */
@@ -30,6 +32,7 @@
   private final Supplier<String> target;
   private final Duration delay;
   private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final AtomicLong lostReads = new AtomicLong();
   private volatile boolean cut;
   private volatile long silencedBeforeNanos = System.nanoTime() - 1;
   private Channel listener;
@@ -97,16 +100,25 @@
     silencedBeforeNanos = System.nanoTime();
   }
 
+  /**
+   * How often bytes were dropped.
+   *
+   * @return number of dropped reads since the start
+   */
+  public long lostReads() {
+    return lostReads.get();
+  }
+
   private void accept(SocketChannel near) {
     channels.add(near);
-    long openedNanos = System.nanoTime();
+    Link link = new Link(System.nanoTime(), new AtomicBoolean());
     String[] parts = target.get().split(":");
     new Bootstrap()
         .group(near.eventLoop())
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-        .handler(new Forwarder(near, openedNanos))
+        .handler(new Forwarder(near, link))
         .connect(parts[0], Integer.parseInt(parts[1]))
         .addListener(
             (ChannelFuture connected) -> {
@@ -115,24 +127,30 @@
                 return;
               }
               channels.add(connected.channel());
-              near.pipeline().addLast(new Forwarder(connected.channel(), openedNanos));
+              near.pipeline().addLast(new Forwarder(connected.channel(), link));
               near.config().setAutoRead(true);
             });
   }
 
+  /** Both directions of one forwarded connection. */
+  private record Link(long openedNanos, AtomicBoolean broken) {}
+
   /** Passes what arrives on one connection to another, in order. */
   private final class Forwarder extends ChannelInboundHandlerAdapter {
     private final Channel other;
-    private final long openedNanos;
+    private final Link link;
 
-    private Forwarder(Channel other, long openedNanos) {
+    private Forwarder(Channel other, Link link) {
       this.other = other;
-      this.openedNanos = openedNanos;
+      this.link = link;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
       if (dropped()) {
+        // TCP never delivers bytes behind lost ones, so nothing more may pass in either direction.
+        link.broken.set(true);
+        lostReads.incrementAndGet();
         ReferenceCountUtil.release(message);
         return;
       }
@@ -152,7 +170,7 @@
     }
 
     private boolean dropped() {
-      return cut || openedNanos - silencedBeforeNanos < 0;
+      return cut || link.broken.get() || link.openedNanos - silencedBeforeNanos < 0;
     }
 
     private void afterDelay(ChannelHandlerContext context, Runnable action) {
