Let the link relay test time out on a thread of its own

Cause: a thread that spins does not react to the interrupt of a timeout, so a relay that resumes after lost bytes would have hung the build. Change: the timeout runs the test in a separate thread. With the line that marks the link as broken removed, the test fails after 10 s; with it, it passes.

--- a/standin/src/test/java/org/pollenrock/standin/net/LinkRelayTest.java
+++ b/standin/src/test/java/org/pollenrock/standin/net/LinkRelayTest.java
@@ -37,7 +37,7 @@
   }
 
   @Test
-  @Timeout(30)
+  @Timeout(value = 10, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
   void connectionThatLostBytesStaysBroken() throws IOException {
     try (Socket client = connect();
         Socket accepted = server.accept()) {
