Close idle connections to a peer after a timeout, and list the experiment's routers

Cause: after the open connections to the log went silent, one router's claims came back only after 16.85 s, because each retry could take another silent connection from the pool. Change: a timed-out exchange closes the idle connections to that peer; routers stand in the lists; the load balancer follows readiness.

--- a/adapters/src/main/java/org/pollenrock/adapters/http/HttpTransport.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/HttpTransport.java
@@ -76,10 +76,22 @@
    */
   public CompletionStage<HttpOutcome> call(HttpCall call) {
     CompletableFuture<HttpOutcome> outcome = new CompletableFuture<>();
-    start(call, outcome::complete);
+    start(
+        call,
+        ended -> {
+          closeIdleAfterTimeout(call.peer(), ended);
+          outcome.complete(ended);
+        });
     return outcome;
   }
 
+  /** What made one connection silent may have done so to the idle ones that are older. */
+  private void closeIdleAfterTimeout(HostPort peer, HttpOutcome ended) {
+    if (ended instanceof HttpOutcome.Broken broken && broken.timedOut()) {
+      closeIdle(peer);
+    }
+  }
+
   /**
    * Sends a request that can be cancelled and reads the whole answer.
    *
--- a/bench/src/main/java/org/pollenrock/bench/cluster/RouterNode.java
+++ b/bench/src/main/java/org/pollenrock/bench/cluster/RouterNode.java
@@ -15,6 +15,7 @@
 /** A real router of a test bed. */
 public final class RouterNode {
   private final String name;
+  private final String dataCentre;
   private final Router router;
 
   /**
@@ -26,6 +27,7 @@
    */
   RouterNode(RouterPlace place, PlacementStrategy strategy, long seed) {
     this.name = place.name();
+    this.dataCentre = place.dataCentre();
     RouterConfig config =
         new RouterConfig(
             process(place, seed),
@@ -64,6 +66,15 @@
     return name;
   }
 
+  /**
+   * Where the router runs.
+   *
+   * @return its data centre
+   */
+  public String dataCentre() {
+    return dataCentre;
+  }
+
   /**
    * Address of the caller listener.
    *
@@ -82,6 +93,15 @@
     return text(router.operatorAddress());
   }
 
+  /**
+   * Address of the peer listener.
+   *
+   * @return IP number and port
+   */
+  public String peerAddress() {
+    return text(router.peerAddress());
+  }
+
   private static String text(InetSocketAddress address) {
     return address.getAddress().getHostAddress() + ":" + address.getPort();
   }
--- a/bench/src/main/java/org/pollenrock/bench/cluster/StandinCluster.java
+++ b/bench/src/main/java/org/pollenrock/bench/cluster/StandinCluster.java
@@ -52,6 +52,8 @@
   private final Map<String, InstanceListStandin> lists = new LinkedHashMap<>();
   private final Map<String, Map<String, LinkRelay>> relays = new HashMap<>();
   private final Map<String, LinkRelay> logRelays = new HashMap<>();
+  private volatile List<ListedInstance> routers = List.of();
+  private volatile String leaving = "";
   private final RunRecorder recorder = new RunRecorder(this::engineStandins);
 
   /**
@@ -236,9 +238,20 @@
     engines.stream()
         .filter(node -> node.name().equals(server))
         .forEach(node -> node.server().leaving(true));
+    leaving = server;
     lists.forEach((dataCentre, list) -> list.show(listed(dataCentre, server)));
   }
 
+  /**
+   * Shows routers in the lists, by the addresses of their peer listeners.
+   *
+   * @param entries the routers
+   */
+  public void showRouters(List<ListedInstance> entries) {
+    routers = List.copyOf(entries);
+    lists.forEach((dataCentre, list) -> list.showNow(listed(dataCentre, leaving)));
+  }
+
   private boolean dataCentreOf(String server, String dataCentre) {
     return engines.stream()
             .anyMatch(node -> node.name().equals(server) && node.dataCentre().equals(dataCentre))
@@ -303,8 +316,8 @@
     return relay;
   }
 
-  private List<ListedInstance> listed(String dataCentre, String leaving) {
-    List<ListedInstance> entries = new ArrayList<>();
+  private List<ListedInstance> listed(String dataCentre, String leavingServer) {
+    List<ListedInstance> entries = new ArrayList<>(routers);
     for (ServiceNode<EngineStandin> node : engines) {
       entries.add(
           new ListedInstance(
@@ -313,7 +326,7 @@
               "",
               relays.get(dataCentre).get(node.name()).address(),
               node.dataCentre(),
-              node.name().equals(leaving) ? "leaving" : "live"));
+              node.name().equals(leavingServer) ? "leaving" : "live"));
     }
     for (ServiceNode<PlainServiceStandin> node : plainServers) {
       entries.add(
--- a/bench/src/main/java/org/pollenrock/bench/cluster/TestBed.java
+++ b/bench/src/main/java/org/pollenrock/bench/cluster/TestBed.java
@@ -14,6 +14,7 @@
 import org.pollenrock.core.placement.PlacementStrategy;
 import org.pollenrock.core.settings.SettingsTree;
 import org.pollenrock.core.settings.TreeDiff;
+import org.pollenrock.standin.list.ListedInstance;
 
 /** Stand-ins and routers of a deployment. */
 public final class TestBed {
@@ -64,9 +65,20 @@
       node.start();
       routers.add(node);
     }
+    listRouters();
     await(() -> routers.stream().allMatch(RouterNode::ready));
   }
 
+  private void listRouters() {
+    cluster.showRouters(
+        routers.stream()
+            .map(
+                node ->
+                    new ListedInstance(
+                        node.name(), "router", "", node.peerAddress(), node.dataCentre(), "live"))
+            .toList());
+  }
+
   /** Stops routers and stand-ins. */
   public void stop() {
     draining.forEach(CompletableFuture::join);
@@ -102,12 +114,18 @@
   }
 
   /**
-   * Where the load balancer finds a router.
+   * Where the load balancer finds a router: it follows readiness.
    *
-   * @param index index of the router
+   * @param index index of the preferred router
    * @return IP number and port
    */
   public String entryAddress(int index) {
+    for (int step = 0; step < routers.size(); step++) {
+      RouterNode node = routers.get((index + step) % routers.size());
+      if (node.ready()) {
+        return node.address();
+      }
+    }
     return routers.get(index).address();
   }
 
@@ -120,6 +138,7 @@
     RouterNode next = router(index);
     next.start();
     draining.add(routers.set(index, next).drain());
+    listRouters();
   }
 
   /**
