Complete a stream that lost only its end marker, and drop error codes that nothing produces

Cause: a stream that broke after its last token was continued, which asked an engine for one token too many. Found by reading. The codes not_permitted and draining had no producer. Change: when the last relayed event names the reason of the end, the end marker is sent and no other run is started. Test: streamThatLostItsEndMarkerOnlyIsCompleted, with a switch of the stand-in engine that breaks streams there.

--- a/core/src/main/java/org/pollenrock/core/error/ErrorCode.java
+++ b/core/src/main/java/org/pollenrock/core/error/ErrorCode.java
@@ -12,8 +12,6 @@
   REQUEST_TIMEOUT(408, true),
   /** The API key is missing or unknown. */
   UNAUTHENTICATED(401, false),
-  /** The settings do not permit this request to this customer. */
-  NOT_PERMITTED(403, false),
   /** No settings entry names the model. */
   UNKNOWN_MODEL(404, false),
   /** No API or service has this method and path. */
@@ -46,8 +44,6 @@
   OUTCOME_UNKNOWN(504, false),
   /** The call ran and its recorded outcome is no longer kept. */
   OUTCOME_NOT_KEPT(409, false),
-  /** The instance is stopping. */
-  DRAINING(503, true),
   /** A fault of the router itself. */
   INTERNAL_ERROR(500, false);
 
--- a/router/src/main/java/org/pollenrock/router/filter/CompletionBody.java
+++ b/router/src/main/java/org/pollenrock/router/filter/CompletionBody.java
@@ -149,6 +149,16 @@
     return write(body);
   }
 
+  /** Whether an event of a stream says why the generation ended, so that no token follows it. */
+  static boolean endsGeneration(String eventData) {
+    try {
+      JsonNode choices = MAPPER.readTree(eventData).path("choices");
+      return choices.size() == 1 && choices.path(0).path("finish_reason").isTextual();
+    } catch (JsonProcessingException e) {
+      return false;
+    }
+  }
+
   /**
    * The text that an event of a stream adds. Empty when the event holds anything that cannot be
    * continued from text, such as a tool call or a second choice.
--- a/router/src/main/java/org/pollenrock/router/filter/EngineAttempt.java
+++ b/router/src/main/java/org/pollenrock/router/filter/EngineAttempt.java
@@ -241,6 +241,10 @@
     noteAnswer();
     startStream();
     end(AttemptEnd.COMPLETED);
+    completeStream();
+  }
+
+  private void completeStream() {
     exchange.sink().sendPart(EventText.of(Optional.empty(), SseEvent.DONE));
     exchange.sink().endStream();
     exchange.finish(new ExchangeEnd.Completed());
@@ -344,6 +348,11 @@
     if (call.streamed()) {
       exchange.stream().broken(attemptId);
     }
+    if (exchange.stream().hasLastToken()) {
+      // Another run would generate a token too many.
+      completeStream();
+      return;
+    }
     if (exchange.stream().started()) {
       boolean sameFailed =
           mode instanceof SendMode.Resume && !tokenRelayed || runState == RunState.NOT_RUN;
--- a/router/src/main/java/org/pollenrock/router/filter/StreamRelay.java
+++ b/router/src/main/java/org/pollenrock/router/filter/StreamRelay.java
@@ -16,6 +16,7 @@
 
   private final StreamAssembler<SseEvent> assembler = new StreamAssembler<>();
   private final List<String> relayed = new ArrayList<>();
+  private String last = "";
   private long keptChars;
   private boolean started;
   private int breaks;
@@ -44,6 +45,7 @@
   }
 
   private void keep(String data) {
+    last = data;
     keptChars += data.length();
     if (keptChars <= MAX_KEPT_CHARS) {
       relayed.add(data);
@@ -73,6 +75,11 @@
     return Optional.of(text.toString());
   }
 
+  /** Whether the last token was relayed, so that only the end marker is missing. */
+  boolean hasLastToken() {
+    return CompletionBody.endsGeneration(last);
+  }
+
   /** Whether a part of the response was sent, so that its status cannot change. */
   boolean started() {
     return started;
--- a/router/src/test/java/org/pollenrock/router/StreamRepairTest.java
+++ b/router/src/test/java/org/pollenrock/router/StreamRepairTest.java
@@ -54,6 +54,14 @@
     assertWhole(send().body());
   }
 
+  /** Guards against one token too many when only the end marker was lost. */
+  @Test
+  void streamThatLostItsEndMarkerOnlyIsCompleted() throws Exception {
+    cluster.engines().forEach(engine -> engine.cutEnds(1));
+
+    assertWhole(send().body());
+  }
+
   @Test
   void streamsBrokenTogetherHaveTheTextOfUnbrokenOnes() throws Exception {
     cluster.engines().forEach(engine -> engine.cutStreams(3));
--- a/standin/src/main/java/org/pollenrock/standin/engine/EngineBatch.java
+++ b/standin/src/main/java/org/pollenrock/standin/engine/EngineBatch.java
@@ -246,6 +246,10 @@
       sequence.abort();
       return true;
     }
+    if (sequence.beforeLast() && sequence.prompt().stream() && faults.takeEndCut()) {
+      sequence.emitAndAbort(answerHeaders(sequence));
+      return true;
+    }
     sequence.emit(answerHeaders(sequence));
     return sequence.finished();
   }
--- a/standin/src/main/java/org/pollenrock/standin/engine/EngineFaults.java
+++ b/standin/src/main/java/org/pollenrock/standin/engine/EngineFaults.java
@@ -3,6 +3,7 @@
 /** Faults that an engine has still to show; confined to the engine's event loop. */
 final class EngineFaults {
   private int streamsToCut;
+  private int endsToCut;
   private int answersForOthers;
   private double slowdown = 1.0;
   private boolean leaving;
@@ -20,6 +21,18 @@
     return true;
   }
 
+  void cutEnds(int count) {
+    endsToCut += count;
+  }
+
+  boolean takeEndCut() {
+    if (endsToCut == 0) {
+      return false;
+    }
+    endsToCut--;
+    return true;
+  }
+
   void answerForOthers(int count) {
     answersForOthers += count;
   }
--- a/standin/src/main/java/org/pollenrock/standin/engine/EngineSequence.java
+++ b/standin/src/main/java/org/pollenrock/standin/engine/EngineSequence.java
@@ -106,18 +106,32 @@
     return emitted;
   }
 
-  /** Sends the next token, and the headers before the first one. */
+  /** Sends the next token, with the headers before the first one and the end after the last. */
   void emit(Map<String, String> headers) {
+    emitToken(headers);
+    if (finished()) {
+      answer.end();
+    }
+  }
+
+  /** Sends the next token and breaks the connection. */
+  void emitAndAbort(Map<String, String> headers) {
+    emitToken(headers);
+    abort();
+  }
+
+  boolean beforeLast() {
+    return emitted + 1 == prompt.maxTokens();
+  }
+
+  private void emitToken(Map<String, String> headers) {
     if (!begun) {
       begun = true;
       answer.begin(headers);
     }
     if (!finished()) {
-      answer.token(emitted, text.next(), emitted + 1 == prompt.maxTokens());
+      answer.token(emitted, text.next(), beforeLast());
       emitted++;
     }
-    if (finished()) {
-      answer.end();
-    }
   }
 }
--- a/standin/src/main/java/org/pollenrock/standin/engine/EngineStandin.java
+++ b/standin/src/main/java/org/pollenrock/standin/engine/EngineStandin.java
@@ -118,6 +118,15 @@
     loop.execute(() -> faults.cutStreams(count));
   }
 
+  /**
+   * Breaks the next streams after their last token and before their end marker.
+   *
+   * @param count number of streams
+   */
+  public void cutEnds(int count) {
+    loop.execute(() -> faults.cutEnds(count));
+  }
+
   /**
    * Labels the next answers with the attempt of another request.
    *
