--- a/adapters/src/main/java/org/pollenrock/adapters/http/HttpCall.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/HttpCall.java
@@ -9,7 +9,7 @@
  *
  * @param peer where to send it
  * @param method the HTTP method
- * @param path path and query, beginning with a slash
+ * @param path path and query, starting with a slash
  * @param headers end-to-end headers
  * @param body the body, empty for none
  * @param timeout longest time to the end of the answer
--- a/adapters/src/main/java/org/pollenrock/adapters/http/HttpTransport.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/HttpTransport.java
@@ -134,7 +134,7 @@
    *
    * @param peer where to send it
    * @param method the HTTP method
-   * @param path path and query, beginning with a slash
+   * @param path path and query, starting with a slash
    * @param use which connections may be used
    * @return a builder to which headers and a body are added
    */
--- a/core/src/main/java/org/pollenrock/core/settings/ServiceRule.java
+++ b/core/src/main/java/org/pollenrock/core/settings/ServiceRule.java
@@ -21,7 +21,7 @@
    * Tells whether a call is under this rule.
    *
    * @param callMethod its HTTP method in capitals
-   * @param callPath its path below the service's path, beginning with a slash
+   * @param callPath its path below the service's path, starting with a slash
    * @return true when method and path match
    */
   public boolean matches(String callMethod, String callPath) {
--- a/ctl/src/main/java/org/pollenrock/ctl/load/LoadRun.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/load/LoadRun.java
@@ -40,7 +40,7 @@
    *
    * @param routers callers' listeners, used in turn
    * @param source draws the requests
-   * @param timeout time after which a request without a beginning of an answer is given up
+   * @param timeout time after which a request without the first byte of an answer is given up
    * @param maxOpen greatest number of open requests; beyond it requests are counted as not sent
    */
   public LoadRun(List<URI> routers, RequestSource source, Duration timeout, int maxOpen) {
--- a/router/src/main/java/org/pollenrock/router/task/LogReader.java
+++ b/router/src/main/java/org/pollenrock/router/task/LogReader.java
@@ -60,7 +60,7 @@
   }
 
   /**
-   * Creates a reader that starts at the beginning of the stream.
+   * Creates a reader that starts at the first record of the stream.
    *
    * @param loop its thread
    * @param client client of the log
