Fit the slopes of the capacity tools in one place

Cause: four classes of the same package computed the same least-squares line, two with a coefficient of determination. One test more, none changed. The slope programs were not run again.

--- a/bench/src/main/java/org/pollenrock/bench/capacity/LedgerSlopes.java
+++ b/bench/src/main/java/org/pollenrock/bench/capacity/LedgerSlopes.java
@@ -79,9 +79,9 @@
     for (int i = 0; i < sizes.length; i++) {
       used[i] = retainedBytes(sizes[i], builder);
     }
-    Slope slope = Slope.through(toLongs(sizes), used);
-    print("bytes per %s: %.0f (fit %.4f)%n", name, slope.perUnit(), slope.fit());
-    return slope.perUnit();
+    LeastSquares line = LeastSquares.fit(toDoubles(sizes), used);
+    print("bytes per %s: %.0f (fit %.4f)%n", name, line.slope(), line.determination());
+    return line.slope();
   }
 
   /** Heap that one built object retains: the median over repeats, each after a collection. */
@@ -112,8 +112,8 @@
       nanos[i] = medianNanos(SIZES[i], preparer);
       print("nanoseconds per %s, %d records: %.0f%n", name, SIZES[i], nanos[i] / SIZES[i]);
     }
-    Slope slope = Slope.through(toLongs(SIZES), nanos);
-    print("nanoseconds per %s, slope: %.0f (fit %.4f)%n", name, slope.perUnit(), slope.fit());
+    LeastSquares line = LeastSquares.fit(toDoubles(SIZES), nanos);
+    print("nanoseconds per %s, slope: %.0f (fit %.4f)%n", name, line.slope(), line.determination());
   }
 
   private static double medianNanos(int size, IntFunction<IntConsumer> preparer) {
@@ -229,8 +229,8 @@
     return sorted[sorted.length / 2];
   }
 
-  private static long[] toLongs(int[] sizes) {
-    return Arrays.stream(sizes).asLongStream().toArray();
+  private static double[] toDoubles(int[] sizes) {
+    return Arrays.stream(sizes).asDoubleStream().toArray();
   }
 
   private static void print(String format, Object... arguments) {
--- a/bench/src/main/java/org/pollenrock/bench/capacity/LimitSlopes.java
+++ b/bench/src/main/java/org/pollenrock/bench/capacity/LimitSlopes.java
@@ -89,16 +89,18 @@
 
   private static void report(String what, String unit, IntFunction<Double> measure) {
     boolean total = unit.equals("bytes");
-    List<LeastSquaresLine.Point> points = new ArrayList<>();
+    double[] values = new double[SIZES.length];
     StringBuilder each = new StringBuilder();
     // The first measurement also pays for class loading and compilation.
     measure.apply(SIZES[1]);
-    for (int size : SIZES) {
+    for (int at = 0; at < SIZES.length; at++) {
+      int size = SIZES[at];
       double value = measure.apply(size);
-      points.add(new LeastSquaresLine.Point(size, value));
+      values[at] = value;
       each.append(String.format("  %d: %.1f", size, total ? value / size : value));
     }
-    LeastSquaresLine line = LeastSquaresLine.fit(points);
+    double[] sizes = Arrays.stream(SIZES).asDoubleStream().toArray();
+    LeastSquares line = LeastSquares.fit(sizes, values);
     System.out.printf("%-20s %s%s%n", what, unit, each);
     String form = total ? "%.0f + %.1f x customers %s%n" : "%.0f + %.5f x customers %s%n";
     System.out.printf("%-20s " + form, "", line.intercept(), line.slope(), unit);
--- a/bench/src/main/java/org/pollenrock/bench/capacity/SettingsSlopes.java
+++ b/bench/src/main/java/org/pollenrock/bench/capacity/SettingsSlopes.java
@@ -273,14 +273,9 @@
   }
 
   private static double slope(Point[] points, ToDoubleFunction<Point> measure) {
-    double meanX = Arrays.stream(points).mapToDouble(Point::customers).average().orElseThrow();
-    double meanY = Arrays.stream(points).mapToDouble(measure).average().orElseThrow();
-    double covariance = 0;
-    double variance = 0;
-    for (Point point : points) {
-      covariance += (point.customers() - meanX) * (measure.applyAsDouble(point) - meanY);
-      variance += (point.customers() - meanX) * (point.customers() - meanX);
-    }
-    return covariance / variance;
+    return LeastSquares.fit(
+            Arrays.stream(points).mapToDouble(Point::customers).toArray(),
+            Arrays.stream(points).mapToDouble(measure).toArray())
+        .slope();
   }
 }
--- a/bench/src/test/java/org/pollenrock/bench/capacity/LeastSquaresTest.java
+++ b/bench/src/test/java/org/pollenrock/bench/capacity/LeastSquaresTest.java
@@ -15,6 +15,16 @@
     assertThat(line.intercept()).isCloseTo(0.5, within(1e-9));
   }
 
+  /** Guards against a fit that hides scattered points. */
+  @Test
+  void determinationTellsALineFromScatteredPoints() {
+    double[] positions = {0, 1, 2};
+    assertThat(LeastSquares.fit(positions, new double[] {1, 3, 5}).determination())
+        .isCloseTo(1, within(1e-9));
+    assertThat(LeastSquares.fit(positions, new double[] {0, 3, 0}).determination())
+        .isCloseTo(0, within(1e-9));
+  }
+
   /** Guards against a slope from points that determine none. */
   @Test
   void onePositionDeterminesNoLine() {
