--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatch.java
@@ -0,0 +1,55 @@
+package org.pollenrock.core.dispatch;
+
+import org.pollenrock.core.fleet.Backend;
+
+/** What became of a request that wants a server. */
+public sealed interface Dispatch {
+  /**
+   * It goes to a server, which counts it from now on.
+   *
+   * @param backend the server
+   * @param reason why this one
+   */
+  record Sent(Backend backend, Selection.Reason reason) implements Dispatch {}
+
+  /**
+   * It waits.
+   *
+   * @param waiting its place
+   */
+  record Queued(Waiting waiting) implements Dispatch {}
+
+  /**
+   * It can't be served.
+   *
+   * @param cause why not
+   */
+  record Refused(Cause cause) implements Dispatch {}
+
+  /**
+   * A waiting request goes to a server, which counts it from now on.
+   *
+   * @param waiting the place that it had
+   * @param backend the server
+   * @param reason why this one
+   */
+  record Released(Waiting waiting, Backend backend, Selection.Reason reason) {}
+
+  /** Why a request can't be served. */
+  enum Cause {
+    /** No server of the service is known, or none serves the model. */
+    NO_SERVER,
+    /** Too many requests of the same or higher urgency wait. */
+    QUEUE_FULL,
+    /** It waited as long as it may. */
+    WAITED,
+    /** It would have to be sent again, and the retry budget is used up. */
+    RETRY_BUDGET,
+    /** Several servers refused it. */
+    SERVERS_REFUSED,
+    /** No configuration is known yet. */
+    NO_CONFIGURATION,
+    /** Too many bytes of request bodies are held. */
+    MEMORY
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -0,0 +1,188 @@
+package org.pollenrock.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.pollenrock.core.fleet.Backend;
+import org.pollenrock.core.fleet.Fleet;
+import org.pollenrock.core.weights.WeightsTargets;
+
+/** Sends requests to servers, lets them wait while all are busy, and refuses what can't be served. */
+public final class Dispatcher {
+  private final Fleet fleet;
+  private final ServerSelector selector;
+  private final WeightsTargets targets;
+  private final RetryAllowanceSettings allowanceSettings;
+  private final Map<String, WaitingLine> lines = new HashMap<>();
+  private final Map<String, RetryAllowance> allowances = new HashMap<>();
+  private int instances = 1;
+
+  /**
+   * Creates a dispatcher.
+   *
+   * @param fleet the servers
+   * @param selector chooses among them
+   * @param targets named versions of weights
+   * @param allowanceSettings retry budget of each service
+   */
+  public Dispatcher(
+      Fleet fleet,
+      ServerSelector selector,
+      WeightsTargets targets,
+      RetryAllowanceSettings allowanceSettings) {
+    this.fleet = fleet;
+    this.selector = selector;
+    this.targets = targets;
+    this.allowanceSettings = allowanceSettings;
+  }
+
+  /**
+   * Takes a new request.
+   *
+   * @param request the request
+   * @param nowNanos current time
+   * @return where it goes
+   */
+  public Dispatch submit(DispatchRequest request, long nowNanos) {
+    allowance(request.service()).requested(nowNanos);
+    return place(request, Set.of(), nowNanos);
+  }
+
+  /**
+   * Takes a request again after a failed send.
+   *
+   * @param request the request
+   * @param tried servers that failed it
+   * @param counted whether the failed send counts against the retry budget
+   * @param nowNanos current time
+   * @return where it goes
+   */
+  public Dispatch resubmit(
+      DispatchRequest request, Set<String> tried, boolean counted, long nowNanos) {
+    if (counted && !allowance(request.service()).tryResend(nowNanos)) {
+      return new Dispatch.Refused(Dispatch.Cause.RETRY_BUDGET);
+    }
+    return place(request, tried, nowNanos);
+  }
+
+  /**
+   * Sends waiting requests of a service for which a server is free.
+   *
+   * @param service the service
+   * @param nowNanos current time
+   * @return the requests with their servers; each was taken out of the line
+   */
+  public List<Dispatch.Released> release(String service, long nowNanos) {
+    WaitingLine line = lines.get(service);
+    if (line == null || line.size() == 0) {
+      return List.of();
+    }
+    List<Dispatch.Released> released = new ArrayList<>();
+    for (Waiting waiting : line.inOrder()) {
+      Selection selection = choose(waiting.request(), waiting.tried(), nowNanos);
+      if (selection instanceof Selection.Chosen chosen) {
+        line.remove(waiting);
+        chosen.backend().started(waiting.request().promptTokens(), nowNanos);
+        released.add(new Dispatch.Released(waiting, chosen.backend(), chosen.reason()));
+        continue;
+      }
+      if (waiting.request().prompt().isEmpty()) {
+        break;
+      }
+    }
+    return released;
+  }
+
+  /**
+   * Takes out waiting requests whose time is up.
+   *
+   * @param nowNanos current time
+   * @return the requests, to be refused
+   */
+  public List<Waiting> expire(long nowNanos) {
+    List<Waiting> expired = new ArrayList<>();
+    lines.values().forEach(line -> expired.addAll(line.expire(nowNanos)));
+    return expired;
+  }
+
+  /**
+   * Takes a waiting request out because its caller left.
+   *
+   * @param waiting the request
+   */
+  public void withdraw(Waiting waiting) {
+    WaitingLine line = lines.get(waiting.request().service());
+    if (line != null) {
+      line.remove(waiting);
+    }
+  }
+
+  /**
+   * Sets the number of instances that share the retry budgets.
+   *
+   * @param count the number; at least 1
+   */
+  public void instances(int count) {
+    instances = Math.max(1, count);
+    allowances.values().forEach(allowance -> allowance.instances(instances));
+  }
+
+  /**
+   * Services for which requests wait.
+   *
+   * @return names of the services
+   */
+  public List<String> waitingServices() {
+    return lines.entrySet().stream()
+        .filter(line -> line.getValue().size() > 0)
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
+  /**
+   * Number of requests that wait.
+   *
+   * @return the number over all services
+   */
+  public int waiting() {
+    return lines.values().stream().mapToInt(WaitingLine::size).sum();
+  }
+
+  private Dispatch place(DispatchRequest request, Set<String> tried, long nowNanos) {
+    WaitingLine line = lines.computeIfAbsent(request.service(), service -> new WaitingLine());
+    List<Backend> servers = fleet.usable(request.service());
+    return switch (choose(request, tried, nowNanos)) {
+      case Selection.Chosen(Backend backend, Selection.Reason reason) -> {
+        backend.started(request.promptTokens(), nowNanos);
+        yield new Dispatch.Sent(backend, reason);
+      }
+      case Selection.NoServer() -> new Dispatch.Refused(Dispatch.Cause.NO_SERVER);
+      case Selection.AllBusy() -> {
+        int slots = servers.stream().mapToInt(Backend::slots).sum();
+        yield AdmissionRule.mayWait(request, line, slots)
+            ? new Dispatch.Queued(
+                line.add(request, tried, AdmissionRule.giveUpNanos(request, nowNanos)))
+            : new Dispatch.Refused(Dispatch.Cause.QUEUE_FULL);
+      }
+    };
+  }
+
+  private Selection choose(DispatchRequest request, Set<String> tried, long nowNanos) {
+    OptionalLong wanted =
+        request.prompt().map(prompt -> targets.version(prompt.model())).orElse(OptionalLong.empty());
+    return selector.select(request, fleet.usable(request.service()), tried, wanted, nowNanos);
+  }
+
+  private RetryAllowance allowance(String service) {
+    return allowances.computeIfAbsent(
+        service,
+        name -> {
+          RetryAllowance allowance = new RetryAllowance(allowanceSettings);
+          allowance.instances(instances);
+          return allowance;
+        });
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/dispatch/PromptPart.java
@@ -0,0 +1,9 @@
+package org.pollenrock.core.dispatch;
+
+/**
+ * Part of a prompt that requests may share, together with all parts before it.
+ *
+ * @param id identity of the part
+ * @param tokens length in tokens
+ */
+public record PromptPart(String id, int tokens) {}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/dispatch/RetryAllowance.java
@@ -0,0 +1,98 @@
+package org.pollenrock.core.dispatch;
+
+/**
+ * This instance's part of a retry budget that all instances share without talking.
+ *
+ * <p>Over a sliding window, further sends are at most a share of this instance's requests plus its
+ * part of the fixed slack. Summed over all instances, the budget of the service holds.
+ */
+public final class RetryAllowance {
+  /** Slices into which the window is cut; a partly expired slice still counts whole. */
+  private static final int SLICES = 10;
+
+  private final RetryAllowanceSettings settings;
+  private final long sliceNanos;
+  private final int[] requests = new int[SLICES];
+  private final int[] resends = new int[SLICES];
+  private long newestSlice = Long.MIN_VALUE;
+  private int instances = 1;
+
+  /**
+   * Creates an allowance.
+   *
+   * @param settings the budget of the whole service
+   */
+  public RetryAllowance(RetryAllowanceSettings settings) {
+    this.settings = settings;
+    this.sliceNanos = settings.windowNanos() / SLICES;
+  }
+
+  /**
+   * Sets the number of instances that share the budget.
+   *
+   * @param count the number; at least 1
+   */
+  public void instances(int count) {
+    instances = Math.max(1, count);
+  }
+
+  /**
+   * Counts a request.
+   *
+   * @param nowNanos current time
+   */
+  public void requested(long nowNanos) {
+    requests[advance(nowNanos)]++;
+  }
+
+  /**
+   * Takes one further send out of the allowance.
+   *
+   * @param nowNanos current time
+   * @return whether the send may go out
+   */
+  public boolean tryResend(long nowNanos) {
+    int slice = advance(nowNanos);
+    if (sum(resends) + 1 > limit()) {
+      return false;
+    }
+    resends[slice]++;
+    return true;
+  }
+
+  /**
+   * Further sends that are left.
+   *
+   * @param nowNanos current time
+   * @return the number
+   */
+  public int left(long nowNanos) {
+    advance(nowNanos);
+    return Math.max(0, (int) limit() - sum(resends));
+  }
+
+  private double limit() {
+    return settings.ratio() * sum(requests) + (double) settings.slack() / instances;
+  }
+
+  private int advance(long nowNanos) {
+    long slice = Math.floorDiv(nowNanos, sliceNanos);
+    if (newestSlice == Long.MIN_VALUE) {
+      newestSlice = slice;
+    }
+    for (long next = Math.max(newestSlice + 1, slice - SLICES + 1); next <= slice; next++) {
+      requests[Math.floorMod(next, SLICES)] = 0;
+      resends[Math.floorMod(next, SLICES)] = 0;
+    }
+    newestSlice = Math.max(newestSlice, slice);
+    return Math.floorMod(newestSlice, SLICES);
+  }
+
+  private static int sum(int[] counts) {
+    int total = 0;
+    for (int count : counts) {
+      total += count;
+    }
+    return total;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/route/Route.java
@@ -0,0 +1,86 @@
+package org.pollenrock.core.route;
+
+import java.util.List;
+import java.util.OptionalInt;
+import org.pollenrock.core.placement.RendezvousHash;
+
+/**
+ * Rule for the requests of one host whose paths begin with one prefix.
+ *
+ * @param name name of the route
+ * @param host host that callers name, in lower case and without a port
+ * @param pathPrefix prefix of the path; begins and ends with a slash
+ * @param kind what may be repeated
+ * @param services services that share the requests; not empty
+ * @param timeoutMillis longest time for which a caller waits
+ * @param objectiveMillis time within which an answer, or its first event, is on time
+ * @param priority rank of the requests; 0 goes first
+ * @param maxAttempts most servers on which one request may run
+ * @param anonymous whether requests need no API key
+ * @param prefixAffinity whether requests name their prompt, so that cached parts matter
+ * @param resumable whether a stream may go on at another server
+ */
+public record Route(
+    String name,
+    String host,
+    String pathPrefix,
+    RouteKind kind,
+    List<WeightedService> services,
+    long timeoutMillis,
+    long objectiveMillis,
+    int priority,
+    int maxAttempts,
+    boolean anonymous,
+    boolean prefixAffinity,
+    boolean resumable) {
+  /** Copies the services. */
+  public Route {
+    services = List.copyOf(services);
+    if (services.isEmpty()) {
+      throw new IllegalArgumentException("route without a service: " + name);
+    }
+  }
+
+  /**
+   * Tells whether a request may run more than once.
+   *
+   * @return whether a second run does no harm
+   */
+  public boolean repeatable() {
+    return kind == RouteKind.IDEMPOTENT || kind == RouteKind.STREAM && resumable;
+  }
+
+  /**
+   * Picks the service of a request; one request gets the same service in every process.
+   *
+   * @param requestId identity of the request
+   * @return name of the service
+   */
+  public String serviceFor(String requestId) {
+    if (services.size() == 1) {
+      return services.get(0).service();
+    }
+    int total = 0;
+    for (WeightedService share : services) {
+      total += share.weight();
+    }
+    long point = Long.remainderUnsigned(RendezvousHash.seed(requestId), Math.max(1, total));
+    for (WeightedService share : services) {
+      point -= share.weight();
+      if (point < 0) {
+        return share.service();
+      }
+    }
+    return services.get(0).service();
+  }
+
+  /**
+   * Urgency of a customer's requests on this route.
+   *
+   * @param customerPriority rank of the customer, which goes before the rank of the route
+   * @return rank from 0, which goes first, to 9
+   */
+  public int urgency(OptionalInt customerPriority) {
+    return Math.clamp(customerPriority.orElse(priority), 0, 9);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerCall.java
@@ -0,0 +1,21 @@
+package org.pollenrock.gateway;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.pollenrock.core.dispatch.Prompt;
+
+/**
+ * What a caller's request head says beyond plain HTTP.
+ *
+ * @param id identity of this try of the caller; empty text when it sent none
+ * @param apiKey its API key
+ * @param deadlineMillis time for which it will wait
+ * @param prompt the prompt, for requests to engines
+ * @param lastEvent number of the last event that it has; empty when it wants the stream whole
+ */
+public record CallerCall(
+    String id,
+    Optional<String> apiKey,
+    OptionalLong deadlineMillis,
+    Optional<Prompt> prompt,
+    OptionalLong lastEvent) {}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
@@ -0,0 +1,332 @@
+package org.pollenrock.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+/** One connection of a caller; reads and answers its requests one after the other. */
+final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerResponse {
+  /** Messages of pipelined requests that are held while one is answered, before reading stops. */
+  private static final int MAX_HELD_MESSAGES = 32;
+
+  /** Time for which the rest of a rejected request is read and dropped, in milliseconds. */
+  private static final long REJECT_LINGER_MILLIS = 500;
+
+  private final CallerListener owner;
+  private final Deque<HttpObject> held = new ArrayDeque<>();
+  private Channel channel;
+  private HttpRequest head;
+  private ByteBuf body;
+  private Exchange exchange;
+  private boolean keepAlive;
+  private boolean closing;
+  private long readingSinceNanos;
+  private long lastActiveNanos;
+  private boolean reading;
+
+  CallerConnection(CallerListener owner) {
+    this.owner = owner;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    channel = context.channel();
+    lastActiveNanos = System.nanoTime();
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    owner.opened(this);
+  }
+
+  /** Bytes arrived, before they are decoded. */
+  void bytesArrived() {
+    lastActiveNanos = System.nanoTime();
+    if (!reading && exchange == null) {
+      reading = true;
+      readingSinceNanos = lastActiveNanos;
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    HttpObject object = (HttpObject) message;
+    if (closing) {
+      ReferenceCountUtil.release(object);
+      return;
+    }
+    if (exchange != null || !held.isEmpty()) {
+      held.add(object);
+      if (held.size() >= MAX_HELD_MESSAGES) {
+        channel.config().setAutoRead(false);
+      }
+      return;
+    }
+    accept(object);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    closing = true;
+    owner.closed(this);
+    releaseBody();
+    held.forEach(ReferenceCountUtil::release);
+    held.clear();
+    if (exchange != null) {
+      Exchange left = exchange;
+      exchange = null;
+      left.callerLeft();
+    }
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    if (channel.isWritable() && exchange != null) {
+      exchange.callerKeepsUp();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    // A reset of the caller's; channelInactive follows.
+    channel.close();
+  }
+
+  /** Whether a request is being read or answered. */
+  boolean busy() {
+    return exchange != null || reading;
+  }
+
+  /** Closes the connection if it is idle. */
+  void closeIfIdle() {
+    if (!busy()) {
+      closing = true;
+      channel.close();
+    }
+  }
+
+  /** Enforces the bounds on slow and idle callers. */
+  void sweep(long now, long headerTimeoutNanos, long idleTimeoutNanos) {
+    if (closing || exchange != null) {
+      return;
+    }
+    if (!reading) {
+      if (now - lastActiveNanos > idleTimeoutNanos) {
+        closeIfIdle();
+      }
+      return;
+    }
+    boolean slowHead = head == null && now - readingSinceNanos > headerTimeoutNanos;
+    boolean stalledBody = head != null && now - lastActiveNanos > headerTimeoutNanos;
+    if (slowHead || stalledBody) {
+      reject(HttpResponseStatus.REQUEST_TIMEOUT, "request_timeout");
+    }
+  }
+
+  @Override
+  public void full(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
+    if (closing) {
+      content.release();
+      return;
+    }
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, status, content, headers, EmptyHttpHeaders.INSTANCE);
+    HopHeaders.remove(response.headers());
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    markConnection(response);
+    channel.writeAndFlush(response);
+    finished();
+  }
+
+  @Override
+  public void begin(HttpResponseStatus status, HttpHeaders headers) {
+    HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers);
+    HopHeaders.remove(response.headers());
+    response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    markConnection(response);
+    channel.write(response);
+  }
+
+  @Override
+  public boolean write(ByteBuf bytes) {
+    channel.writeAndFlush(new DefaultHttpContent(bytes));
+    return channel.isWritable();
+  }
+
+  @Override
+  public void end() {
+    channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+    finished();
+  }
+
+  @Override
+  public void breakOff() {
+    closing = true;
+    exchange = null;
+    channel.close();
+  }
+
+  private void accept(HttpObject object) {
+    try {
+      if (object.decoderResult().isFailure()) {
+        rejectMalformed(object.decoderResult().cause());
+        return;
+      }
+      if (object instanceof HttpRequest request) {
+        beginRequest(request);
+      }
+      if (object instanceof HttpContent content && !closing) {
+        readBody(content);
+      }
+    } finally {
+      ReferenceCountUtil.release(object);
+    }
+  }
+
+  private void beginRequest(HttpRequest request) {
+    head = request;
+    keepAlive = HttpUtil.isKeepAlive(request);
+    if (HopHeaders.hasOddTransferCoding(request.headers())
+        || request.protocolVersion().equals(HttpVersion.HTTP_1_0)
+            && HttpUtil.isTransferEncodingChunked(request)) {
+      reject(HttpResponseStatus.BAD_REQUEST, "transfer_coding");
+      return;
+    }
+    long length = HttpUtil.getContentLength(request, 0L);
+    if (length > owner.bounds().maxBodyBytes()) {
+      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large");
+      return;
+    }
+    if (HttpUtil.is100ContinueExpected(request)) {
+      channel.writeAndFlush(
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+    }
+    body = Unpooled.EMPTY_BUFFER;
+  }
+
+  private void readBody(HttpContent content) {
+    ByteBuf bytes = content.content();
+    if (body.readableBytes() + bytes.readableBytes() > owner.bounds().maxBodyBytes()) {
+      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large");
+      return;
+    }
+    if (bytes.isReadable()) {
+      append(bytes);
+    }
+    if (content instanceof LastHttpContent) {
+      HttpRequest request = head;
+      ByteBuf whole = body;
+      head = null;
+      body = null;
+      reading = false;
+      exchange = owner.exchanges().start(request, whole, this);
+      exchange.run();
+    }
+  }
+
+  private void append(ByteBuf bytes) {
+    if (body == Unpooled.EMPTY_BUFFER) {
+      body = channel.alloc().buffer(bytes.readableBytes());
+    }
+    body.writeBytes(bytes);
+  }
+
+  private void rejectMalformed(Throwable cause) {
+    if (cause instanceof TooLongHttpHeaderException) {
+      reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "header_too_large");
+    } else if (cause instanceof TooLongHttpLineException) {
+      reject(HttpResponseStatus.REQUEST_URI_TOO_LONG, "line_too_long");
+    } else {
+      reject(HttpResponseStatus.BAD_REQUEST, "malformed: " + cause.getMessage());
+    }
+  }
+
+  /** Answers a request that was not read whole and closes the connection. */
+  private void reject(HttpResponseStatus status, String reason) {
+    closing = true;
+    owner.log().line("request_rejected").with("status", status.code()).with("cause", reason).write();
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    channel.writeAndFlush(response);
+    // Closing with unread bytes would reset the connection before the caller has read the answer.
+    channel
+        .eventLoop()
+        .schedule(() -> channel.close(), REJECT_LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    releaseBody();
+    head = null;
+  }
+
+  private void markConnection(HttpResponse response) {
+    if (!keepAlive || owner.draining()) {
+      keepAlive = false;
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+  }
+
+  private void finished() {
+    exchange = null;
+    lastActiveNanos = System.nanoTime();
+    if (!keepAlive) {
+      closing = true;
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      return;
+    }
+    if (!held.isEmpty()) {
+      channel.eventLoop().execute(this::acceptHeld);
+    }
+  }
+
+  private void acceptHeld() {
+    while (exchange == null && !closing && !held.isEmpty()) {
+      reading = true;
+      readingSinceNanos = System.nanoTime();
+      accept(held.poll());
+    }
+    if (held.isEmpty()) {
+      channel.config().setAutoRead(true);
+    }
+  }
+
+  private void releaseBody() {
+    if (body != null) {
+      body.release();
+      body = null;
+    }
+  }
+
+  /** Headers of an answer that this instance makes itself. */
+  static HttpHeaders noHeaders() {
+    return new DefaultHttpHeaders();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerListener.java
@@ -0,0 +1,148 @@
+package org.pollenrock.gateway;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.pollenrock.core.route.CallerBounds;
+import org.pollenrock.core.route.ConfigHistory;
+
+/** Accepts callers' connections. */
+final class CallerListener {
+  /** Connections that may wait to be accepted; a full queue delays callers by seconds. */
+  private static final int BACKLOG = 1024;
+
+  /** Idle time allowed beyond the bound, so that a request sent just in time is still read. */
+  private static final long IDLE_MARGIN_MILLIS = 1_000;
+
+  private final EventLoop loop;
+  private final InetSocketAddress address;
+  private final ConfigHistory configs;
+  private final Exchanges exchanges;
+  private final EventLog log;
+  private final Set<CallerConnection> connections = new HashSet<>();
+  private Channel channel;
+  private boolean draining;
+
+  CallerListener(
+      EventLoop loop,
+      InetSocketAddress address,
+      ConfigHistory configs,
+      Exchanges exchanges,
+      EventLog log) {
+    this.loop = loop;
+    this.address = address;
+    this.configs = configs;
+    this.exchanges = exchanges;
+    this.log = log;
+  }
+
+  /** Binds the address. */
+  void start() throws InterruptedException {
+    channel =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel child) {
+                    connect(child);
+                  }
+                })
+            .bind(address)
+            .sync()
+            .channel();
+  }
+
+  /** From now on, every answer closes its connection. */
+  void drain() {
+    draining = true;
+  }
+
+  /** Closes connections on which nothing is under way. */
+  void closeIdle() {
+    List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+  }
+
+  void stop() {
+    channel.close();
+  }
+
+  /** Enforces the bounds on slow and idle callers. */
+  void sweep() {
+    CallerBounds bounds = configs.bounds();
+    long now = System.nanoTime();
+    long header = bounds.headerTimeoutMillis() * 1_000_000;
+    long idle = (bounds.idleTimeoutMillis() + IDLE_MARGIN_MILLIS) * 1_000_000;
+    for (CallerConnection connection : List.copyOf(connections)) {
+      connection.sweep(now, header, idle);
+    }
+  }
+
+  /** Connections on which a request is read or answered. */
+  long busy() {
+    return connections.stream().filter(CallerConnection::busy).count();
+  }
+
+  int size() {
+    return connections.size();
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) channel.localAddress();
+  }
+
+  void opened(CallerConnection connection) {
+    connections.add(connection);
+  }
+
+  void closed(CallerConnection connection) {
+    connections.remove(connection);
+  }
+
+  CallerBounds bounds() {
+    return configs.bounds();
+  }
+
+  Exchanges exchanges() {
+    return exchanges;
+  }
+
+  EventLog log() {
+    return log;
+  }
+
+  boolean draining() {
+    return draining;
+  }
+
+  private void connect(Channel child) {
+    CallerConnection connection = new CallerConnection(this);
+    child
+        .pipeline()
+        .addLast(
+            new ChannelInboundHandlerAdapter() {
+              @Override
+              public void channelRead(ChannelHandlerContext context, Object bytes) {
+                connection.bytesArrived();
+                context.fireChannelRead(bytes);
+              }
+            })
+        .addLast(new RequestDecoder(configs.bounds().maxHeaderBytes()))
+        .addLast(new HttpResponseEncoder())
+        .addLast(connection);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
@@ -0,0 +1,167 @@
+package org.pollenrock.gateway;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Open connections to one address; the one used last is used first. */
+final class ConnectionPool {
+  /** Idle time up to which a connection is reused when the server tells no timeout. */
+  private static final long DEFAULT_IDLE_NANOS = 4_000_000_000L;
+
+  /** Idle time up to which a connection may carry a request that must not be sent twice. */
+  private static final long FRESH_NANOS = 1_000_000_000L;
+
+  /** Part of the server's idle timeout up to which a connection is reused. */
+  private static final double REUSE_SHARE = 0.7;
+
+  /** Part of it up to which a connection may carry a request that must not be sent twice. */
+  private static final double FRESH_SHARE = 0.4;
+
+  private static final HttpDecoderConfig DECODER =
+      new HttpDecoderConfig().setMaxHeaderSize(32_768).setMaxChunkSize(65_536).setValidateHeaders(false);
+
+  /** Waits for a connection. */
+  interface Taker {
+    /** A connection is there; it is the taker's until the request has ended. */
+    void connected(HttpConnection connection, boolean reused);
+
+    /** None could be opened. */
+    void refused(Throwable cause);
+  }
+
+  private final EventLoop loop;
+  private final InetSocketAddress address;
+  private final int connectTimeoutMillis;
+  private final Consumer<Boolean> onConnect;
+  private final Deque<HttpConnection> idle = new ArrayDeque<>();
+
+  ConnectionPool(
+      EventLoop loop,
+      InetSocketAddress address,
+      int connectTimeoutMillis,
+      Consumer<Boolean> onConnect) {
+    this.loop = loop;
+    this.address = address;
+    this.connectTimeoutMillis = connectTimeoutMillis;
+    this.onConnect = onConnect;
+  }
+
+  /**
+   * Takes a connection.
+   *
+   * @param once whether the request must not be sent twice, so that the connection's life must be
+   *     known
+   * @param taker gets the connection, at once when an idle one can be used
+   */
+  void take(boolean once, Taker taker) {
+    long now = System.nanoTime();
+    for (Iterator<HttpConnection> all = idle.iterator(); all.hasNext(); ) {
+      HttpConnection connection = all.next();
+      if (!connection.usable() || stale(connection, now)) {
+        all.remove();
+        connection.close();
+        continue;
+      }
+      if (!once || fresh(connection, now)) {
+        all.remove();
+        taker.connected(connection, true);
+        return;
+      }
+    }
+    connect(taker);
+  }
+
+  void release(HttpConnection connection) {
+    idle.addFirst(connection);
+  }
+
+  void closed(HttpConnection connection) {
+    idle.remove(connection);
+  }
+
+  /** Closes connections that have been idle for too long. */
+  void sweep() {
+    long now = System.nanoTime();
+    List<HttpConnection> old = new ArrayList<>();
+    for (HttpConnection connection : idle) {
+      if (!connection.usable() || stale(connection, now)) {
+        old.add(connection);
+      }
+    }
+    old.forEach(idle::remove);
+    old.forEach(HttpConnection::close);
+  }
+
+  /** Closes all idle connections. */
+  void clear() {
+    List<HttpConnection> all = List.copyOf(idle);
+    idle.clear();
+    all.forEach(HttpConnection::close);
+  }
+
+  int idle() {
+    return idle.size();
+  }
+
+  private void connect(Taker taker) {
+    HttpConnection connection = new HttpConnection(this);
+    ChannelFuture connecting =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+            .handler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(new HttpClientCodec(DECODER, false, false))
+                        .addLast(connection);
+                  }
+                })
+            .connect(address);
+    connecting.addListener(
+        done -> {
+          onConnect.accept(done.isSuccess());
+          if (done.isSuccess()) {
+            taker.connected(connection, false);
+          } else {
+            taker.refused(done.cause());
+          }
+        });
+  }
+
+  private static boolean stale(HttpConnection connection, long now) {
+    long age = now - connection.idleSinceNanos();
+    long limit =
+        connection.keepAliveNanos() < 0
+            ? DEFAULT_IDLE_NANOS
+            : (long) (connection.keepAliveNanos() * REUSE_SHARE);
+    return age > limit;
+  }
+
+  private static boolean fresh(HttpConnection connection, long now) {
+    long age = now - connection.idleSinceNanos();
+    long limit =
+        connection.keepAliveNanos() < 0
+            ? FRESH_NANOS
+            : (long) (connection.keepAliveNanos() * FRESH_SHARE);
+    return age <= limit;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/EngineControl.java
@@ -0,0 +1,27 @@
+package org.pollenrock.gateway;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.pollenrock.core.fleet.Backend;
+import org.pollenrock.core.weights.EngineReport;
+import org.pollenrock.core.weights.LoadOrder;
+import org.pollenrock.core.weights.OrderAnswer;
+
+/** Reports of engines and orders to them. */
+public interface EngineControl {
+  /**
+   * Reads an engine's report.
+   *
+   * @param backend the engine
+   * @param result gets the report; empty when it could not be read
+   */
+  void report(Backend backend, Consumer<Optional<EngineReport>> result);
+
+  /**
+   * Sends an order.
+   *
+   * @param order the order
+   * @param result gets the answer
+   */
+  void order(LoadOrder order, Consumer<OrderAnswer> result);
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/ExchangeScope.java
@@ -0,0 +1,37 @@
+package org.pollenrock.gateway;
+
+import io.netty.channel.EventLoop;
+import org.pollenrock.core.dispatch.Dispatcher;
+import org.pollenrock.core.dispatch.ServerSelector;
+import org.pollenrock.core.fleet.Fleet;
+import org.pollenrock.core.route.ConfigHistory;
+
+/**
+ * What every exchange uses.
+ *
+ * @param loop event loop that everything runs on
+ * @param configs configuration in force
+ * @param fleet backend servers
+ * @param dispatcher sends requests to servers
+ * @param selector tells which servers are avoided
+ * @param callers reads what callers say
+ * @param servers reads and writes what is said to servers
+ * @param links connections to servers
+ * @param log the log
+ * @param metrics counters and histograms
+ * @param memory bytes held for exchanges
+ * @param waitingRoom exchanges that wait for a server
+ */
+record ExchangeScope(
+    EventLoop loop,
+    ConfigHistory configs,
+    Fleet fleet,
+    Dispatcher dispatcher,
+    ServerSelector selector,
+    CallerProtocol callers,
+    ServerProtocol servers,
+    ServerLinks links,
+    EventLog log,
+    GatewayMetrics metrics,
+    HeldMemory memory,
+    WaitingRoom waitingRoom) {}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchanges.java
@@ -0,0 +1,17 @@
+package org.pollenrock.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+
+/** Takes requests that have been read whole. */
+interface Exchanges {
+  /**
+   * Starts the exchange of a request.
+   *
+   * @param head head of the request
+   * @param body its body; released when the exchange ends
+   * @param response where the answer goes
+   * @return the exchange
+   */
+  Exchange start(HttpRequest head, ByteBuf body, CallerResponse response);
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -0,0 +1,261 @@
+package org.pollenrock.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.pollenrock.core.dispatch.Dispatcher;
+import org.pollenrock.core.dispatch.ServerSelector;
+import org.pollenrock.core.fleet.Fleet;
+import org.pollenrock.core.route.ConfigHistory;
+import org.pollenrock.core.weights.WeightsTargets;
+
+/**
+ * Serves callers from the configuration and the servers that it is told.
+ *
+ * <p>Every method but {@link #start} and {@link #stop} is to be called on {@link #loop}.
+ */
+public final class Gateway {
+  /** Interval of looking after waiting requests, timeouts and idle connections. */
+  private static final long SWEEP_MILLIS = 50;
+
+  /** Sweeps between two looks at connections, which change slowly. */
+  private static final int CONNECTION_SWEEPS = 10;
+
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final ConfigHistory configs = new ConfigHistory();
+  private final Fleet fleet = new Fleet();
+  private final WeightsTargets targets = new WeightsTargets();
+  private final Dispatcher dispatcher;
+  private final ServerLinks links;
+  private final WaitingRoom waitingRoom;
+  private final HeldMemory memory;
+  private final CallerListener callers;
+  private final PageListener readiness;
+  private final Optional<PageListener> operators;
+  private final EventLog log;
+  private final ControlClient control;
+  private final List<Runnable> watchers = new ArrayList<>();
+  private int sweeps;
+  private boolean draining;
+
+  /**
+   * Creates a gateway.
+   *
+   * @param settings its settings
+   * @param callerProtocol reads what callers say
+   * @param serverProtocol reads and writes what is said to servers
+   * @param log the log
+   * @param metrics counters and histograms
+   */
+  public Gateway(
+      GatewaySettings settings,
+      CallerProtocol callerProtocol,
+      ServerProtocol serverProtocol,
+      EventLog log,
+      GatewayMetrics metrics) {
+    this.log = log;
+    ServerSelector selector = new ServerSelector(settings.selector());
+    dispatcher = new Dispatcher(fleet, selector, targets, settings.allowance());
+    links = new ServerLinks(loop, metrics);
+    waitingRoom = new WaitingRoom(dispatcher);
+    memory = new HeldMemory(settings.maxHeldBytes());
+    control = new ControlClient(loop);
+    ExchangeScope scope =
+        new ExchangeScope(
+            loop,
+            configs,
+            fleet,
+            dispatcher,
+            selector,
+            callerProtocol,
+            serverProtocol,
+            links,
+            log,
+            metrics,
+            memory,
+            waitingRoom);
+    callers =
+        new CallerListener(
+            loop,
+            settings.callers(),
+            configs,
+            (head, body, response) -> new Exchange(scope, head, body, response),
+            log);
+    readiness =
+        new PageListener(loop, settings.readiness(), path -> Page.empty(ready() ? 200 : 503));
+    StatePages pages = new StatePages(this, metrics);
+    operators = settings.operators().map(address -> new PageListener(loop, address, pages));
+    metrics.gauge("pollenrock_waiting", "Requests that wait", dispatcher::waiting);
+    metrics.gauge("pollenrock_held_bytes", "Bytes of bodies held", memory::heldBytes);
+    metrics.gauge("pollenrock_log_dropped", "Log lines dropped", log::dropped);
+    metrics.gauge("pollenrock_callers", "Open connections of callers", callers::size);
+    metrics.gauge(
+        "pollenrock_config_version",
+        "Configuration in force",
+        () -> configs.current().map(config -> config.version()).orElse(0L));
+  }
+
+  /**
+   * Binds all addresses and serves.
+   *
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public void start() throws InterruptedException {
+    operators.ifPresent(Gateway::start);
+    readiness.start();
+    callers.start();
+    loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Stops counting as ready; connections close after their next answer. */
+  public void drain() {
+    draining = true;
+    callers.drain();
+  }
+
+  /** Closes connections on which nothing is under way. */
+  public void closeIdle() {
+    callers.closeIdle();
+  }
+
+  /**
+   * Requests that are read or answered.
+   *
+   * @return the number
+   */
+  public long busy() {
+    return callers.busy();
+  }
+
+  /** Closes everything. */
+  public void stop() {
+    callers.stop();
+    readiness.stop();
+    operators.ifPresent(PageListener::stop);
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  /**
+   * Tells whether this instance can serve new callers.
+   *
+   * @return whether configuration and servers are known and it is not stopping
+   */
+  public boolean ready() {
+    return !draining && configs.current().isPresent() && fleet.known();
+  }
+
+  /**
+   * Adds work for every sweep.
+   *
+   * @param watcher the work
+   */
+  public void onSweep(Runnable watcher) {
+    watchers.add(watcher);
+  }
+
+  /** Sends waiting requests, because servers changed. */
+  public void serversChanged() {
+    waitingRoom.sweep();
+  }
+
+  /**
+   * Event loop that everything runs on.
+   *
+   * @return the loop
+   */
+  public EventLoop loop() {
+    return loop;
+  }
+
+  /**
+   * Configuration in force.
+   *
+   * @return the history
+   */
+  public ConfigHistory configs() {
+    return configs;
+  }
+
+  /**
+   * Backend servers.
+   *
+   * @return the fleet
+   */
+  public Fleet fleet() {
+    return fleet;
+  }
+
+  /**
+   * Named versions of weights.
+   *
+   * @return the targets
+   */
+  public WeightsTargets targets() {
+    return targets;
+  }
+
+  /**
+   * Sends requests to servers.
+   *
+   * @return the dispatcher
+   */
+  public Dispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  /**
+   * Client for calls to outside services.
+   *
+   * @return the client
+   */
+  public ControlClient control() {
+    return control;
+  }
+
+  /**
+   * Address that callers connect to.
+   *
+   * @return the bound address
+   */
+  public InetSocketAddress callerAddress() {
+    return callers.address();
+  }
+
+  /**
+   * Address at which the balancer asks for readiness.
+   *
+   * @return the bound address
+   */
+  public InetSocketAddress readinessAddress() {
+    return readiness.address();
+  }
+
+  private void sweep() {
+    long now = System.nanoTime();
+    for (String gone : fleet.expire(now)) {
+      log.line("server_gone").with("server", gone).with("cause", "not listed again").write();
+    }
+    waitingRoom.sweep();
+    watchers.forEach(Runnable::run);
+    if (++sweeps % CONNECTION_SWEEPS == 0) {
+      callers.sweep();
+      links.sweep(fleet.all());
+      control.sweep();
+    }
+  }
+
+  private static void start(PageListener listener) {
+    try {
+      listener.start();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayMetrics.java
@@ -0,0 +1,139 @@
+package org.pollenrock.gateway;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.function.Supplier;
+import org.pollenrock.core.dispatch.Dispatch;
+import org.pollenrock.core.dispatch.Selection;
+import org.pollenrock.core.dispatch.SendFailure;
+import org.pollenrock.core.route.RouteKind;
+
+/** Counters and latency histograms of one instance; no label takes a value that callers choose. */
+public final class GatewayMetrics {
+  private static final double[] SECONDS = {
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 16
+  };
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Counter requests =
+      counter("pollenrock_requests", "Requests that ended", "kind", "outcome");
+  private final Counter refusals = counter("pollenrock_refusals", "Requests refused", "cause");
+  private final Counter sends =
+      counter("pollenrock_sends", "Requests sent to servers", "kind", "reason");
+  private final Counter failures =
+      counter("pollenrock_send_failures", "Failed sends to servers", "kind", "failure");
+  private final Counter connects =
+      counter("pollenrock_connects", "Connections opened to servers", "outcome");
+  private final Counter foreign =
+      counter("pollenrock_foreign_answers", "Answers that belonged to another request");
+  private final Counter storeCalls =
+      counter("pollenrock_store_calls", "Calls to the platform's store", "call", "outcome");
+  private final Counter orders = counter("pollenrock_orders", "Orders to engines", "answer");
+  private final Histogram firstByte =
+      histogram("pollenrock_first_byte_seconds", "Time to the first byte of an answer");
+  private final Histogram duration =
+      histogram("pollenrock_request_seconds", "Time from a read request to the end of its answer");
+  private final Histogram queueing =
+      histogram("pollenrock_queue_seconds", "Time that requests waited for a server");
+
+  /** Creates metrics at zero. */
+  public GatewayMetrics() {}
+
+  /**
+   * Adds a value that is read when metrics are.
+   *
+   * @param name name of the metric
+   * @param help what it is
+   * @param value supplies it
+   */
+  public void gauge(String name, String help, Supplier<Number> value) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(callback -> callback.call(value.get().doubleValue()))
+        .register(registry);
+  }
+
+  void request(RouteKind kind, String outcome, long totalNanos) {
+    requests.labelValues(kind.name(), outcome).inc();
+    duration.labelValues(kind.name()).observe(totalNanos / 1e9);
+  }
+
+  void refused(Dispatch.Cause cause) {
+    refusals.labelValues(cause.name()).inc();
+  }
+
+  void sent(RouteKind kind, Selection.Reason reason, long waitedNanos) {
+    sends.labelValues(kind.name(), reason.name()).inc();
+    queueing.labelValues(kind.name()).observe(waitedNanos / 1e9);
+  }
+
+  void sendFailed(RouteKind kind, SendFailure failure) {
+    failures.labelValues(kind.name(), failure.name()).inc();
+  }
+
+  void firstByte(RouteKind kind, long nanos) {
+    firstByte.labelValues(kind.name()).observe(nanos / 1e9);
+  }
+
+  void connected(boolean success) {
+    connects.labelValues(success ? "opened" : "failed").inc();
+  }
+
+  void foreignAnswer() {
+    foreign.inc();
+  }
+
+  /**
+   * Counts a call to the platform's store.
+   *
+   * @param call what was called
+   * @param outcome status, or how it failed
+   */
+  public void storeCall(String call, String outcome) {
+    storeCalls.labelValues(call, outcome).inc();
+  }
+
+  /**
+   * Counts an answered order.
+   *
+   * @param answer the answer
+   */
+  public void order(String answer) {
+    orders.labelValues(answer).inc();
+  }
+
+  /**
+   * Writes all metrics in the Prometheus text format.
+   *
+   * @return the text
+   */
+  public byte[] text() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream(4096);
+    try {
+      PrometheusTextFormatWriter.create().write(out, registry.scrape());
+    } catch (IOException e) {
+      throw new IllegalStateException("writing to memory failed", e);
+    }
+    return out.toByteArray();
+  }
+
+  private Counter counter(String name, String help, String... labels) {
+    return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
+  }
+
+  private Histogram histogram(String name, String help) {
+    return Histogram.builder()
+        .name(name)
+        .help(help)
+        .classicOnly()
+        .classicUpperBounds(SECONDS)
+        .labelNames("kind")
+        .register(registry);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/HopHeaders.java
@@ -0,0 +1,75 @@
+package org.pollenrock.gateway;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/** Headers that concern one connection only. */
+final class HopHeaders {
+  private static final AsciiString KEEP_ALIVE = AsciiString.cached("keep-alive");
+  private static final AsciiString PROXY_CONNECTION = AsciiString.cached("proxy-connection");
+  private static final List<AsciiString> NAMES =
+      List.of(
+          HttpHeaderNames.CONNECTION,
+          KEEP_ALIVE,
+          PROXY_CONNECTION,
+          HttpHeaderNames.PROXY_AUTHENTICATE,
+          HttpHeaderNames.PROXY_AUTHORIZATION,
+          HttpHeaderNames.TE,
+          HttpHeaderNames.TRAILER,
+          HttpHeaderNames.TRANSFER_ENCODING,
+          HttpHeaderNames.UPGRADE,
+          HttpHeaderNames.EXPECT);
+  private static final String TIMEOUT = "timeout=";
+
+  private HopHeaders() {}
+
+  /** Removes them, those that the connection header names included. */
+  static void remove(HttpHeaders headers) {
+    for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+      for (String name : value.split(",")) {
+        String trimmed = name.trim();
+        if (!trimmed.isEmpty() && !trimmed.equalsIgnoreCase("close")) {
+          headers.remove(trimmed);
+        }
+      }
+    }
+    NAMES.forEach(headers::remove);
+  }
+
+  /** Time for which the sender keeps an idle connection open, if it tells. */
+  static Optional<Duration> keepAlive(HttpHeaders headers) {
+    String value = headers.get(KEEP_ALIVE);
+    if (value == null) {
+      return Optional.empty();
+    }
+    for (String part : value.toLowerCase(Locale.ROOT).split(",")) {
+      String trimmed = part.trim();
+      if (trimmed.startsWith(TIMEOUT)) {
+        return seconds(trimmed.substring(TIMEOUT.length()));
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Tells whether a transfer coding other than plain chunked is named. */
+  static boolean hasOddTransferCoding(HttpHeaders headers) {
+    List<String> codings = new ArrayList<>(headers.getAll(HttpHeaderNames.TRANSFER_ENCODING));
+    return codings.size() > 1
+        || codings.size() == 1 && !codings.get(0).trim().equalsIgnoreCase("chunked");
+  }
+
+  private static Optional<Duration> seconds(String text) {
+    try {
+      return Optional.of(Duration.ofSeconds(Long.parseLong(text.trim())));
+    } catch (NumberFormatException e) {
+      // An unreadable hint is the same as none.
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/OrderTask.java
@@ -0,0 +1,152 @@
+package org.pollenrock.gateway;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.pollenrock.core.fleet.Backend;
+import org.pollenrock.core.weights.EngineReport;
+import org.pollenrock.core.weights.LeaseStep;
+import org.pollenrock.core.weights.LoadOrder;
+import org.pollenrock.core.weights.OrderAnswer;
+import org.pollenrock.core.weights.OrderClaim;
+import org.pollenrock.core.weights.OrderLease;
+import org.pollenrock.core.weights.RolloutStep;
+import org.pollenrock.core.weights.WeightsRollout;
+
+/** Keeps the lease on orders while there is work, and brings engines to the named weights. */
+public final class OrderTask {
+  /**
+   * How much the time of day may run ahead of the steady clock between two looks before the process
+   * is taken to have been frozen, in milliseconds.
+   */
+  private static final long FREEZE_MILLIS = 200;
+
+  private final Gateway gateway;
+  private final OrderLease lease;
+  private final ClaimLog claims;
+  private final EngineControl engines;
+  private final EventLog log;
+  private final GatewayMetrics metrics;
+  private final WeightsRollout rollout = new WeightsRollout();
+  private long clockOffsetMillis = Long.MIN_VALUE;
+  private boolean held;
+
+  /**
+   * Creates a task that does nothing before {@link #start}.
+   *
+   * @param gateway the gateway whose servers get orders
+   * @param lease right to give orders
+   * @param claims log of claims
+   * @param engines reports and orders
+   * @param log the log
+   * @param metrics counters
+   */
+  public OrderTask(
+      Gateway gateway,
+      OrderLease lease,
+      ClaimLog claims,
+      EngineControl engines,
+      EventLog log,
+      GatewayMetrics metrics) {
+    this.gateway = gateway;
+    this.lease = lease;
+    this.claims = claims;
+    this.engines = engines;
+    this.log = log;
+    this.metrics = metrics;
+  }
+
+  /** Looks for work with every sweep of the gateway. */
+  public void start() {
+    gateway.onSweep(this::look);
+  }
+
+  private void look() {
+    checkFreeze();
+    long now = System.nanoTime();
+    boolean work =
+        gateway.ready() && WeightsRollout.hasWork(gateway.fleet().all(), gateway.targets());
+    switch (lease.next(work, now)) {
+      case LeaseStep.Rest() -> {}
+      case LeaseStep.Read() -> claims.read(this::claimRead);
+      case LeaseStep.Claim(long end, OrderClaim claim) ->
+          claims.append(end, claim, offset -> claimed(claim, offset));
+    }
+    if (!work) {
+      return;
+    }
+    OptionalLong fence = lease.fence(now);
+    if (fence.isPresent() != held) {
+      held = fence.isPresent();
+      log.line(held ? "orders_held" : "orders_lapsed").with("fence", fence.orElse(0)).write();
+    }
+    for (RolloutStep step :
+        rollout.next(gateway.fleet().all(), gateway.targets(), fence, now)) {
+      follow(step);
+    }
+  }
+
+  private void claimRead(Optional<ClaimLog.Newest> newest) {
+    if (newest.isEmpty()) {
+      lease.unread();
+      return;
+    }
+    lease.read(
+        newest.get().claim(), newest.get().offset(), newest.get().end(), System.nanoTime());
+  }
+
+  private void claimed(OrderClaim claim, OptionalLong offset) {
+    if (offset.isPresent()) {
+      lease.accepted(claim, offset.getAsLong(), System.nanoTime());
+    } else {
+      log.line("claim_refused").with("holder", claim.holder()).with("nonce", claim.nonce()).write();
+      lease.refused();
+    }
+  }
+
+  private void follow(RolloutStep step) {
+    switch (step) {
+      case RolloutStep.ReadReport(Backend backend) ->
+          engines.report(backend, report -> reported(backend, report));
+      case RolloutStep.Send(LoadOrder order) -> {
+        log.line("order_sent")
+            .with("server", order.backend().entry().id())
+            .with("model", order.model())
+            .with("version", order.version())
+            .with("orders_before", order.ordersBefore())
+            .with("fence", order.fence())
+            .write();
+        engines.order(order, answer -> answered(order, answer));
+      }
+    }
+  }
+
+  private void reported(Backend backend, Optional<EngineReport> report) {
+    long now = System.nanoTime();
+    if (report.isPresent()) {
+      rollout.reported(backend, report.get(), now);
+    } else {
+      rollout.unreported(backend, now);
+    }
+  }
+
+  private void answered(LoadOrder order, OrderAnswer answer) {
+    metrics.order(answer.name());
+    log.line("order_answered")
+        .with("server", order.backend().entry().id())
+        .with("model", order.model())
+        .with("version", order.version())
+        .with("answer", answer.name())
+        .write();
+    rollout.answered(order, answer, System.nanoTime());
+  }
+
+  /** The steady clock stands still in a freeze, and the lease must not outlive one. */
+  private void checkFreeze() {
+    long offset = System.currentTimeMillis() - System.nanoTime() / 1_000_000;
+    if (clockOffsetMillis != Long.MIN_VALUE && offset - clockOffsetMillis > FREEZE_MILLIS) {
+      log.line("clock_jump").with("ahead_ms", offset - clockOffsetMillis).write();
+      lease.doubt();
+    }
+    clockOffsetMillis = offset;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/RequestDecoder.java
@@ -0,0 +1,28 @@
+package org.pollenrock.gateway;
+
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/** Decodes requests, and rejects those whose length is stated twice, which could hide another. */
+final class RequestDecoder extends HttpRequestDecoder {
+  /** Longest request line, in bytes. */
+  private static final int MAX_LINE_BYTES = 8192;
+
+  private static final int MAX_CHUNK_BYTES = 65_536;
+
+  RequestDecoder(int maxHeaderBytes) {
+    super(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(MAX_LINE_BYTES)
+            .setMaxHeaderSize(maxHeaderBytes)
+            .setMaxChunkSize(MAX_CHUNK_BYTES));
+  }
+
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    message.setDecoderResult(
+        DecoderResult.failure(new IllegalArgumentException("both length and transfer coding")));
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/SendContext.java
@@ -0,0 +1,25 @@
+package org.pollenrock.gateway;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.pollenrock.core.route.CustomerAccess;
+
+/**
+ * What a backend server is told with a request.
+ *
+ * @param serverId the only server that may run it
+ * @param leftMillis time after which no answer is of use
+ * @param customer the caller's customer; empty for an anonymous request
+ * @param urgency rank from 0, which goes first, to 9; empty for a plain request
+ * @param cacheScope text under which cached parts of the prompt are found; empty for a plain
+ *     request
+ * @param resumeAfter number of the last event that need not be sent; empty when the caller's own
+ *     number holds
+ */
+public record SendContext(
+    String serverId,
+    long leftMillis,
+    Optional<CustomerAccess> customer,
+    OptionalLong urgency,
+    Optional<String> cacheScope,
+    OptionalLong resumeAfter) {}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerAnswer.java
@@ -0,0 +1,23 @@
+package org.pollenrock.gateway;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.pollenrock.core.fleet.LoadReport;
+
+/**
+ * What the head of a server's answer says beyond plain HTTP.
+ *
+ * @param requestId identity of the request that it answers; empty text when it names none
+ * @param notRun whether the server did not run the request and never will
+ * @param misplaced whether another server than the expected one answered
+ * @param signed whether the server's signature is there, as on every answer of a run
+ * @param load load of the server
+ * @param weightsVersion version of the weights that made the answer
+ */
+public record ServerAnswer(
+    String requestId,
+    boolean notRun,
+    boolean misplaced,
+    boolean signed,
+    Optional<LoadReport> load,
+    OptionalLong weightsVersion) {}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerLinks.java
@@ -0,0 +1,49 @@
+package org.pollenrock.gateway;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.pollenrock.core.fleet.Backend;
+
+/** Connections to the incarnations of backend servers. */
+final class ServerLinks {
+  /** Longest time to open a connection, in milliseconds; several round trips between zones. */
+  private static final int CONNECT_TIMEOUT_MILLIS = 350;
+
+  private final EventLoop loop;
+  private final GatewayMetrics metrics;
+  private final Map<Backend, ConnectionPool> pools = new HashMap<>();
+
+  ServerLinks(EventLoop loop, GatewayMetrics metrics) {
+    this.loop = loop;
+    this.metrics = metrics;
+  }
+
+  ConnectionPool to(Backend backend) {
+    return pools.computeIfAbsent(
+        backend,
+        server ->
+            new ConnectionPool(
+                loop,
+                new InetSocketAddress(server.entry().host(), server.entry().port()),
+                CONNECT_TIMEOUT_MILLIS,
+                metrics::connected));
+  }
+
+  /** Closes idle connections that servers are likely to close soon, and those to gone servers. */
+  void sweep(Collection<Backend> known) {
+    List<Backend> gone = new ArrayList<>(pools.keySet());
+    gone.removeAll(known);
+    for (Backend backend : gone) {
+      pools.get(backend).clear();
+      if (backend.inFlight() == 0) {
+        pools.remove(backend);
+      }
+    }
+    pools.values().forEach(ConnectionPool::sweep);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -0,0 +1,324 @@
+package org.pollenrock.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.pollenrock.core.dispatch.DispatchRequest;
+import org.pollenrock.core.dispatch.SendFailure;
+import org.pollenrock.core.fleet.Backend;
+import org.pollenrock.core.route.Route;
+import org.pollenrock.core.route.RouteKind;
+
+/** One send of a request to one server, up to the end of that server's answer. */
+final class ServerSend implements ConnectionPool.Taker, HttpConnection.Listener {
+  /** Interval at which a repeatable request looks whether its server went silent. */
+  private static final long WATCH_MILLIS = 450;
+
+  /** Longest answer that is held until it is whole, in bytes. */
+  private static final int MAX_PLAIN_BYTES = 8 << 20;
+
+  /** Weight of one outcome in a server's moving average of failures. */
+  private static final double OUTCOME_WEIGHT = 0.12;
+
+  private enum Mode {
+    AWAITING,
+    REFUSED,
+    MISPLACED,
+    PLAIN,
+    STREAM
+  }
+
+  /** Follows the send. */
+  interface Owner {
+    /** A stream begins. */
+    void streamBegins(ServerSend send, HttpResponse answer);
+
+    /** Bytes of the stream arrived; not released. */
+    void streamBytes(ServerSend send, ByteBuf bytes);
+
+    /** The stream is whole. */
+    void streamEnds(ServerSend send);
+
+    /** A whole answer arrived. */
+    void answered(ServerSend send, PlainAnswer answer);
+
+    /** No whole answer will come. */
+    void sendFailed(ServerSend send, SendFailure failure, String cause);
+  }
+
+  private final ExchangeScope scope;
+  private final Owner owner;
+  private final Backend backend;
+  private final DispatchRequest request;
+  private final Route route;
+  private final SendContext context;
+  private HttpRequest head;
+  private ByteBuf body;
+  private HttpConnection connection;
+  private Mode mode = Mode.AWAITING;
+  private HttpResponse answer;
+  private ByteBuf held;
+  private boolean closed;
+  private boolean sent;
+  private ScheduledFuture<?> watch;
+
+  ServerSend(
+      ExchangeScope scope,
+      Owner owner,
+      Backend backend,
+      DispatchRequest request,
+      Route route,
+      SendContext context) {
+    this.scope = scope;
+    this.owner = owner;
+    this.backend = backend;
+    this.request = request;
+    this.route = route;
+    this.context = context;
+  }
+
+  void start(HttpRequest originalHead, ByteBuf originalBody) {
+    head = originalHead;
+    body = originalBody;
+    scope.links().to(backend).take(!route.repeatable(), this);
+  }
+
+  Backend backend() {
+    return backend;
+  }
+
+  /** Whether bytes of the request may have left this instance. */
+  boolean sent() {
+    return sent;
+  }
+
+  void reading(boolean on) {
+    if (connection != null) {
+      connection.reading(on);
+    }
+  }
+
+  /** Gives the send up without telling the owner. */
+  void cancel() {
+    if (closed) {
+      return;
+    }
+    if (connection != null) {
+      connection.abandon();
+    }
+    close();
+  }
+
+  @Override
+  public void connected(HttpConnection opened, boolean reused) {
+    if (closed) {
+      opened.close();
+      return;
+    }
+    connection = opened;
+    sent = true;
+    if (route.repeatable()) {
+      watch();
+    }
+    opened.send(outgoing(), this);
+  }
+
+  @Override
+  public void refused(Throwable cause) {
+    if (closed) {
+      return;
+    }
+    backend.unreachable(System.nanoTime());
+    fail(SendFailure.NOT_SENT, cause.toString());
+  }
+
+  @Override
+  public boolean head(HttpResponse response) {
+    long now = System.nanoTime();
+    backend.heard(now);
+    ServerAnswer said = scope.servers().decode(response);
+    if (!said.requestId().isEmpty() && !said.requestId().equals(request.id())) {
+      scope.metrics().foreignAnswer();
+      scope
+          .log()
+          .line("foreign_answer")
+          .with("id", request.id())
+          .with("server", backend.entry().id())
+          .with("answer_to", said.requestId())
+          .write();
+      return false;
+    }
+    said.load().ifPresent(load -> backend.loadReported(load, now));
+    boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
+    if (said.misplaced()) {
+      mode = Mode.MISPLACED;
+    } else if (said.notRun()) {
+      mode = Mode.REFUSED;
+    } else if (said.requestId().isEmpty() && !request.id().isEmpty()
+        || success && (!said.signed() || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
+      connection.abandon();
+      failed(new IOException("answer without the server's identity"));
+      return true;
+    } else {
+      request
+          .prompt()
+          .ifPresent(
+              prompt ->
+                  said.weightsVersion()
+                      .ifPresent(version -> backend.weightsReported(prompt.model(), version)));
+      mode = success && route.kind() == RouteKind.STREAM ? Mode.STREAM : Mode.PLAIN;
+      answer = response;
+    }
+    if (mode == Mode.STREAM) {
+      owner.streamBegins(this, response);
+    }
+    return true;
+  }
+
+  @Override
+  public void content(ByteBuf bytes) {
+    backend.heard(System.nanoTime());
+    if (mode == Mode.STREAM) {
+      owner.streamBytes(this, bytes);
+    } else if (mode == Mode.PLAIN) {
+      hold(bytes);
+    }
+  }
+
+  @Override
+  public void end() {
+    if (closed) {
+      return;
+    }
+    switch (mode) {
+      case REFUSED -> {
+        backend.refused(System.nanoTime());
+        fail(SendFailure.REFUSED, "refused");
+      }
+      case MISPLACED -> {
+        scope.fleet().misplaced(backend);
+        fail(SendFailure.MISPLACED, "another server at the address");
+      }
+      case STREAM -> {
+        backend.outcome(true, OUTCOME_WEIGHT, System.nanoTime());
+        close();
+        owner.streamEnds(this);
+      }
+      case PLAIN -> {
+        PlainAnswer whole =
+            new PlainAnswer(
+                answer.status(), answer.headers(), held == null ? Unpooled.EMPTY_BUFFER : held);
+        held = null;
+        boolean failed = answer.status().codeClass() == HttpStatusClass.SERVER_ERROR;
+        backend.outcome(!failed, OUTCOME_WEIGHT, System.nanoTime());
+        close();
+        owner.answered(this, whole);
+      }
+      case AWAITING -> throw new IllegalStateException("answer without a head");
+      default -> throw new IllegalStateException("mode " + mode);
+    }
+  }
+
+  @Override
+  public void failed(Throwable cause) {
+    if (closed) {
+      return;
+    }
+    switch (mode) {
+      case REFUSED -> {
+        backend.refused(System.nanoTime());
+        fail(SendFailure.REFUSED, "refused");
+      }
+      case MISPLACED -> fail(SendFailure.MISPLACED, "another server at the address");
+      default -> {
+        backend.outcome(false, OUTCOME_WEIGHT, System.nanoTime());
+        fail(SendFailure.BROKEN, cause.toString());
+      }
+    }
+  }
+
+  private FullHttpRequest outgoing() {
+    HttpHeaders headers = head.headers().copy();
+    HopHeaders.remove(headers);
+    scope.servers().prepare(headers, context);
+    headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+    if (body.isReadable() || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+    }
+    return new DefaultFullHttpRequest(
+        HttpVersion.HTTP_1_1,
+        head.method(),
+        head.uri(),
+        body.retainedDuplicate(),
+        headers,
+        EmptyHttpHeaders.INSTANCE);
+  }
+
+  private void hold(ByteBuf bytes) {
+    if (held == null) {
+      held = bytes.alloc().buffer(bytes.readableBytes());
+    }
+    if (held.readableBytes() + bytes.readableBytes() > MAX_PLAIN_BYTES) {
+      connection.abandon();
+      failed(new IOException("answer longer than " + MAX_PLAIN_BYTES + " bytes"));
+      return;
+    }
+    held.writeBytes(bytes);
+  }
+
+  private void watch() {
+    watch = scope.loop().schedule(this::look, WATCH_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** A server that owes answers and sends nothing to anybody is taken as unreachable. */
+  private void look() {
+    if (closed) {
+      return;
+    }
+    long now = System.nanoTime();
+    if (!scope.selector().silent(backend, now)) {
+      watch();
+      return;
+    }
+    connection.abandon();
+    backend.unreachable(now);
+    backend.outcome(false, OUTCOME_WEIGHT, now);
+    fail(SendFailure.BROKEN, "silent");
+  }
+
+  private void fail(SendFailure failure, String cause) {
+    close();
+    owner.sendFailed(this, failure, cause);
+  }
+
+  private void close() {
+    closed = true;
+    if (watch != null) {
+      watch.cancel(false);
+    }
+    if (held != null) {
+      held.release();
+      held = null;
+    }
+    backend.ended(request.promptTokens());
+    scope.loop().execute(() -> scope.waitingRoom().release(request.service()));
+  }
+
+  /** Status that tells callers that a request has not run, although it has. */
+  static boolean wouldPromiseNotRun(HttpResponseStatus status) {
+    int code = status.code();
+    return code == 408 || code == 421 || code == 429 || code == 503;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/StatePages.java
@@ -0,0 +1,72 @@
+package org.pollenrock.gateway;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Map;
+import java.util.function.Function;
+import org.pollenrock.core.fleet.Backend;
+
+/** Metrics and a dump of the state, for operators. */
+final class StatePages implements Function<String, Page> {
+  private final Gateway gateway;
+  private final GatewayMetrics metrics;
+
+  StatePages(Gateway gateway, GatewayMetrics metrics) {
+    this.gateway = gateway;
+    this.metrics = metrics;
+  }
+
+  @Override
+  public Page apply(String path) {
+    return switch (path) {
+      case "/metrics" -> new Page(200, Page.TEXT, metrics.text());
+      case "/state" -> new Page(200, Page.JSON, state());
+      default -> Page.empty(404);
+    };
+  }
+
+  private byte[] state() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream(4096);
+    try (JsonGenerator json = new JsonFactory().createGenerator(out)) {
+      json.writeStartObject();
+      json.writeBooleanField("ready", gateway.ready());
+      json.writeNumberField(
+          "config_version", gateway.configs().current().map(config -> config.version()).orElse(0L));
+      json.writeNumberField("waiting", gateway.dispatcher().waiting());
+      json.writeNumberField("busy_callers", gateway.busy());
+      json.writeObjectFieldStart("weights");
+      for (Map.Entry<String, Long> target : gateway.targets().all().entrySet()) {
+        json.writeNumberField(target.getKey(), target.getValue());
+      }
+      json.writeEndObject();
+      json.writeArrayFieldStart("servers");
+      for (Backend backend : gateway.fleet().all()) {
+        server(json, backend);
+      }
+      json.writeEndArray();
+      json.writeEndObject();
+    } catch (IOException e) {
+      throw new IllegalStateException("writing to memory failed", e);
+    }
+    return out.toByteArray();
+  }
+
+  private static void server(JsonGenerator json, Backend backend) throws IOException {
+    long now = System.nanoTime();
+    json.writeStartObject();
+    json.writeStringField("id", backend.entry().id());
+    json.writeStringField("service", backend.entry().service());
+    json.writeStringField("address", backend.entry().address());
+    json.writeStringField("data_centre", backend.entry().dataCentre());
+    json.writeBooleanField("ready", backend.entry().ready());
+    json.writeNumberField("in_flight", backend.inFlight());
+    json.writeNumberField("load", backend.load(now));
+    json.writeNumberField("slots", backend.slots());
+    json.writeNumberField("silent_ms", backend.silentNanos(now) / 1_000_000);
+    json.writeNumberField("failure_rate", backend.failureRate(now));
+    json.writeBooleanField("paused", backend.paused(now));
+    json.writeEndObject();
+  }
+}
--- a/router/src/main/java/org/pollenrock/router/Pollenrockd.java
+++ b/router/src/main/java/org/pollenrock/router/Pollenrockd.java
@@ -12,6 +12,7 @@
 import org.apache.logging.log4j.Logger;
 import org.pollenrock.core.model.Incarnation;
 import org.pollenrock.settings.ProcessSettings;
+import org.pollenrock.settings.ProcessSignal;
 import org.pollenrock.settings.ReadResult;
 import org.pollenrock.settings.SettingsError;
 import org.pollenrock.settings.SettingsReader;
@@ -74,7 +75,7 @@
     try {
       Router router = new Router(RouterConfig.of(settings, incarnation, ioThreads));
       router.start();
-      TermSignal.handle(() -> terminate(router, stopped));
+      ProcessSignal.handle("TERM", () -> terminate(router, stopped));
       LOG.info(
           "listening for callers on {} and operators on {}",
           router.callerAddress(),
