--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatch.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatch.java
@@ -1,16 +1,13 @@
 package org.pollenrock.core.dispatch;
 
-import org.pollenrock.core.fleet.Backend;
-
 /** What became of a request that wants a server. */
 public sealed interface Dispatch {
   /**
    * It goes to a server, which counts it from now on.
    *
-   * @param backend the server
-   * @param reason why this one
+   * @param choice the server
    */
-  record Sent(Backend backend, Selection.Reason reason) implements Dispatch {}
+  record Sent(Selection.Chosen choice) implements Dispatch {}
 
   /**
    * It waits.
@@ -30,10 +27,9 @@
    * A waiting request goes to a server, which counts it from now on.
    *
    * @param waiting the place that it had
-   * @param backend the server
-   * @param reason why this one
+   * @param choice the server
    */
-  record Released(Waiting waiting, Backend backend, Selection.Reason reason) {}
+  record Released(Waiting waiting, Selection.Chosen choice) {}
 
   /** Why a request can't be served. */
   enum Cause {
--- a/core/src/main/java/org/pollenrock/core/dispatch/DispatchRequest.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/DispatchRequest.java
@@ -8,6 +8,7 @@
  * @param id identity of the request, for logs
  * @param service service that serves it
  * @param prompt its prompt; empty for a plain request
+ * @param cacheScope customers that share cached parts with this one
  * @param urgency rank from 0, which goes first, to 9
  * @param repeatable whether it may run more than once
  * @param objectiveMillis time within which an answer is on time
@@ -18,6 +19,7 @@
     String id,
     String service,
     Optional<Prompt> prompt,
+    String cacheScope,
     int urgency,
     boolean repeatable,
     long objectiveMillis,
--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -86,7 +86,7 @@
       if (selection instanceof Selection.Chosen chosen) {
         line.remove(waiting);
         chosen.backend().started(waiting.request().promptTokens(), nowNanos);
-        released.add(new Dispatch.Released(waiting, chosen.backend(), chosen.reason()));
+        released.add(new Dispatch.Released(waiting, chosen));
         continue;
       }
       if (waiting.request().prompt().isEmpty()) {
@@ -142,6 +142,19 @@
         .toList();
   }
 
+  /**
+   * Tells whether an engine has older weights than named.
+   *
+   * @param backend the engine
+   * @param model the model
+   * @return whether newer weights are named than it is known to have
+   */
+  public boolean outdated(Backend backend, String model) {
+    OptionalLong has = backend.weights(model);
+    OptionalLong wanted = targets.version(model);
+    return has.isPresent() && wanted.isPresent() && has.getAsLong() < wanted.getAsLong();
+  }
+
   /**
    * Number of requests that wait.
    *
@@ -155,9 +168,9 @@
     WaitingLine line = lines.computeIfAbsent(request.service(), service -> new WaitingLine());
     List<Backend> servers = fleet.usable(request.service());
     return switch (choose(request, tried, nowNanos)) {
-      case Selection.Chosen(Backend backend, Selection.Reason reason) -> {
-        backend.started(request.promptTokens(), nowNanos);
-        yield new Dispatch.Sent(backend, reason);
+      case Selection.Chosen chosen -> {
+        chosen.backend().started(request.promptTokens(), nowNanos);
+        yield new Dispatch.Sent(chosen);
       }
       case Selection.NoServer() -> new Dispatch.Refused(Dispatch.Cause.NO_SERVER);
       case Selection.AllBusy() -> {
--- a/core/src/main/java/org/pollenrock/core/dispatch/FailurePolicy.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/FailurePolicy.java
@@ -3,7 +3,7 @@
 /** Decides what follows a failed send. */
 public final class FailurePolicy {
   /** Refusals after which a request is refused too instead of trying yet another server. */
-  private static final int MAX_REFUSALS = 3;
+  private static final int MAX_REFUSALS = 6;
 
   private FailurePolicy() {}
 
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/dispatch/KeptTokens.java
@@ -0,0 +1,20 @@
+package org.pollenrock.core.dispatch;
+
+import java.util.IdentityHashMap;
+import java.util.Map;
+import org.pollenrock.core.fleet.Backend;
+
+/** Tokens of one prompt's beginning that servers keep. */
+final class KeptTokens {
+  private final Map<Backend, Integer> tokens = new IdentityHashMap<>();
+
+  /** A server keeps a beginning of some length. */
+  void keeps(Backend server, int length) {
+    tokens.merge(server, length, Math::max);
+  }
+
+  /** Longest beginning that a server is known to keep, in tokens; 0 when it keeps none. */
+  int at(Backend server) {
+    return tokens.getOrDefault(server, 0);
+  }
+}
--- a/core/src/main/java/org/pollenrock/core/dispatch/Prompt.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Prompt.java
@@ -1,5 +1,6 @@
 package org.pollenrock.core.dispatch;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.pollenrock.core.placement.RendezvousHash;
 
@@ -18,16 +19,55 @@
   }
 
   /**
-   * Hash of the longest beginning that other requests share.
+   * Tokens of the longest beginning that other requests share.
    *
-   * @return the hash; the model's alone when the prompt has no parts
+   * @return the number
    */
-  public long subject() {
-    if (parts.isEmpty()) {
-      return RendezvousHash.seed(model);
+  public int sharedTokens() {
+    int shared = 0;
+    for (PromptPart part : sharedParts()) {
+      shared += part.tokens();
     }
-    int shared = Math.max(0, parts.size() - 2);
-    return RendezvousHash.mix(
-        RendezvousHash.seed(model) ^ RendezvousHash.seed(parts.get(shared).id()));
+    return shared;
+  }
+
+  /**
+   * Beginnings that other requests share, one for each part, the shortest first.
+   *
+   * @return the beginnings
+   */
+  public List<Beginning> beginnings() {
+    List<Beginning> beginnings = new ArrayList<>(parts.size());
+    long hash = RendezvousHash.seed(model);
+    int tokens = 0;
+    for (PromptPart part : sharedParts()) {
+      hash = RendezvousHash.mix(hash ^ RendezvousHash.seed(part.id()));
+      tokens += part.tokens();
+      beginnings.add(new Beginning(hash, tokens));
+    }
+    return beginnings;
+  }
+
+  /**
+   * Hash by which requests are kept together: that of the beginning whose last part is the longest,
+   * since reading that part again costs most.
+   *
+   * @return the hash; the model's alone when no part is shared
+   */
+  public long affinity() {
+    List<Beginning> beginnings = beginnings();
+    long affinity = RendezvousHash.seed(model);
+    int longest = 0;
+    for (int i = 0; i < beginnings.size(); i++) {
+      if (parts.get(i).tokens() > longest) {
+        longest = parts.get(i).tokens();
+        affinity = beginnings.get(i).hash();
+      }
+    }
+    return affinity;
+  }
+
+  private List<PromptPart> sharedParts() {
+    return parts.subList(0, Math.max(0, parts.size() - 1));
   }
 }
--- a/core/src/main/java/org/pollenrock/core/dispatch/Selection.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Selection.java
@@ -1,5 +1,6 @@
 package org.pollenrock.core.dispatch;
 
+import java.util.Optional;
 import org.pollenrock.core.fleet.Backend;
 
 /** Outcome of the choice of a server. */
@@ -9,8 +10,19 @@
    *
    * @param backend the server
    * @param reason why this one
+   * @param source server from which it should fetch what it lacks of the prompt's beginning
    */
-  record Chosen(Backend backend, Reason reason) implements Selection {}
+  record Chosen(Backend backend, Reason reason, Optional<Backend> source) implements Selection {
+    /**
+     * A choice without a server to fetch from.
+     *
+     * @param backend the server
+     * @param reason why this one
+     */
+    public Chosen(Backend backend, Reason reason) {
+      this(backend, reason, Optional.empty());
+    }
+  }
 
   /** Every server that could take the request is at its limit or paused for a moment. */
   record AllBusy() implements Selection {}
@@ -20,9 +32,9 @@
 
   /** Why a server was chosen. */
   enum Reason {
-    /** First in the ranking for the prompt's shared beginning. */
+    /** Keeps the prompt's shared beginning, or is the one that should. */
     HOME,
-    /** A later one in that ranking, because those before it are loaded. */
+    /** Another one, because those that keep the beginning have much to read. */
     SPILL,
     /** The least loaded one. */
     LEAST_LOADED,
--- a/core/src/main/java/org/pollenrock/core/dispatch/SelectorSettings.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/SelectorSettings.java
@@ -4,8 +4,9 @@
  * Bounds of the choice of a server.
  *
  * @param dataCentre data centre of this instance
- * @param spillFactor load over the mean at which a server's requests go to the next in rank
- * @param spillFloor requests that a server holds at least before its requests go elsewhere
+ * @param fetchShare cost of fetching a token from another server, as a share of reading it
+ * @param batchTokens cost of one running request to those that are read beside it, in tokens read
+ * @param remoteTokens cost of sending a request to another data centre, in tokens read
  * @param newWeightsShare share of the slots up to which servers with the newest weights are
  *     preferred over others
  * @param silenceNanos silence after which a server that owes an answer is avoided
@@ -14,17 +15,21 @@
  */
 public record SelectorSettings(
     String dataCentre,
-    double spillFactor,
-    double spillFloor,
+    double fetchShare,
+    double batchTokens,
+    double remoteTokens,
     double newWeightsShare,
     long silenceNanos,
     double failureRate,
     long probeNanos) {
-  /** Consistent hashing with bounded loads: 1.25 times the mean is the usual bound. */
-  private static final double DEFAULT_SPILL_FACTOR = 1.5;
+  /** Links carry a cached token several times faster than an engine reads it. */
+  private static final double DEFAULT_FETCH_SHARE = 0.25;
 
-  /** Below this many requests an engine's batch costs little more than one request. */
-  private static final double DEFAULT_SPILL_FLOOR = 4;
+  /** A running request lengthens a step by about this many tokens' reading time. */
+  private static final double DEFAULT_BATCH_TOKENS = 60;
+
+  /** Reading time of this many tokens is about a round trip between data centres. */
+  private static final double DEFAULT_REMOTE_TOKENS = 400;
 
   private static final double DEFAULT_NEW_WEIGHTS_SHARE = 0.6;
 
@@ -45,8 +50,9 @@
   public static SelectorSettings defaults(String dataCentre) {
     return new SelectorSettings(
         dataCentre,
-        DEFAULT_SPILL_FACTOR,
-        DEFAULT_SPILL_FLOOR,
+        DEFAULT_FETCH_SHARE,
+        DEFAULT_BATCH_TOKENS,
+        DEFAULT_REMOTE_TOKENS,
         DEFAULT_NEW_WEIGHTS_SHARE,
         DEFAULT_SILENCE_NANOS,
         DEFAULT_FAILURE_RATE,
--- a/core/src/main/java/org/pollenrock/core/dispatch/SendFailure.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/SendFailure.java
@@ -8,6 +8,8 @@
   REFUSED,
   /** Another server stands at the address and did not run the request. */
   MISPLACED,
+  /** The server has other weights than it was thought to have, and did not run the request. */
+  OTHER_WEIGHTS,
   /** The connection broke or went silent, or the answer made no sense; the request may have run. */
   BROKEN,
   /** The server answered with a failure of its own; the request ran. */
@@ -19,6 +21,6 @@
    * @return whether a refusal that promises so would be true
    */
   public boolean certainlyNotRun() {
-    return this == NOT_SENT || this == REFUSED || this == MISPLACED;
+    return this != BROKEN && this != SERVER_ERROR;
   }
 }
--- a/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.pollenrock.core.fleet.Backend;
@@ -11,8 +13,9 @@
 /**
  * Chooses the server of a request.
  *
- * <p>Requests with a prompt go by rendezvous hashing of its shared beginning with bounded loads, so
- * that all instances agree on where it is cached without talking. Plain requests go to the least
+ * <p>Requests with a prompt go where it is read first: to a server with little to read that keeps its
+ * shared beginning, or that can fetch it. Rendezvous hashing lets all instances agree without talking
+ * on where a beginning is kept. Plain requests go to the least
  * loaded server, in their own data centre while one there has a free slot. Servers that are silent
  * or fail often are avoided while there are others, and tried now and then.
  */
@@ -23,15 +26,49 @@
   /** Slots assumed of a server that has not told its number. */
   private static final int ASSUMED_SLOTS = 4;
 
+  /** Weight of one prompt in the moving average of their lengths. */
+  private static final double MEAN_WEIGHT = 0.02;
+
+  /** Mean length of a prompt before any was seen, in tokens. */
+  private static final double FIRST_MEAN_TOKENS = 4_000;
+
   private final SelectorSettings settings;
+  private final PrefixDirectory directory;
+  private double meanTokens = FIRST_MEAN_TOKENS;
 
   /**
    * Creates a selector.
    *
    * @param settings its bounds
+   * @param directory where beginnings of prompts were read
    */
-  public ServerSelector(SelectorSettings settings) {
+  public ServerSelector(SelectorSettings settings, PrefixDirectory directory) {
     this.settings = settings;
+    this.directory = directory;
+  }
+
+  /**
+   * A server has read the prompt of a request.
+   *
+   * @param request the request
+   * @param server the server
+   * @param nowNanos current time
+   */
+  public void promptRead(DispatchRequest request, Backend server, long nowNanos) {
+    if (request.prompt().isEmpty()) {
+      return;
+    }
+    Prompt prompt = request.prompt().get();
+    OptionalLong weights = server.weights(prompt.model());
+    if (weights.isEmpty()) {
+      return;
+    }
+    for (Beginning beginning : prompt.beginnings()) {
+      directory.read(
+          new PrefixDirectory.Key(beginning.hash(), request.cacheScope(), weights.getAsLong()),
+          server,
+          nowNanos);
+    }
   }
 
   /**
@@ -79,7 +116,7 @@
       return lastResort(avoided, nowNanos);
     }
     return request.prompt().isPresent()
-        ? byPrompt(request.prompt().get(), open, wantedWeights, nowNanos)
+        ? byPrompt(request, open, wantedWeights, nowNanos)
         : byLoad(open, nowNanos);
   }
 
@@ -115,34 +152,89 @@
   }
 
   private Selection byPrompt(
-      Prompt prompt, List<Backend> open, OptionalLong wantedWeights, long nowNanos) {
+      DispatchRequest request, List<Backend> open, OptionalLong wantedWeights, long nowNanos) {
+    Prompt prompt = request.prompt().orElseThrow();
+    meanTokens += MEAN_WEIGHT * (prompt.tokens() - meanTokens);
     List<Backend> candidates = preferNewWeights(prompt.model(), open, wantedWeights, nowNanos);
-    double total = 0;
-    for (Backend server : candidates) {
-      total += server.load(nowNanos);
-    }
-    double bound =
-        Math.max(settings.spillFloor(), settings.spillFactor() * total / candidates.size() + 1);
-    long subject = prompt.subject();
-    Backend first = null;
+    KeptTokens kept = keptTokens(request, prompt, open, nowNanos);
+    Backend home = first(candidates, null, prompt.affinity());
     Backend best = null;
-    Backend idlest = null;
+    double bestCost = Double.MAX_VALUE;
     for (Backend server : candidates) {
-      if (first == null || ranksBefore(server, first, subject)) {
-        first = server;
-      }
-      if (server.load(nowNanos) <= bound
-          && (best == null || ranksBefore(server, best, subject))) {
+      int keeps = server == home ? prompt.sharedTokens() : kept.at(server);
+      double cost = promptCost(prompt, server, keeps, nowNanos);
+      if (cost < bestCost) {
         best = server;
+        bestCost = cost;
+      }
+    }
+    boolean keeps = kept.at(best) == prompt.sharedTokens();
+    return new Selection.Chosen(
+        best,
+        keeps || best == home ? Selection.Reason.HOME : Selection.Reason.SPILL,
+        keeps ? Optional.empty() : source(prompt, best, kept, open));
+  }
+
+  private double promptCost(Prompt prompt, Backend server, int keeps, long nowNanos) {
+    double unread = server.unreadTokens(meanTokens, nowNanos);
+    double batch = server.load(nowNanos) * settings.batchTokens();
+    double fetch = (prompt.sharedTokens() - keeps) * settings.fetchShare();
+    boolean local = server.entry().dataCentre().equals(settings.dataCentre());
+    return unread + batch + fetch + (local ? 0 : settings.remoteTokens());
+  }
+
+  /** Server with the same weights that is likely to keep most of the beginning of a prompt. */
+  private static Optional<Backend> source(
+      Prompt prompt, Backend target, KeptTokens kept, List<Backend> open) {
+    OptionalLong weights = target.weights(prompt.model());
+    if (weights.isEmpty() || prompt.sharedTokens() == 0) {
+      return Optional.empty();
+    }
+    List<Backend> sources =
+        open.stream()
+            .filter(server -> server != target)
+            .filter(server -> server.weights(prompt.model()).equals(weights))
+            .toList();
+    Backend source = first(sources, null, prompt.affinity());
+    for (Backend server : sources) {
+      if (kept.at(server) > kept.at(target) && kept.at(server) > kept.at(source)) {
+        source = server;
       }
-      if (idlest == null || server.load(nowNanos) < idlest.load(nowNanos)) {
-        idlest = server;
+    }
+    return Optional.ofNullable(source);
+  }
+
+  /** Tokens of a prompt's beginning that servers are known to keep. */
+  private KeptTokens keptTokens(
+      DispatchRequest request, Prompt prompt, List<Backend> servers, long nowNanos) {
+    KeptTokens kept = new KeptTokens();
+    Set<Long> versions = new HashSet<>();
+    for (Backend server : servers) {
+      server.weights(prompt.model()).ifPresent(versions::add);
+    }
+    for (Beginning beginning : prompt.beginnings()) {
+      for (long version : versions) {
+        PrefixDirectory.Key key =
+            new PrefixDirectory.Key(beginning.hash(), request.cacheScope(), version);
+        for (Backend holder : directory.holders(key, nowNanos)) {
+          if (holder.weights(prompt.model()).orElse(-1) == version) {
+            kept.keeps(holder, beginning.tokens());
+          }
+        }
       }
     }
-    if (best == first) {
-      return new Selection.Chosen(first, Selection.Reason.HOME);
+    return kept;
+  }
+
+  /** First server in the ranking of a beginning, one server left out. */
+  private static Backend first(List<Backend> servers, Backend leftOut, long subject) {
+    Backend first = null;
+    for (Backend server : servers) {
+      if (server != leftOut && (first == null || ranksBefore(server, first, subject))) {
+        first = server;
+      }
     }
-    return new Selection.Chosen(best != null ? best : idlest, Selection.Reason.SPILL);
+    return first;
   }
 
   private List<Backend> preferNewWeights(
--- a/core/src/main/java/org/pollenrock/core/fleet/Backend.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Backend.java
@@ -18,6 +18,9 @@
   /** Time for which a server that refused a request as full gets no further one. */
   private static final long REFUSAL_PAUSE_NANOS = 120_000_000L;
 
+  /** Time for which an engine that loads weights gets no request, unless it is done sooner. */
+  private static final long LOADING_PAUSE_NANOS = 450_000_000L;
+
   /** Pause after the first failed connect; doubles with each further one. */
   private static final long CONNECT_PAUSE_NANOS = 250_000_000L;
 
@@ -29,12 +32,16 @@
   private final Map<String, Long> weights = new HashMap<>();
   private int inFlight;
   private long promptTokensInFlight;
+  private long unreadTokens;
+  private int unanswered;
   private long heardNanos;
   private long waitingSinceNanos;
   private double othersLoad;
+  private double othersWaiting;
   private long othersLoadNanos;
   private int slots;
   private long pausedUntilNanos = Long.MIN_VALUE;
+  private long loadingUntilNanos = Long.MIN_VALUE;
   private int connectFailures;
   private double failureRate;
   private long failureRateNanos;
@@ -65,7 +72,7 @@
     if (newer.slots() > 0) {
       slots = newer.slots();
     }
-    newer.weights().forEach((model, version) -> weights.merge(model, version, Math::max));
+    newer.weights().forEach(this::weightsReported);
     entry = newer;
   }
 
@@ -80,15 +87,31 @@
       waitingSinceNanos = nowNanos;
     }
     inFlight++;
+    unanswered++;
     promptTokensInFlight += promptTokens;
+    unreadTokens += promptTokens;
+  }
+
+  /**
+   * The first part of an answer arrived, so that the prompt has been read.
+   *
+   * @param promptTokens tokens given to {@link #started}
+   */
+  public void answering(long promptTokens) {
+    unanswered--;
+    unreadTokens -= promptTokens;
   }
 
   /**
    * Counts a request that ended, however it did.
    *
    * @param promptTokens tokens given to {@link #started}
+   * @param answered whether {@link #answering} was called for it
    */
-  public void ended(long promptTokens) {
+  public void ended(long promptTokens, boolean answered) {
+    if (!answered) {
+      answering(promptTokens);
+    }
     inFlight--;
     promptTokensInFlight -= promptTokens;
   }
@@ -114,6 +137,7 @@
       slots = report.slots();
     }
     othersLoad = Math.max(0, report.running() + report.waiting() - inFlight);
+    othersWaiting = Math.max(0, report.waiting() - unanswered);
     othersLoadNanos = nowNanos;
   }
 
@@ -124,7 +148,20 @@
    * @param version the version; an older one than known is ignored
    */
   public void weightsReported(String model, long version) {
-    weights.merge(model, version, Math::max);
+    Long known = weights.get(model);
+    if (known == null || known < version) {
+      weights.put(model, version);
+      loadingUntilNanos = Long.MIN_VALUE;
+    }
+  }
+
+  /**
+   * The server's weights are not those that it was thought to have.
+   *
+   * @param model the model
+   */
+  public void weightsUnknown(String model) {
+    weights.remove(model);
   }
 
   /**
@@ -136,6 +173,15 @@
     pausedUntilNanos = Math.max(pausedUntilNanos, nowNanos + REFUSAL_PAUSE_NANOS);
   }
 
+  /**
+   * The server loads weights, or is about to.
+   *
+   * @param nowNanos current time
+   */
+  public void loading(long nowNanos) {
+    loadingUntilNanos = nowNanos + LOADING_PAUSE_NANOS;
+  }
+
   /**
    * No connection to the server could be opened, or it went silent.
    *
@@ -179,6 +225,18 @@
     return inFlight + othersLoad * fading(nowNanos - othersLoadNanos, LOAD_HALF_LIFE_NANOS);
   }
 
+  /**
+   * Tokens of prompts that the server still has to read.
+   *
+   * @param meanTokens mean length of a prompt, for those that others sent
+   * @param nowNanos current time
+   * @return estimate of the tokens
+   */
+  public double unreadTokens(double meanTokens, long nowNanos) {
+    double others = othersWaiting * fading(nowNanos - othersLoadNanos, LOAD_HALF_LIFE_NANOS);
+    return unreadTokens + others * meanTokens;
+  }
+
   /**
    * Time for which the server has been silent although an answer is due.
    *
@@ -199,7 +257,7 @@
    * @return whether it is paused
    */
   public boolean paused(long nowNanos) {
-    return nowNanos < pausedUntilNanos;
+    return nowNanos < pausedUntilNanos || nowNanos < loadingUntilNanos;
   }
 
   /**
@@ -235,7 +293,7 @@
    * @return whether it does; true as well when it did not say what it serves
    */
   public boolean serves(String model) {
-    return weights.isEmpty() || weights.containsKey(model);
+    return entry.weights().isEmpty() || entry.weights().containsKey(model);
   }
 
   /**
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -21,6 +21,7 @@
 import org.pollenrock.core.dispatch.DispatchRequest;
 import org.pollenrock.core.dispatch.FailurePolicy;
 import org.pollenrock.core.dispatch.NextStep;
+import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.dispatch.Selection;
 import org.pollenrock.core.dispatch.SendFailure;
 import org.pollenrock.core.dispatch.SendState;
@@ -133,9 +134,9 @@
   }
 
   /** A server became free while the request waited. */
-  void released(Backend backend, Selection.Reason reason) {
+  void released(Selection.Chosen choice) {
     waiting = null;
-    sendTo(backend, reason);
+    sendTo(choice);
   }
 
   /** The request waited as long as it may. */
@@ -191,7 +192,9 @@
   @Override
   public void sendFailed(ServerSend from, SendFailure failure, String cause) {
     send = null;
-    tried.add(from.backend().entry().id());
+    if (failure != SendFailure.OTHER_WEIGHTS) {
+      tried.add(from.backend().entry().id());
+    }
     if (failure.certainlyNotRun()) {
       refusals++;
     } else {
@@ -240,6 +243,7 @@
             call.id(),
             route.serviceFor(call.id()),
             route.prefixAffinity() ? call.prompt() : Optional.empty(),
+            cacheScope(),
             route.urgency(customer.map(CustomerAccess::priority).orElse(OptionalInt.empty())),
             route.repeatable(),
             route.objectiveMillis(),
@@ -255,7 +259,7 @@
 
   private void follow(Dispatch dispatch) {
     switch (dispatch) {
-      case Dispatch.Sent(Backend backend, Selection.Reason reason) -> sendTo(backend, reason);
+      case Dispatch.Sent(Selection.Chosen choice) -> sendTo(choice);
       case Dispatch.Queued(Waiting place) -> {
         waiting = place;
         scope.waitingRoom().enter(place, this);
@@ -264,23 +268,30 @@
     }
   }
 
-  private void sendTo(Backend backend, Selection.Reason reason) {
+  private void sendTo(Selection.Chosen choice) {
     sends++;
     long now = System.nanoTime();
-    scope.metrics().sent(route.kind(), reason, now - arrivedNanos);
-    boolean engine = request.prompt().isPresent();
+    Backend backend = choice.backend();
+    scope.metrics().sent(route.kind(), choice.reason(), now - arrivedNanos);
     SendContext context =
         new SendContext(
             backend.entry().id(),
             Math.max(1, (request.deadlineNanos() - now) / 1_000_000),
             customer,
-            engine ? OptionalLong.of(request.urgency()) : OptionalLong.empty(),
-            engine ? Optional.of(cacheScope()) : Optional.empty(),
+            request.prompt().map(prompt -> engineContext(prompt, choice)),
             relay.started() ? relay.lastEvent() : OptionalLong.empty());
     send = new ServerSend(scope, this, backend, request, route, context);
     send.start(head, body);
   }
 
+  private SendContext.Engine engineContext(Prompt prompt, Selection.Chosen choice) {
+    OptionalLong weights = choice.backend().weights(prompt.model());
+    // Parts that were read under other weights must not be found, wherever they are kept.
+    String scopeText = request.cacheScope() + "@" + weights.orElse(0);
+    return new SendContext.Engine(
+        request.urgency(), scopeText, weights, choice.source().map(from -> from.entry().address()));
+  }
+
   /** Customers whose prompts are isolated have a scope of their own. */
   private String cacheScope() {
     return customer
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.pollenrock.core.dispatch.Dispatcher;
+import org.pollenrock.core.dispatch.PrefixDirectory;
 import org.pollenrock.core.dispatch.ServerSelector;
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.route.ConfigHistory;
@@ -61,7 +62,7 @@
       EventLog log,
       GatewayMetrics metrics) {
     this.log = log;
-    ServerSelector selector = new ServerSelector(settings.selector());
+    ServerSelector selector = new ServerSelector(settings.selector(), new PrefixDirectory());
     dispatcher = new Dispatcher(fleet, selector, targets, settings.allowance());
     links = new ServerLinks(loop, metrics);
     waitingRoom = new WaitingRoom(dispatcher);
--- a/gateway/src/main/java/org/pollenrock/gateway/OrderTask.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/OrderTask.java
@@ -60,11 +60,12 @@
     gateway.onSweep(this::look);
   }
 
-  private void look() {
+  /** Looks for work now, because a version was named. */
+  public void look() {
     checkFreeze();
     long now = System.nanoTime();
     boolean work =
-        gateway.ready() && WeightsRollout.hasWork(gateway.fleet().all(), gateway.targets());
+        gateway.fleet().known() && WeightsRollout.hasWork(gateway.fleet().all(), gateway.targets());
     switch (lease.next(work, now)) {
       case LeaseStep.Rest() -> {}
       case LeaseStep.Read() -> claims.read(this::claimRead);
@@ -92,6 +93,7 @@
     }
     lease.read(
         newest.get().claim(), newest.get().offset(), newest.get().end(), System.nanoTime());
+    look();
   }
 
   private void claimed(OrderClaim claim, OptionalLong offset) {
@@ -101,6 +103,7 @@
       log.line("claim_refused").with("holder", claim.holder()).with("nonce", claim.nonce()).write();
       lease.refused();
     }
+    look();
   }
 
   private void follow(RolloutStep step) {
@@ -115,6 +118,7 @@
             .with("orders_before", order.ordersBefore())
             .with("fence", order.fence())
             .write();
+        order.backend().loading(System.nanoTime());
         engines.order(order, answer -> answered(order, answer));
       }
     }
@@ -127,6 +131,7 @@
     } else {
       rollout.unreported(backend, now);
     }
+    look();
   }
 
   private void answered(LoadOrder order, OrderAnswer answer) {
@@ -138,6 +143,7 @@
         .with("answer", answer.name())
         .write();
     rollout.answered(order, answer, System.nanoTime());
+    look();
   }
 
   /** The steady clock stands still in a freeze, and the lease must not outlive one. */
--- a/gateway/src/main/java/org/pollenrock/gateway/SendContext.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/SendContext.java
@@ -10,9 +10,7 @@
  * @param serverId the only server that may run it
  * @param leftMillis time after which no answer is of use
  * @param customer the caller's customer; empty for an anonymous request
- * @param urgency rank from 0, which goes first, to 9; empty for a plain request
- * @param cacheScope text under which cached parts of the prompt are found; empty for a plain
- *     request
+ * @param engine what an engine is told besides; empty for a plain request
  * @param resumeAfter number of the last event that need not be sent; empty when the caller's own
  *     number holds
  */
@@ -20,6 +18,16 @@
     String serverId,
     long leftMillis,
     Optional<CustomerAccess> customer,
-    OptionalLong urgency,
-    Optional<String> cacheScope,
-    OptionalLong resumeAfter) {}
+    Optional<Engine> engine,
+    OptionalLong resumeAfter) {
+  /**
+   * What an engine is told.
+   *
+   * @param urgency rank from 0, which goes first, to 9
+   * @param cacheScope text under which cached parts of the prompt are found
+   * @param weights the only version of the weights that may run the request
+   * @param fetchFrom address of a server from which to fetch what is lacking of the prompt
+   */
+  public record Engine(
+      int urgency, String cacheScope, OptionalLong weights, Optional<String> fetchFrom) {}
+}
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerAnswer.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerAnswer.java
@@ -9,7 +9,8 @@
  *
  * @param requestId identity of the request that it answers; empty text when it names none
  * @param notRun whether the server did not run the request and never will
- * @param misplaced whether another server than the expected one answered
+ * @param serverId identity of the server, if the answer tells it
+ * @param misdirected whether the server is not the expected one or has other weights
  * @param signed whether the server's signature is there, as on every answer of a run
  * @param load load of the server
  * @param weightsVersion version of the weights that made the answer
@@ -17,7 +18,8 @@
 public record ServerAnswer(
     String requestId,
     boolean notRun,
-    boolean misplaced,
+    Optional<String> serverId,
+    boolean misdirected,
     boolean signed,
     Optional<LoadReport> load,
     OptionalLong weightsVersion) {}
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -36,6 +36,7 @@
     AWAITING,
     REFUSED,
     MISPLACED,
+    OTHER_WEIGHTS,
     PLAIN,
     STREAM
   }
@@ -72,6 +73,7 @@
   private ByteBuf held;
   private boolean closed;
   private boolean sent;
+  private boolean answering;
   private ScheduledFuture<?> watch;
 
   ServerSend(
@@ -162,8 +164,8 @@
     }
     said.load().ifPresent(load -> backend.loadReported(load, now));
     boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
-    if (said.misplaced()) {
-      mode = Mode.MISPLACED;
+    if (said.misdirected()) {
+      misdirected(said);
     } else if (said.notRun()) {
       mode = Mode.REFUSED;
     } else if (said.requestId().isEmpty() && !request.id().isEmpty()
@@ -172,12 +174,7 @@
       failed(new IOException("answer without the server's identity"));
       return true;
     } else {
-      request
-          .prompt()
-          .ifPresent(
-              prompt ->
-                  said.weightsVersion()
-                      .ifPresent(version -> backend.weightsReported(prompt.model(), version)));
+      learnWeights(said);
       mode = success && route.kind() == RouteKind.STREAM ? Mode.STREAM : Mode.PLAIN;
       answer = response;
     }
@@ -189,7 +186,13 @@
 
   @Override
   public void content(ByteBuf bytes) {
-    backend.heard(System.nanoTime());
+    long now = System.nanoTime();
+    backend.heard(now);
+    if (!answering && !closed && (mode == Mode.STREAM || mode == Mode.PLAIN)) {
+      answering = true;
+      backend.answering(request.promptTokens());
+      scope.selector().promptRead(request, backend, now);
+    }
     if (mode == Mode.STREAM) {
       owner.streamBytes(this, bytes);
     } else if (mode == Mode.PLAIN) {
@@ -203,14 +206,12 @@
       return;
     }
     switch (mode) {
-      case REFUSED -> {
-        backend.refused(System.nanoTime());
-        fail(SendFailure.REFUSED, "refused");
-      }
+      case REFUSED -> refusedByServer();
       case MISPLACED -> {
         scope.fleet().misplaced(backend);
         fail(SendFailure.MISPLACED, "another server at the address");
       }
+      case OTHER_WEIGHTS -> fail(SendFailure.OTHER_WEIGHTS, "other weights");
       case STREAM -> {
         backend.outcome(true, OUTCOME_WEIGHT, System.nanoTime());
         close();
@@ -237,11 +238,9 @@
       return;
     }
     switch (mode) {
-      case REFUSED -> {
-        backend.refused(System.nanoTime());
-        fail(SendFailure.REFUSED, "refused");
-      }
+      case REFUSED -> refusedByServer();
       case MISPLACED -> fail(SendFailure.MISPLACED, "another server at the address");
+      case OTHER_WEIGHTS -> fail(SendFailure.OTHER_WEIGHTS, "other weights");
       default -> {
         backend.outcome(false, OUTCOME_WEIGHT, System.nanoTime());
         fail(SendFailure.BROKEN, cause.toString());
@@ -249,6 +248,38 @@
     }
   }
 
+  /** An engine with older weights than named most likely refuses because it loads new ones. */
+  private void refusedByServer() {
+    long now = System.nanoTime();
+    if (request.prompt().map(prompt -> scope.dispatcher().outdated(backend, prompt.model())).orElse(false)) {
+      backend.loading(now);
+    } else {
+      backend.refused(now);
+    }
+    fail(SendFailure.REFUSED, "refused");
+  }
+
+  /** Tells a server with another identity at the address from one with other weights. */
+  private void misdirected(ServerAnswer said) {
+    boolean sameServer = said.serverId().isEmpty() || said.serverId().get().equals(context.serverId());
+    if (sameServer && request.prompt().isPresent()) {
+      mode = Mode.OTHER_WEIGHTS;
+      request.prompt().ifPresent(prompt -> backend.weightsUnknown(prompt.model()));
+      learnWeights(said);
+    } else {
+      mode = Mode.MISPLACED;
+    }
+  }
+
+  private void learnWeights(ServerAnswer said) {
+    request
+        .prompt()
+        .ifPresent(
+            prompt ->
+                said.weightsVersion()
+                    .ifPresent(version -> backend.weightsReported(prompt.model(), version)));
+  }
+
   private FullHttpRequest outgoing() {
     HttpHeaders headers = head.headers().copy();
     HopHeaders.remove(headers);
@@ -312,7 +343,7 @@
       held.release();
       held = null;
     }
-    backend.ended(request.promptTokens());
+    backend.ended(request.promptTokens(), answering);
     scope.loop().execute(() -> scope.waitingRoom().release(request.service()));
   }
 
--- a/gateway/src/main/java/org/pollenrock/gateway/WaitingRoom.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/WaitingRoom.java
@@ -27,7 +27,7 @@
   /** Sends the requests of a service for which a server is free. */
   void release(String service) {
     for (Dispatch.Released released : dispatcher.release(service, System.nanoTime())) {
-      exchanges.remove(released.waiting()).released(released.backend(), released.reason());
+      exchanges.remove(released.waiting()).released(released.choice());
     }
   }
 
