--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
@@ -16,6 +15,7 @@
   private final ServerSelector selector;
   private final WeightsTargets targets;
   private final RetryAllowanceSettings allowanceSettings;
+  private final long startedNanos;
   private final Map<String, WaitingLine> lines = new HashMap<>();
   private final Map<String, RetryAllowance> allowances = new HashMap<>();
   private int instances = 1;
@@ -27,16 +27,19 @@
    * @param selector chooses among them
    * @param targets named versions of weights
    * @param allowanceSettings retry budget of each service
+   * @param startedNanos start of this process
    */
   public Dispatcher(
       Fleet fleet,
       ServerSelector selector,
       WeightsTargets targets,
-      RetryAllowanceSettings allowanceSettings) {
+      RetryAllowanceSettings allowanceSettings,
+      long startedNanos) {
     this.fleet = fleet;
     this.selector = selector;
     this.targets = targets;
     this.allowanceSettings = allowanceSettings;
+    this.startedNanos = startedNanos;
   }
 
   /**
@@ -150,9 +153,7 @@
    * @return whether newer weights are named than it is known to have
    */
   public boolean outdated(Backend backend, String model) {
-    OptionalLong has = backend.weights(model);
-    OptionalLong wanted = targets.version(model);
-    return has.isPresent() && wanted.isPresent() && has.getAsLong() < wanted.getAsLong();
+    return !targets.wanted(model, 0).met(backend.weights(model));
   }
 
   /**
@@ -184,8 +185,11 @@
   }
 
   private Selection choose(DispatchRequest request, Set<String> tried, long nowNanos) {
-    OptionalLong wanted =
-        request.prompt().map(prompt -> targets.version(prompt.model())).orElse(OptionalLong.empty());
+    WantedWeights wanted =
+        request
+            .prompt()
+            .map(prompt -> targets.wanted(prompt.model(), nowNanos))
+            .orElse(WantedWeights.NONE);
     return selector.select(request, fleet.usable(request.service()), tried, wanted, nowNanos);
   }
 
@@ -193,7 +197,7 @@
     return allowances.computeIfAbsent(
         service,
         name -> {
-          RetryAllowance allowance = new RetryAllowance(allowanceSettings);
+          RetryAllowance allowance = new RetryAllowance(allowanceSettings, startedNanos);
           allowance.instances(instances);
           return allowance;
         });
--- a/core/src/main/java/org/pollenrock/core/dispatch/PrefixDirectory.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/PrefixDirectory.java
@@ -6,40 +6,40 @@
 import java.util.List;
 import java.util.Map;
 import org.pollenrock.core.fleet.Backend;
+import org.pollenrock.core.placement.RendezvousHash;
 
-/**
- * Where this instance had shared beginnings of prompts read lately.
- *
- * <p>What other instances had read is not known here; all instances rank the servers of a beginning
- * alike, so that it is likely to be found at the first ones.
- */
+/** Which servers are known to keep which shared beginnings of prompts. */
 public final class PrefixDirectory {
   /** Beginnings that are remembered; the least recently used one yields. */
-  public static final int MAX_BEGINNINGS = 8192;
+  public static final int MAX_BEGINNINGS = 16_384;
 
   /** Servers that are remembered of one beginning, the latest first. */
-  private static final int MAX_HOLDERS = 3;
+  private static final int MAX_HOLDERS = 4;
 
   /** Time for which a server is taken to keep a beginning that it read. */
   private static final long KEPT_NANOS = 8_000_000_000L;
 
-  /**
-   * A shared beginning as caches tell it apart.
-   *
-   * @param beginning hash of model and beginning
-   * @param scope customers that share it
-   * @param weights version of the weights that read it
-   */
-  public record Key(long beginning, String scope, long weights) {}
+  /** Age at which the knowledge of a read is told to other instances again. */
+  private static final long RETELL_NANOS = 3_000_000_000L;
+
+  private static final class Holder {
+    private final Backend backend;
+    private long readNanos;
+    private long toldNanos;
 
-  private record Holder(Backend backend, long readNanos) {}
+    private Holder(Backend backend, long readNanos) {
+      this.backend = backend;
+      this.readNanos = readNanos;
+      this.toldNanos = readNanos - RETELL_NANOS;
+    }
+  }
 
-  private final Map<Key, Deque<Holder>> holders =
+  private final Map<Long, Deque<Holder>> holders =
       new LinkedHashMap<>(256, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<Key, Deque<Holder>> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<Long, Deque<Holder>> eldest) {
           return size() > MAX_BEGINNINGS;
         }
       };
@@ -47,35 +47,88 @@
   /** Creates an empty directory. */
   public PrefixDirectory() {}
 
+  /**
+   * Hash of a beginning as caches tell it apart.
+   *
+   * @param beginning hash of the model and the parts
+   * @param cacheScope customers that share it
+   * @param weights version of the weights that read it
+   * @return the hash
+   */
+  public static long key(long beginning, String cacheScope, long weights) {
+    return RendezvousHash.mix(
+        beginning ^ RendezvousHash.seed(cacheScope) ^ RendezvousHash.mix(weights));
+  }
+
   /**
    * A server has read a beginning.
    *
-   * @param key the beginning
+   * @param key hash of the beginning
    * @param backend the server
    * @param nowNanos current time
    */
-  public void read(Key key, Backend backend, long nowNanos) {
-    Deque<Holder> known = holders.computeIfAbsent(key, added -> new ArrayDeque<>(MAX_HOLDERS));
-    known.removeIf(holder -> holder.backend() == backend);
-    known.addFirst(new Holder(backend, nowNanos));
-    if (known.size() > MAX_HOLDERS) {
-      known.removeLast();
+  public void read(long key, Backend backend, long nowNanos) {
+    holder(key, backend, nowNanos).readNanos = nowNanos;
+  }
+
+  /**
+   * Tells whether other instances should be told of a read, and takes them as told.
+   *
+   * @param key hash of the beginning
+   * @param backend the server
+   * @param nowNanos current time
+   * @return whether to tell them
+   */
+  public boolean tell(long key, Backend backend, long nowNanos) {
+    Holder holder = holder(key, backend, nowNanos);
+    if (nowNanos - holder.toldNanos < RETELL_NANOS) {
+      return false;
     }
+    holder.toldNanos = nowNanos;
+    return true;
+  }
+
+  /**
+   * Another instance told of a read.
+   *
+   * @param key hash of the beginning
+   * @param backend the server
+   * @param nowNanos current time
+   */
+  public void heard(long key, Backend backend, long nowNanos) {
+    Holder holder = holder(key, backend, nowNanos);
+    holder.readNanos = nowNanos;
+    holder.toldNanos = nowNanos;
   }
 
   /**
    * Servers that are taken to keep a beginning.
    *
-   * @param key the beginning
+   * @param key hash of the beginning
    * @param nowNanos current time
-   * @return the servers, the one that read it last first
+   * @return the servers
    */
-  public List<Backend> holders(Key key, long nowNanos) {
+  public List<Backend> holders(long key, long nowNanos) {
     Deque<Holder> known = holders.get(key);
     if (known == null) {
       return List.of();
     }
-    known.removeIf(holder -> nowNanos - holder.readNanos() > KEPT_NANOS);
-    return known.stream().map(Holder::backend).toList();
+    known.removeIf(holder -> nowNanos - holder.readNanos > KEPT_NANOS);
+    return known.stream().map(holder -> holder.backend).toList();
+  }
+
+  private Holder holder(long key, Backend backend, long nowNanos) {
+    Deque<Holder> known = holders.computeIfAbsent(key, added -> new ArrayDeque<>(MAX_HOLDERS));
+    for (Holder holder : known) {
+      if (holder.backend == backend) {
+        return holder;
+      }
+    }
+    Holder added = new Holder(backend, nowNanos);
+    known.addFirst(added);
+    if (known.size() > MAX_HOLDERS) {
+      known.removeLast();
+    }
+    return added;
   }
 }
--- a/core/src/main/java/org/pollenrock/core/dispatch/RetryAllowance.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/RetryAllowance.java
@@ -4,27 +4,38 @@
  * This instance's part of a retry budget that all instances share without talking.
  *
  * <p>Over a sliding window, further sends are at most a share of this instance's requests plus its
- * part of the fixed slack. Summed over all instances, the budget of the service holds.
+ * part of the fixed slack. Summed over all instances, the budget of the service holds. A process that
+ * was just started gets none of the slack for one window, since the one before it at the same
+ * instance may have used it up.
  */
 public final class RetryAllowance {
-  /** Slices into which the window is cut; a partly expired slice still counts whole. */
-  private static final int SLICES = 10;
+  /** Slices into which the window is cut. */
+  private static final int WINDOW_SLICES = 10;
+
+  /** Slices that are summed; the oldest one has partly left the window and still counts whole. */
+  private static final int SLICES = WINDOW_SLICES + 1;
+
+  /** Part of the budget that is used; the rest covers windows that other instances cut otherwise. */
+  private static final double USED_SHARE = 0.85;
 
   private final RetryAllowanceSettings settings;
   private final long sliceNanos;
   private final int[] requests = new int[SLICES];
   private final int[] resends = new int[SLICES];
   private long newestSlice = Long.MIN_VALUE;
+  private final long slackFromNanos;
   private int instances = 1;
 
   /**
    * Creates an allowance.
    *
    * @param settings the budget of the whole service
+   * @param startedNanos start of this process
    */
-  public RetryAllowance(RetryAllowanceSettings settings) {
+  public RetryAllowance(RetryAllowanceSettings settings, long startedNanos) {
     this.settings = settings;
-    this.sliceNanos = settings.windowNanos() / SLICES;
+    this.sliceNanos = settings.windowNanos() / WINDOW_SLICES;
+    this.slackFromNanos = startedNanos + settings.windowNanos();
   }
 
   /**
@@ -53,7 +64,7 @@
    */
   public boolean tryResend(long nowNanos) {
     int slice = advance(nowNanos);
-    if (sum(resends) + 1 > limit()) {
+    if (sum(resends) + 1 > limit(nowNanos)) {
       return false;
     }
     resends[slice]++;
@@ -68,11 +79,12 @@
    */
   public int left(long nowNanos) {
     advance(nowNanos);
-    return Math.max(0, (int) limit() - sum(resends));
+    return Math.max(0, (int) limit(nowNanos) - sum(resends));
   }
 
-  private double limit() {
-    return settings.ratio() * sum(requests) + (double) settings.slack() / instances;
+  private double limit(long nowNanos) {
+    double slack = nowNanos < slackFromNanos ? 0 : (double) settings.slack() / instances;
+    return USED_SHARE * (settings.ratio() * sum(requests) + slack);
   }
 
   private int advance(long nowNanos) {
--- a/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
@@ -53,22 +53,27 @@
    * @param request the request
    * @param server the server
    * @param nowNanos current time
+   * @return hashes of its beginnings of which other instances should be told
    */
-  public void promptRead(DispatchRequest request, Backend server, long nowNanos) {
+  public List<Long> promptRead(DispatchRequest request, Backend server, long nowNanos) {
     if (request.prompt().isEmpty()) {
-      return;
+      return List.of();
     }
     Prompt prompt = request.prompt().get();
     OptionalLong weights = server.weights(prompt.model());
     if (weights.isEmpty()) {
-      return;
+      return List.of();
     }
+    List<Long> news = new ArrayList<>();
     for (Beginning beginning : prompt.beginnings()) {
-      directory.read(
-          new PrefixDirectory.Key(beginning.hash(), request.cacheScope(), weights.getAsLong()),
-          server,
-          nowNanos);
+      long key =
+          PrefixDirectory.key(beginning.hash(), request.cacheScope(), weights.getAsLong());
+      directory.read(key, server, nowNanos);
+      if (directory.tell(key, server, nowNanos)) {
+        news.add(key);
+      }
     }
+    return news;
   }
 
   /**
@@ -77,7 +82,7 @@
    * @param request the request
    * @param servers servers of its service that take new requests
    * @param tried identities of servers that failed the request before
-   * @param wantedWeights version of the weights that servers should have, if one is named
+   * @param wanted version of the weights that servers should have
    * @param nowNanos current time
    * @return the choice
    */
@@ -85,16 +90,25 @@
       DispatchRequest request,
       List<Backend> servers,
       Set<String> tried,
-      OptionalLong wantedWeights,
+      WantedWeights wanted,
       long nowNanos) {
     List<Backend> able = new ArrayList<>(servers.size());
+    boolean outdated = false;
     for (Backend server : servers) {
-      if (request.prompt().isEmpty() || server.serves(request.prompt().get().model())) {
-        able.add(server);
+      if (request.prompt().isPresent()) {
+        String model = request.prompt().get().model();
+        if (!server.serves(model)) {
+          continue;
+        }
+        if (wanted.excludes(server.weights(model))) {
+          outdated = true;
+          continue;
+        }
       }
+      able.add(server);
     }
     if (able.isEmpty()) {
-      return new Selection.NoServer();
+      return outdated ? new Selection.AllBusy() : new Selection.NoServer();
     }
     List<Backend> untried = without(able, tried);
     List<Backend> open = new ArrayList<>();
@@ -116,7 +130,7 @@
       return lastResort(avoided, nowNanos);
     }
     return request.prompt().isPresent()
-        ? byPrompt(request, open, wantedWeights, nowNanos)
+        ? byPrompt(request, open, wanted, nowNanos)
         : byLoad(open, nowNanos);
   }
 
@@ -152,10 +166,10 @@
   }
 
   private Selection byPrompt(
-      DispatchRequest request, List<Backend> open, OptionalLong wantedWeights, long nowNanos) {
+      DispatchRequest request, List<Backend> open, WantedWeights wanted, long nowNanos) {
     Prompt prompt = request.prompt().orElseThrow();
     meanTokens += MEAN_WEIGHT * (prompt.tokens() - meanTokens);
-    List<Backend> candidates = preferNewWeights(prompt.model(), open, wantedWeights, nowNanos);
+    List<Backend> candidates = preferNewWeights(prompt.model(), open, wanted, nowNanos);
     KeptTokens kept = keptTokens(request, prompt, open, nowNanos);
     Backend home = first(candidates, null, prompt.affinity());
     Backend best = null;
@@ -214,8 +228,7 @@
     }
     for (Beginning beginning : prompt.beginnings()) {
       for (long version : versions) {
-        PrefixDirectory.Key key =
-            new PrefixDirectory.Key(beginning.hash(), request.cacheScope(), version);
+        long key = PrefixDirectory.key(beginning.hash(), request.cacheScope(), version);
         for (Backend holder : directory.holders(key, nowNanos)) {
           if (holder.weights(prompt.model()).orElse(-1) == version) {
             kept.keeps(holder, beginning.tokens());
@@ -238,15 +251,10 @@
   }
 
   private List<Backend> preferNewWeights(
-      String model, List<Backend> open, OptionalLong wantedWeights, long nowNanos) {
-    if (wantedWeights.isEmpty()) {
-      return open;
-    }
+      String model, List<Backend> open, WantedWeights wanted, long nowNanos) {
     List<Backend> renewed = new ArrayList<>();
     for (Backend server : open) {
-      boolean current =
-          server.weights(model).orElse(wantedWeights.getAsLong()) >= wantedWeights.getAsLong();
-      if (current && server.load(nowNanos) < settings.newWeightsShare() * slots(server)) {
+      if (wanted.met(server.weights(model)) && server.load(nowNanos) < settings.newWeightsShare() * slots(server)) {
         renewed.add(server);
       }
     }
--- a/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * The backend servers that may be used.
@@ -21,6 +22,7 @@
   public static final long RELIST_GRACE_NANOS = 2_000_000_000L;
 
   private final Map<String, Backend> byId = new HashMap<>();
+  private final Map<Long, Backend> bySeed = new HashMap<>();
   private final Map<String, List<Backend>> usable = new HashMap<>();
   private final Map<String, Long> lapsed = new HashMap<>();
   private boolean listRead;
@@ -41,7 +43,9 @@
     lapsed.remove(entry.id());
     Backend known = byId.get(entry.id());
     if (known == null || !sameIncarnation(known.entry(), entry)) {
-      byId.put(entry.id(), new Backend(entry, nowNanos));
+      Backend added = new Backend(entry, nowNanos);
+      byId.put(entry.id(), added);
+      bySeed.put(added.seed(), added);
       usable.clear();
       return true;
     }
@@ -155,6 +159,16 @@
                 .toList());
   }
 
+  /**
+   * Finds a server by the hash of its identity.
+   *
+   * @param seed the hash
+   * @return the server, if it is known
+   */
+  public Optional<Backend> bySeed(long seed) {
+    return Optional.ofNullable(bySeed.get(seed));
+  }
+
   /**
    * Every known server, draining ones included.
    *
@@ -171,7 +185,9 @@
 
   private void remove(String id) {
     lapsed.remove(id);
-    if (byId.remove(id) != null) {
+    Backend removed = byId.remove(id);
+    if (removed != null) {
+      bySeed.remove(removed.seed());
       usable.clear();
     }
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -64,6 +64,8 @@
   private ScheduledFuture<?> deadline;
   private Waiting waiting;
   private ServerSend send;
+  private Selection.Chosen choice;
+  private long waitedNanos;
   private PlainAnswer serverError;
   private int sends;
   private int runs;
@@ -268,9 +270,13 @@
     }
   }
 
-  private void sendTo(Selection.Chosen choice) {
+  private void sendTo(Selection.Chosen chosen) {
     sends++;
+    choice = chosen;
     long now = System.nanoTime();
+    if (sends == 1) {
+      waitedNanos = now - arrivedNanos;
+    }
     Backend backend = choice.backend();
     scope.metrics().sent(route.kind(), choice.reason(), now - arrivedNanos);
     SendContext context =
@@ -443,6 +449,11 @@
         .with("cause", cause)
         .with("sends", sends)
         .with("server", lastServer())
+        .with("placement", choice == null ? null : choice.reason().name())
+        .with("fetched_from", fetchedFrom())
+        .with("prompt_tokens", request == null ? 0 : request.promptTokens())
+        .with("shared_tokens", sharedTokens())
+        .with("waited_ms", waitedNanos / 1_000_000)
         .with("events", relay.events())
         .with("first_byte_ms", firstByteNanos / 1_000_000)
         .with("total_ms", totalNanos / 1_000_000)
@@ -450,6 +461,14 @@
   }
 
   private String lastServer() {
-    return send == null ? null : send.backend().entry().id();
+    return choice == null ? null : choice.backend().entry().id();
+  }
+
+  private String fetchedFrom() {
+    return choice == null ? null : choice.source().map(from -> from.entry().id()).orElse(null);
+  }
+
+  private long sharedTokens() {
+    return call.prompt().map(Prompt::sharedTokens).orElse(0);
   }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/ExchangeScope.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ExchangeScope.java
@@ -21,6 +21,7 @@
  * @param metrics counters and histograms
  * @param memory bytes held for exchanges
  * @param waitingRoom exchanges that wait for a server
+ * @param news news to other instances
  */
 record ExchangeScope(
     EventLoop loop,
@@ -34,4 +35,5 @@
     EventLog log,
     GatewayMetrics metrics,
     HeldMemory memory,
-    WaitingRoom waitingRoom) {}
+    WaitingRoom waitingRoom,
+    PeerNews news) {}
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -32,7 +32,7 @@
   private final EventLoop loop = group.next();
   private final ConfigHistory configs = new ConfigHistory();
   private final Fleet fleet = new Fleet();
-  private final WeightsTargets targets = new WeightsTargets();
+  private final WeightsTargets targets;
   private final Dispatcher dispatcher;
   private final ServerLinks links;
   private final WaitingRoom waitingRoom;
@@ -42,6 +42,7 @@
   private final Optional<PageListener> operators;
   private final EventLog log;
   private final ControlClient control;
+  private final PeerNews news;
   private final List<Runnable> watchers = new ArrayList<>();
   private int sweeps;
   private boolean draining;
@@ -62,8 +63,12 @@
       EventLog log,
       GatewayMetrics metrics) {
     this.log = log;
-    ServerSelector selector = new ServerSelector(settings.selector(), new PrefixDirectory());
-    dispatcher = new Dispatcher(fleet, selector, targets, settings.allowance());
+    targets = new WeightsTargets(settings.weightsBindingNanos());
+    PrefixDirectory directory = new PrefixDirectory();
+    ServerSelector selector = new ServerSelector(settings.selector(), directory);
+    dispatcher =
+        new Dispatcher(fleet, selector, targets, settings.allowance(), System.nanoTime());
+    news = new PeerNews(loop, settings.peers(), fleet, directory, log);
     links = new ServerLinks(loop, metrics);
     waitingRoom = new WaitingRoom(dispatcher);
     memory = new HeldMemory(settings.maxHeldBytes());
@@ -81,7 +86,8 @@
             log,
             metrics,
             memory,
-            waitingRoom);
+            waitingRoom,
+            news);
     callers =
         new CallerListener(
             loop,
@@ -110,6 +116,7 @@
    */
   public void start() throws InterruptedException {
     operators.ifPresent(Gateway::start);
+    news.start();
     readiness.start();
     callers.start();
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -140,6 +147,7 @@
     callers.stop();
     readiness.stop();
     operators.ifPresent(PageListener::stop);
+    news.stop();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
@@ -220,6 +228,15 @@
     return control;
   }
 
+  /**
+   * News to and from other instances.
+   *
+   * @return the task that sends and takes them
+   */
+  public PeerNews news() {
+    return news;
+  }
+
   /**
    * Address that callers connect to.
    *
--- a/gateway/src/main/java/org/pollenrock/gateway/OrderTask.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/OrderTask.java
@@ -119,6 +119,7 @@
             .with("fence", order.fence())
             .write();
         order.backend().loading(System.nanoTime());
+        gateway.news().loading(order.backend());
         engines.order(order, answer -> answered(order, answer));
       }
     }
@@ -128,12 +129,19 @@
     long now = System.nanoTime();
     if (report.isPresent()) {
       rollout.reported(backend, report.get(), now);
+      report.get().weights().forEach((model, version) -> tellIfNewest(backend, model, version));
     } else {
       rollout.unreported(backend, now);
     }
     look();
   }
 
+  private void tellIfNewest(Backend backend, String model, long version) {
+    if (gateway.targets().version(model).orElse(-1) == version) {
+      gateway.news().weights(backend, model, version);
+    }
+  }
+
   private void answered(LoadOrder order, OrderAnswer answer) {
     metrics.order(answer.name());
     log.line("order_answered")
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerNews.java
@@ -0,0 +1,182 @@
+package org.pollenrock.gateway;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.pollenrock.core.dispatch.PrefixDirectory;
+import org.pollenrock.core.fleet.Backend;
+import org.pollenrock.core.fleet.Fleet;
+import org.pollenrock.protocol.generated.EngineLoading;
+import org.pollenrock.protocol.generated.EngineWeights;
+import org.pollenrock.protocol.generated.FleetNews;
+import org.pollenrock.protocol.generated.PrefixRead;
+
+/**
+ * Tells other instances what this one learned about servers, and takes what they tell.
+ *
+ * <p>News goes out in datagrams that may be lost. Nothing that must hold depends on it: it only saves
+ * requests that would be refused and prompts that would be read twice.
+ */
+public final class PeerNews {
+  /** Time for which news is gathered into one datagram, in milliseconds. */
+  private static final long GATHER_MILLIS = 30;
+
+  /** Reads in one datagram, so that it stays below a usual packet's size. */
+  private static final int MAX_READS = 60;
+
+  private final EventLoop loop;
+  private final InetSocketAddress address;
+  private final Fleet fleet;
+  private final PrefixDirectory directory;
+  private final EventLog log;
+  private List<InetSocketAddress> peers = List.of();
+  private Set<InetAddress> known = Set.of();
+  private Channel channel;
+  private FleetNews.Builder pending = FleetNews.newBuilder();
+  private boolean scheduled;
+
+  PeerNews(
+      EventLoop loop,
+      InetSocketAddress address,
+      Fleet fleet,
+      PrefixDirectory directory,
+      EventLog log) {
+    this.loop = loop;
+    this.address = address;
+    this.fleet = fleet;
+    this.directory = directory;
+    this.log = log;
+  }
+
+  void start() throws InterruptedException {
+    channel =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioDatagramChannel.class)
+            .handler(new Receiver())
+            .bind(address)
+            .sync()
+            .channel();
+  }
+
+  void stop() {
+    channel.close();
+  }
+
+  /**
+   * Sets the instances to tell.
+   *
+   * @param addresses their addresses; this instance's own is left out
+   */
+  public void peers(List<InetSocketAddress> addresses) {
+    List<InetSocketAddress> others = new ArrayList<>(addresses);
+    others.remove(address);
+    peers = List.copyOf(others);
+    Set<InetAddress> hosts = new HashSet<>();
+    others.forEach(peer -> hosts.add(peer.getAddress()));
+    known = hosts;
+  }
+
+  /** A server has read shared beginnings. */
+  void read(List<Long> beginnings, Backend backend) {
+    if (peers.isEmpty()) {
+      return;
+    }
+    for (long beginning : beginnings) {
+      pending.addReads(
+          PrefixRead.newBuilder().setBeginning(beginning).setServer(backend.seed()));
+    }
+    schedule();
+  }
+
+  /** An engine is about to load weights. */
+  void loading(Backend backend) {
+    pending.addLoading(EngineLoading.newBuilder().setServer(backend.seed()));
+    flush();
+  }
+
+  /** An engine has newer weights. */
+  void weights(Backend backend, String model, long version) {
+    pending.addWeights(
+        EngineWeights.newBuilder().setServer(backend.seed()).setModel(model).setVersion(version));
+    flush();
+  }
+
+  private void schedule() {
+    if (pending.getReadsCount() >= MAX_READS) {
+      flush();
+    } else if (!scheduled && pending.getReadsCount() > 0) {
+      scheduled = true;
+      loop.schedule(this::flush, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void flush() {
+    scheduled = false;
+    FleetNews news = pending.build();
+    pending = FleetNews.newBuilder();
+    byte[] bytes = news.toByteArray();
+    if (bytes.length == 0 || channel == null) {
+      return;
+    }
+    for (InetSocketAddress peer : peers) {
+      channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer));
+    }
+    channel.flush();
+  }
+
+  private void take(FleetNews news) {
+    long now = System.nanoTime();
+    for (PrefixRead read : news.getReadsList()) {
+      fleet
+          .bySeed(read.getServer())
+          .ifPresent(backend -> directory.heard(read.getBeginning(), backend, now));
+    }
+    for (EngineLoading loading : news.getLoadingList()) {
+      fleet.bySeed(loading.getServer()).ifPresent(backend -> backend.loading(now));
+    }
+    for (EngineWeights weights : news.getWeightsList()) {
+      fleet
+          .bySeed(weights.getServer())
+          .ifPresent(
+              backend -> backend.weightsReported(weights.getModel(), weights.getVersion()));
+    }
+  }
+
+  private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+      if (!known.contains(packet.sender().getAddress())) {
+        return;
+      }
+      try {
+        take(FleetNews.parseFrom(ByteBufUtil.getBytes(packet.content())));
+      } catch (InvalidProtocolBufferException e) {
+        log.line("news_unreadable")
+            .with("peer", packet.sender().toString())
+            .with("cause", e.getMessage())
+            .write();
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      // A peer that is gone shows as a refused datagram; the next one is sent all the same.
+      log.line("news_failed", EventLog.Weight.ROUTINE).with("cause", cause.toString()).write();
+    }
+  }
+}
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -191,7 +191,7 @@
     if (!answering && !closed && (mode == Mode.STREAM || mode == Mode.PLAIN)) {
       answering = true;
       backend.answering(request.promptTokens());
-      scope.selector().promptRead(request, backend, now);
+      scope.news().read(scope.selector().promptRead(request, backend, now), backend);
     }
     if (mode == Mode.STREAM) {
       owner.streamBytes(this, bytes);
