--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -9,7 +9,9 @@
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.weights.WeightsTargets;
 
-/** Sends requests to servers, lets them wait while all are busy, and refuses what can't be served. */
+/**
+ * Sends requests to servers, lets them wait while all are busy, and refuses what can't be served.
+ */
 public final class Dispatcher {
   private final Fleet fleet;
   private final ServerSelector selector;
--- a/core/src/main/java/org/pollenrock/core/dispatch/RetryAllowance.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/RetryAllowance.java
@@ -4,8 +4,8 @@
  * This instance's part of a retry budget that all instances share without talking.
  *
  * <p>Over a sliding window, further sends are at most a share of this instance's requests plus its
- * part of the fixed slack. Summed over all instances, the budget of the service holds. A process that
- * was just started gets none of the slack for one window, since the one before it at the same
+ * part of the fixed slack. Summed over all instances, the budget of the service holds. A process
+ * that was just started gets none of the slack for one window, since the one before it at the same
  * instance may have used it up.
  */
 public final class RetryAllowance {
@@ -15,7 +15,9 @@
   /** Slices that are summed; the oldest one has partly left the window and still counts whole. */
   private static final int SLICES = WINDOW_SLICES + 1;
 
-  /** Part of the budget that is used; the rest covers windows that other instances cut otherwise. */
+  /**
+   * Part of the budget that is used; the rest covers windows that other instances cut otherwise.
+   */
   private static final double USED_SHARE = 0.85;
 
   private final RetryAllowanceSettings settings;
--- a/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
@@ -13,11 +13,11 @@
 /**
  * Chooses the server of a request.
  *
- * <p>Requests with a prompt go where it is read first: to a server with little to read that keeps its
- * shared beginning, or that can fetch it. Rendezvous hashing lets all instances agree without talking
- * on where a beginning is kept. Plain requests go to the least
- * loaded server, in their own data centre while one there has a free slot. Servers that are silent
- * or fail often are avoided while there are others, and tried now and then.
+ * <p>Requests with a prompt go where it is read first: to a server with little to read that keeps
+ * its shared beginning, or that can fetch it. Rendezvous hashing lets all instances agree without
+ * talking on where a beginning is kept. Plain requests go to the least loaded server, in their own
+ * data centre while one there has a free slot. Servers that are silent or fail often are avoided
+ * while there are others, and tried now and then.
  */
 public final class ServerSelector {
   /** Requests that one server holds at most, as a multiple of those that it runs at once. */
@@ -66,8 +66,7 @@
     }
     List<Long> news = new ArrayList<>();
     for (Beginning beginning : prompt.beginnings()) {
-      long key =
-          PrefixDirectory.key(beginning.hash(), request.cacheScope(), weights.getAsLong());
+      long key = PrefixDirectory.key(beginning.hash(), request.cacheScope(), weights.getAsLong());
       directory.read(key, server, nowNanos);
       if (directory.tell(key, server, nowNanos)) {
         news.add(key);
@@ -254,7 +253,8 @@
       String model, List<Backend> open, WantedWeights wanted, long nowNanos) {
     List<Backend> renewed = new ArrayList<>();
     for (Backend server : open) {
-      if (wanted.met(server.weights(model)) && server.load(nowNanos) < settings.newWeightsShare() * slots(server)) {
+      if (wanted.met(server.weights(model))
+          && server.load(nowNanos) < settings.newWeightsShare() * slots(server)) {
         renewed.add(server);
       }
     }
--- a/core/src/main/java/org/pollenrock/core/dispatch/WantedWeights.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/WantedWeights.java
@@ -19,9 +19,7 @@
    * @return whether it is; true as well when either is unknown
    */
   public boolean met(OptionalLong weights) {
-    return version.isEmpty()
-        || weights.isEmpty()
-        || weights.getAsLong() >= version.getAsLong();
+    return version.isEmpty() || weights.isEmpty() || weights.getAsLong() >= version.getAsLong();
   }
 
   /**
--- a/core/src/main/java/org/pollenrock/core/fleet/Backend.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Backend.java
@@ -190,7 +190,8 @@
   public void unreachable(long nowNanos) {
     long pause = CONNECT_PAUSE_NANOS << Math.min(connectFailures, 4);
     connectFailures++;
-    pausedUntilNanos = Math.max(pausedUntilNanos, nowNanos + Math.min(pause, CONNECT_PAUSE_MAX_NANOS));
+    pausedUntilNanos =
+        Math.max(pausedUntilNanos, nowNanos + Math.min(pause, CONNECT_PAUSE_MAX_NANOS));
   }
 
   /**
--- a/core/src/main/java/org/pollenrock/core/weights/OrderLease.java
+++ b/core/src/main/java/org/pollenrock/core/weights/OrderLease.java
@@ -41,8 +41,7 @@
    * @param nonceSeed first nonce; differs between incarnations
    * @param settings times
    */
-  public OrderLease(
-      String self, long patienceNanos, long nonceSeed, OrderLeaseSettings settings) {
+  public OrderLease(String self, long patienceNanos, long nonceSeed, OrderLeaseSettings settings) {
     this.self = self;
     this.patienceNanos = patienceNanos;
     this.nonce = nonceSeed;
@@ -91,6 +90,9 @@
    */
   public void read(Optional<OrderClaim> claim, long offset, long logEnd, long nowNanos) {
     callOpen = false;
+    if (readNanos == Long.MIN_VALUE) {
+      ordersFromNanos = nowNanos;
+    }
     readNanos = nowNanos;
     end = logEnd;
     long seen = claim.isPresent() ? offset : -1;
@@ -98,6 +100,9 @@
       newestSeenNanos = nowNanos;
       newestOffset = seen;
       newest = claim;
+      if (mine() && !claim.get().settled()) {
+        awaitHandover();
+      }
     }
     known = true;
     if (!mine()) {
@@ -146,7 +151,7 @@
    * @return the number; empty while no order may be given
    */
   public OptionalLong fence(long nowNanos) {
-    return valid(nowNanos) && nowNanos >= ordersFromNanos ? fence : OptionalLong.empty();
+    return valid(nowNanos) && nowNanos - ordersFromNanos >= 0 ? fence : OptionalLong.empty();
   }
 
   /**
@@ -165,9 +170,15 @@
   private LeaseStep claim(long nowNanos) {
     callOpen = true;
     if (!mine() && newest.isPresent()) {
-      ordersFromNanos = newestSeenNanos + settings.validNanos() + settings.handoverNanos();
+      awaitHandover();
     }
     claimSentNanos = nowNanos;
-    return new LeaseStep.Claim(end, new OrderClaim(self, nonce++));
+    boolean settled = nowNanos - ordersFromNanos >= 0;
+    return new LeaseStep.Claim(end, new OrderClaim(self, nonce++, settled));
+  }
+
+  /** Orders wait until the holder before can't have given one for the handover time. */
+  private void awaitHandover() {
+    ordersFromNanos = newestSeenNanos + settings.validNanos() + settings.handoverNanos();
   }
 }
--- a/core/src/main/java/org/pollenrock/core/weights/WeightsRollout.java
+++ b/core/src/main/java/org/pollenrock/core/weights/WeightsRollout.java
@@ -182,11 +182,7 @@
     String model = outdated(backend, targets);
     return new RolloutStep.Send(
         new LoadOrder(
-            backend,
-            model,
-            targets.version(model).orElseThrow(),
-            change.report.orders(),
-            fence));
+            backend, model, targets.version(model).orElseThrow(), change.report.orders(), fence));
   }
 
   private static String outdated(Backend backend, WeightsTargets targets) {
--- a/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
+++ b/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
@@ -8,8 +8,8 @@
 /**
  * Newest named version of each model's weights; versions only go up.
  *
- * <p>Some time after a version was named, older weights must not be used any more. A version that was
- * found rather than seen being named may have been named long ago and binds at once.
+ * <p>Some time after a version was named, older weights must not be used any more. A version that
+ * was found rather than seen being named may have been named long ago and binds at once.
  */
 public final class WeightsTargets {
   private final long bindingNanos;
@@ -56,8 +56,7 @@
     if (version == null) {
       return WantedWeights.NONE;
     }
-    return new WantedWeights(
-        OptionalLong.of(version), nowNanos - bindingFrom.get(model) >= 0);
+    return new WantedWeights(OptionalLong.of(version), nowNanos - bindingFrom.get(model) >= 0);
   }
 
   /**
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
@@ -0,0 +1,91 @@
+package org.pollenrock.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.pollenrock.core.fleet.Backend;
+import org.pollenrock.core.fleet.Fleet;
+import org.pollenrock.core.weights.WeightsTargets;
+
+/** Guards against starved urgent requests, endless queues and refusals without a time to return. */
+class DispatcherTest {
+  private final Fleet fleet = new Fleet();
+  private final Dispatcher dispatcher =
+      new Dispatcher(
+          fleet,
+          new ServerSelector(SelectorSettings.defaults("near"), new PrefixDirectory()),
+          new WeightsTargets(0),
+          new RetryAllowanceSettings(0.2, 10, 10 * Fixtures.SECOND),
+          -20 * Fixtures.SECOND);
+
+  private static DispatchRequest request(String id, int urgency, long nowNanos) {
+    return Fixtures.request(id, Optional.empty(), urgency, nowNanos);
+  }
+
+  private List<Backend> fill(int slots) {
+    fleet.listed(Fixtures.plain("a", "near", slots), 0);
+    List<Backend> running = new ArrayList<>();
+    while (dispatcher.submit(request("fill", 5, 0), 0) instanceof Dispatch.Sent sent) {
+      running.add(sent.choice().backend());
+    }
+    return running;
+  }
+
+  @Test
+  void requestWithoutAServerIsRefusedAtOnce() {
+    assertThat(dispatcher.submit(request("r", 0, 0), 0))
+        .isEqualTo(new Dispatch.Refused(Dispatch.Cause.NO_SERVER));
+  }
+
+  /** Load pattern: a burst on a small service whose every slot is taken. */
+  @Test
+  void urgentRequestsLeaveTheLineFirst() {
+    List<Backend> running = fill(2);
+    dispatcher.submit(request("late", 5, 1), 1);
+    dispatcher.submit(request("urgent", 0, 2), 2);
+    running.get(0).ended(0, false);
+    List<Dispatch.Released> released = dispatcher.release("ledger", 3);
+    assertThat(released).extracting(r -> r.waiting().request().id()).containsExactly("urgent");
+  }
+
+  /** Load pattern: overload that lasts; the line must not grow without bound. */
+  @Test
+  void lineIsBoundedForEachUrgency() {
+    fill(2);
+    int queued = 0;
+    while (dispatcher.submit(request("r" + queued, 5, 1), 1) instanceof Dispatch.Queued) {
+      queued++;
+    }
+    assertThat(queued).isBetween(1, 8);
+    assertThat(dispatcher.submit(request("urgent", 0, 1), 1)).isInstanceOf(Dispatch.Queued.class);
+  }
+
+  @Test
+  void waitingRequestIsGivenBackLongBeforeItsDeadline() {
+    fill(2);
+    DispatchRequest request = request("r", 5, 0);
+    dispatcher.submit(request, 0);
+    long before = request.deadlineNanos() / 2;
+    assertThat(dispatcher.expire(before)).extracting(w -> w.request().id()).contains("r");
+    assertThat(dispatcher.waiting()).isZero();
+    assertThat(AdmissionRule.retryAfterMillis(request, before))
+        .isPositive()
+        .isLessThanOrEqualTo((request.deadlineNanos() - before) / Fixtures.MILLI / 3);
+  }
+
+  @Test
+  void resendsStopWhenTheBudgetIsUsedUp() {
+    fleet.listed(Fixtures.plain("a", "near", 500), 0);
+    DispatchRequest request = request("r", 5, 0);
+    int resends = 0;
+    while (dispatcher.resubmit(request, Set.of(), true, 0) instanceof Dispatch.Sent) {
+      resends++;
+    }
+    assertThat(resends).isBetween(5, 10);
+    assertThat(dispatcher.resubmit(request, Set.of(), false, 0)).isInstanceOf(Dispatch.Sent.class);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/dispatch/Fixtures.java
@@ -0,0 +1,45 @@
+package org.pollenrock.core.dispatch;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.pollenrock.core.fleet.ListedBackend;
+
+/** Requests and servers for tests of this package. */
+final class Fixtures {
+  static final long MILLI = 1_000_000L;
+  static final long SECOND = 1_000_000_000L;
+  static final String MODEL = "model";
+
+  private Fixtures() {}
+
+  static ListedBackend engine(String id, String dataCentre, long weights) {
+    return new ListedBackend(
+        id, 1, "llm", "10.0.0.1", 8000, dataCentre, 32, true, Map.of(MODEL, weights));
+  }
+
+  static ListedBackend plain(String id, String dataCentre, int slots) {
+    return new ListedBackend(id, 1, "ledger", "10.0.0.1", 8000, dataCentre, slots, true, Map.of());
+  }
+
+  static Prompt prompt(String subject, int sharedTokens, int ownTokens) {
+    return new Prompt(
+        MODEL,
+        sharedTokens + ownTokens,
+        50,
+        List.of(new PromptPart(subject, sharedTokens), new PromptPart("own", ownTokens)));
+  }
+
+  static DispatchRequest request(String id, Optional<Prompt> prompt, int urgency, long nowNanos) {
+    return new DispatchRequest(
+        id,
+        prompt.isPresent() ? "llm" : "ledger",
+        prompt,
+        "shared",
+        urgency,
+        true,
+        600,
+        nowNanos,
+        nowNanos + 2 * SECOND);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/dispatch/ServerSelectorTest.java
@@ -0,0 +1,172 @@
+package org.pollenrock.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.pollenrock.core.fleet.Backend;
+
+/** Guards against lost caches, overloaded homes, and work for servers that can't serve it. */
+class ServerSelectorTest {
+  private final ServerSelector selector =
+      new ServerSelector(SelectorSettings.defaults("near"), new PrefixDirectory());
+
+  private static List<Backend> engines(long... weights) {
+    List<Backend> servers = new ArrayList<>();
+    for (int i = 0; i < weights.length; i++) {
+      servers.add(new Backend(Fixtures.engine("engine-" + i, "near", weights[i]), 0));
+    }
+    return servers;
+  }
+
+  private Selection.Chosen choose(
+      DispatchRequest request, List<Backend> servers, WantedWeights wanted, long nowNanos) {
+    Selection selection = selector.select(request, servers, Set.of(), wanted, nowNanos);
+    assertThat(selection).isInstanceOf(Selection.Chosen.class);
+    return (Selection.Chosen) selection;
+  }
+
+  private static DispatchRequest ask(String subject, int shared) {
+    return Fixtures.request("r", Optional.of(Fixtures.prompt(subject, shared, 500)), 5, 0);
+  }
+
+  @Test
+  void instancesAgreeOnTheHomeOfABeginningWithoutTalking() {
+    ServerSelector other =
+        new ServerSelector(SelectorSettings.defaults("near"), new PrefixDirectory());
+    List<Backend> servers = engines(1, 1, 1, 1, 1, 1, 1, 1);
+    for (int i = 0; i < 50; i++) {
+      DispatchRequest request = ask("dossier-" + i, 5000);
+      assertThat(other.select(request, servers, Set.of(), WantedWeights.NONE, 0))
+          .isEqualTo(choose(request, servers, WantedWeights.NONE, 0));
+    }
+  }
+
+  /** Load pattern: many subjects of equal weight over a fleet without other load. */
+  @Test
+  void subjectsSpreadOverTheFleet() {
+    List<Backend> servers = engines(1, 1, 1, 1, 1, 1, 1, 1);
+    Map<Backend, Integer> homes = new HashMap<>();
+    for (int i = 0; i < 800; i++) {
+      homes.merge(
+          choose(ask("s" + i, 5000), servers, WantedWeights.NONE, 0).backend(), 1, Integer::sum);
+    }
+    assertThat(homes).hasSize(8);
+    assertThat(homes.values()).allMatch(count -> count > 60 && count < 150);
+  }
+
+  /** Load pattern: one hot subject that a single server can't read for. */
+  @Test
+  void hotSubjectSpillsAndTheOthersFetchItsBeginning() {
+    List<Backend> servers = engines(1, 1, 1, 1);
+    DispatchRequest request = ask("hot", 5000);
+    Backend home = choose(request, servers, WantedWeights.NONE, 0).backend();
+    selector.promptRead(request, home, 0);
+    for (int i = 0; i < 3; i++) {
+      home.started(request.promptTokens(), 0);
+    }
+    Selection.Chosen spilled = choose(request, servers, WantedWeights.NONE, 1);
+    assertThat(spilled.backend()).isNotSameAs(home);
+    assertThat(spilled.reason()).isEqualTo(Selection.Reason.SPILL);
+    assertThat(spilled.source()).containsSame(home);
+  }
+
+  @Test
+  void serverThatKeepsTheBeginningFetchesNothing() {
+    List<Backend> servers = engines(1, 1, 1);
+    DispatchRequest request = ask("s", 5000);
+    Backend home = choose(request, servers, WantedWeights.NONE, 0).backend();
+    selector.promptRead(request, home, 0);
+    assertThat(choose(request, servers, WantedWeights.NONE, 1).source()).isEmpty();
+  }
+
+  @Test
+  void beginningIsNeverFetchedFromOtherWeights() {
+    List<Backend> servers = engines(1, 2, 2);
+    WantedWeights wanted = new WantedWeights(OptionalLong.of(2), false);
+    for (int i = 0; i < 100; i++) {
+      DispatchRequest request = ask("s" + i, 5000);
+      selector.promptRead(request, servers.get(0), 0);
+      Selection.Chosen chosen = choose(request, servers, wanted, 1);
+      chosen
+          .source()
+          .ifPresent(
+              source ->
+                  assertThat(source.weights(Fixtures.MODEL))
+                      .isEqualTo(chosen.backend().weights(Fixtures.MODEL)));
+    }
+  }
+
+  @Test
+  void newWeightsArePreferredAndOldOnesExcludedOnceTheyBind() {
+    List<Backend> servers = engines(1, 1, 1, 2);
+    WantedWeights leaning = new WantedWeights(OptionalLong.of(2), false);
+    WantedWeights binding = new WantedWeights(OptionalLong.of(2), true);
+    assertThat(choose(ask("s", 100), servers, leaning, 0).backend()).isSameAs(servers.get(3));
+    List<Backend> old = servers.subList(0, 3);
+    assertThat(choose(ask("s", 100), old, leaning, 0).backend()).isIn(old);
+    assertThat(selector.select(ask("s", 100), old, Set.of(), binding, 0))
+        .isInstanceOf(Selection.AllBusy.class);
+  }
+
+  @Test
+  void serverOfAnotherModelIsNoServer() {
+    Prompt prompt = new Prompt("other", 100, 10, List.of());
+    assertThat(
+            selector.select(
+                Fixtures.request("r", Optional.of(prompt), 5, 0),
+                engines(1),
+                Set.of(),
+                WantedWeights.NONE,
+                0))
+        .isInstanceOf(Selection.NoServer.class);
+  }
+
+  @Test
+  void plainRequestStaysNearWhileASlotIsFree() {
+    List<Backend> servers =
+        List.of(
+            new Backend(Fixtures.plain("far", "away", 6), 0),
+            new Backend(Fixtures.plain("close", "near", 6), 0));
+    DispatchRequest request = Fixtures.request("r", Optional.empty(), 2, 0);
+    for (int i = 0; i < 6; i++) {
+      assertThat(choose(request, servers, WantedWeights.NONE, 0).backend())
+          .isSameAs(servers.get(1));
+      servers.get(1).started(0, 0);
+    }
+    assertThat(choose(request, servers, WantedWeights.NONE, 0).backend()).isSameAs(servers.get(0));
+  }
+
+  /** Load pattern: a server fell silent and holds the requests that were sent to it. */
+  @Test
+  void silentServerIsAvoidedAndTriedNowAndThenByRepeatableRequests() {
+    List<Backend> servers =
+        List.of(
+            new Backend(Fixtures.plain("dark", "near", 6), 0),
+            new Backend(Fixtures.plain("sound", "near", 6), 0));
+    servers.get(0).started(0, 0);
+    long later = 900 * Fixtures.MILLI;
+    DispatchRequest request = Fixtures.request("r", Optional.empty(), 2, later);
+    assertThat(choose(request, servers, WantedWeights.NONE, later).reason())
+        .isEqualTo(Selection.Reason.PROBE);
+    assertThat(choose(request, servers, WantedWeights.NONE, later + 1).backend())
+        .isSameAs(servers.get(1));
+  }
+
+  @Test
+  void lastServerIsUsedEvenIfItFailsOften() {
+    Backend only = new Backend(Fixtures.plain("grey", "near", 6), 0);
+    for (int i = 0; i < 20; i++) {
+      only.outcome(false, 0.2, 0);
+    }
+    DispatchRequest request = Fixtures.request("r", Optional.empty(), 2, 0);
+    assertThat(choose(request, List.of(only), WantedWeights.NONE, 1).reason())
+        .isEqualTo(Selection.Reason.LAST_RESORT);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/fleet/BackendTest.java
@@ -0,0 +1,79 @@
+package org.pollenrock.core.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Guards against load estimates that drift and against servers that are avoided for ever. */
+class BackendTest {
+  private static final long MILLI = 1_000_000L;
+
+  private final Backend backend =
+      new Backend(
+          new ListedBackend("a", 1, "s", "10.0.0.1", 80, "dc", 8, true, Map.of("m", 1L)), 0);
+
+  @Test
+  void loadIsOwnRequestsPlusFadingLoadOfOthers() {
+    backend.started(100, 0);
+    backend.loadReported(new LoadReport(4, 1, 8), 0);
+    assertThat(backend.load(0)).isEqualTo(5);
+    assertThat(backend.load(Backend.LOAD_HALF_LIFE_NANOS)).isCloseTo(3, within(0.001));
+    backend.ended(100, false);
+    assertThat(backend.load(Long.MAX_VALUE / 4)).isCloseTo(0, within(0.001));
+  }
+
+  @Test
+  void tokensCountAsUnreadUntilTheFirstPartOfAnAnswer() {
+    backend.started(1000, 0);
+    backend.started(500, 0);
+    backend.answering(1000);
+    assertThat(backend.unreadTokens(0, 0)).isEqualTo(500);
+    backend.ended(1000, true);
+    backend.ended(500, false);
+    assertThat(backend.unreadTokens(0, 0)).isZero();
+    assertThat(backend.promptTokensInFlight()).isZero();
+    assertThat(backend.inFlight()).isZero();
+  }
+
+  @Test
+  void silenceCountsOnlyWhileAnAnswerIsDue() {
+    assertThat(backend.silentNanos(900 * MILLI)).isZero();
+    backend.started(0, 900 * MILLI);
+    assertThat(backend.silentNanos(1_000 * MILLI)).isEqualTo(100 * MILLI);
+    backend.heard(1_050 * MILLI);
+    assertThat(backend.silentNanos(1_100 * MILLI)).isEqualTo(50 * MILLI);
+    backend.ended(0, false);
+    assertThat(backend.silentNanos(2_000 * MILLI)).isZero();
+  }
+
+  @Test
+  void pausesAfterFailedConnectsGrowAndEndWithTheNextAnswer() {
+    backend.unreachable(0);
+    assertThat(backend.paused(249 * MILLI)).isTrue();
+    assertThat(backend.paused(250 * MILLI)).isFalse();
+    backend.unreachable(250 * MILLI);
+    assertThat(backend.paused(700 * MILLI)).isTrue();
+    backend.heard(800 * MILLI);
+    backend.unreachable(1_000 * MILLI);
+    assertThat(backend.paused(1_251 * MILLI)).isFalse();
+  }
+
+  @Test
+  void failureRateFadesSoThatTheServerGetsWorkBack() {
+    for (int i = 0; i < 30; i++) {
+      backend.outcome(false, 0.12, 0);
+    }
+    assertThat(backend.failureRate(0)).isGreaterThan(0.9);
+    assertThat(backend.failureRate(6_000 * MILLI)).isLessThan(0.2);
+  }
+
+  @Test
+  void loadingEndsWithNewerWeights() {
+    backend.loading(0);
+    assertThat(backend.paused(100 * MILLI)).isTrue();
+    backend.weightsReported("m", 2);
+    assertThat(backend.paused(100 * MILLI)).isFalse();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/weights/OrderLeaseTest.java
@@ -0,0 +1,204 @@
+package org.pollenrock.core.weights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Guards against two holders that give orders in turn, after pauses, kills and lost answers. */
+class OrderLeaseTest {
+  private static final long MILLI = 1_000_000L;
+  private static final long HANDOVER_MILLIS = 3_000;
+  private static final OrderLeaseSettings SETTINGS = OrderLeaseSettings.of(HANDOVER_MILLIS);
+
+  /** Log of claims that loses answers and carries out claims late. */
+  private static final class Log {
+    private final List<OrderClaim> claims = new ArrayList<>();
+
+    private Optional<OrderClaim> newest() {
+      return claims.isEmpty() ? Optional.empty() : Optional.of(claims.get(claims.size() - 1));
+    }
+
+    private boolean append(long end, OrderClaim claim) {
+      return end == claims.size() && claims.add(claim);
+    }
+  }
+
+  private record Order(int machine, long atNanos, long fence) {}
+
+  private record Late(long end, OrderClaim claim, long atNanos) {}
+
+  @Test
+  void holderThatIsAliveClaimsAtOnceAndRenewsWhileThereIsWork() {
+    OrderLease lease = new OrderLease("a", 0, 1, SETTINGS);
+    Log log = new Log();
+    long now = 0;
+    int claims = 0;
+    for (; now < 2_000 * MILLI; now += 50 * MILLI) {
+      claims += step(lease, log, true, now) ? 1 : 0;
+    }
+    assertThat(claims).isBetween(4, 8);
+    assertThat(lease.fence(now)).isPresent();
+    for (; now < 10_000 * MILLI; now += 50 * MILLI) {
+      assertThat(step(lease, log, false, now)).isFalse();
+    }
+    assertThat(lease.fence(now)).isEmpty();
+    step(lease, log, true, now);
+    assertThat(lease.fence(now)).isPresent();
+  }
+
+  @Test
+  void doubtEndsTheRightUntilItIsRenewed() {
+    OrderLease lease = new OrderLease("a", 0, 1, SETTINGS);
+    Log log = new Log();
+    step(lease, log, true, 0);
+    step(lease, log, true, 1);
+    assertThat(lease.fence(2)).isPresent();
+    lease.doubt();
+    assertThat(lease.fence(2)).isEmpty();
+    step(lease, log, true, 3);
+    assertThat(lease.fence(4)).isPresent();
+  }
+
+  @Test
+  void anotherInstanceTakesOverInTime() {
+    OrderLease first = new OrderLease("a", 0, 1, SETTINGS);
+    OrderLease second = new OrderLease("b", 100 * MILLI, 1, SETTINGS);
+    Log log = new Log();
+    long now = 0;
+    for (; now < 1_000 * MILLI; now += 50 * MILLI) {
+      step(first, log, true, now);
+      step(second, log, true, now);
+    }
+    long dead = now;
+    while (second.fence(now).isEmpty()) {
+      step(second, log, true, now);
+      now += 50 * MILLI;
+    }
+    assertThat(now - dead).isBetween(HANDOVER_MILLIS * MILLI, 5_000 * MILLI);
+  }
+
+  /** Machines pause, die and come back; the log loses answers and carries claims out late. */
+  @Property(tries = 300, seed = "11")
+  void ordersOfTwoMachinesAreApartAndTokensGrow(@ForAll long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    int machines = random.nextInt(2, 5);
+    OrderLease[] leases = new OrderLease[machines];
+    long[] pausedUntil = new long[machines];
+    for (int i = 0; i < machines; i++) {
+      leases[i] = lease(i, random);
+    }
+    Log log = new Log();
+    List<Late> late = new ArrayList<>();
+    List<Order> orders = new ArrayList<>();
+    for (long now = 0; now < 60_000 * MILLI; now += 50 * MILLI) {
+      carryOut(late, log, now);
+      int at = random.nextInt(machines);
+      disturb(random, leases, pausedUntil, at, now);
+      for (int i = 0; i < machines; i++) {
+        if (now < pausedUntil[i]) {
+          continue;
+        }
+        boolean work = random.nextInt(10) > 0;
+        follow(leases[i], leases[i].next(work, now), log, late, random, now);
+        if (leases[i].fence(now).isPresent()) {
+          orders.add(new Order(i, now, leases[i].fence(now).getAsLong()));
+        }
+      }
+    }
+    assertApart(orders);
+  }
+
+  private static void assertApart(List<Order> orders) {
+    for (int i = 1; i < orders.size(); i++) {
+      Order before = orders.get(i - 1);
+      Order after = orders.get(i);
+      if (before.machine() != after.machine()) {
+        assertThat(after.atNanos() - before.atNanos())
+            .isGreaterThanOrEqualTo(HANDOVER_MILLIS * MILLI);
+        assertThat(after.fence()).isGreaterThan(before.fence());
+      }
+      assertThat(after.fence()).isGreaterThanOrEqualTo(before.fence());
+    }
+  }
+
+  private static OrderLease lease(int machine, SplittableRandom random) {
+    return new OrderLease("m" + machine, random.nextInt(600) * MILLI, random.nextLong(), SETTINGS);
+  }
+
+  private static void disturb(
+      SplittableRandom random, OrderLease[] leases, long[] pausedUntil, int at, long now) {
+    int kind = random.nextInt(300);
+    if (kind == 0) {
+      pausedUntil[at] = now + random.nextInt(8_000) * MILLI;
+    } else if (kind == 1) {
+      leases[at] = lease(at, random);
+      pausedUntil[at] = now + random.nextInt(3_000) * MILLI;
+    }
+  }
+
+  private static void carryOut(List<Late> late, Log log, long now) {
+    late.removeIf(
+        claim -> {
+          if (claim.atNanos() > now) {
+            return false;
+          }
+          log.append(claim.end(), claim.claim());
+          return true;
+        });
+  }
+
+  private static void follow(
+      OrderLease lease,
+      LeaseStep step,
+      Log log,
+      List<Late> late,
+      SplittableRandom random,
+      long now) {
+    int fate = random.nextInt(20);
+    switch (step) {
+      case LeaseStep.Rest() -> {}
+      case LeaseStep.Read() -> {
+        if (fate == 0) {
+          lease.unread();
+        } else {
+          lease.read(log.newest(), log.claims.size() - 1L, log.claims.size(), now);
+        }
+      }
+      case LeaseStep.Claim(long end, OrderClaim claim) -> {
+        if (fate == 0) {
+          log.append(end, claim);
+          lease.refused();
+        } else if (fate == 1) {
+          late.add(new Late(end, claim, now + random.nextInt(6_000) * MILLI));
+          lease.refused();
+        } else if (log.append(end, claim)) {
+          lease.accepted(claim, end, now);
+        } else {
+          lease.refused();
+        }
+      }
+    }
+  }
+
+  /** Carries out one step at once; tells whether it was a claim. */
+  private static boolean step(OrderLease lease, Log log, boolean work, long now) {
+    LeaseStep step = lease.next(work, now);
+    follow(lease, step, log, new ArrayList<>(), new SplittableRandom(calmSeed()), now);
+    return step instanceof LeaseStep.Claim;
+  }
+
+  /** Seed whose first draw is no fault. */
+  private static long calmSeed() {
+    long seed = 0;
+    while (new SplittableRandom(seed).nextInt(20) < 2) {
+      seed++;
+    }
+    return seed;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/weights/WeightsRolloutTest.java
@@ -0,0 +1,158 @@
+package org.pollenrock.core.weights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.pollenrock.core.fleet.Backend;
+import org.pollenrock.core.fleet.ListedBackend;
+
+/** Guards against engines that keep old weights and against a fleet that loads all at once. */
+class WeightsRolloutTest {
+  private static final long MILLI = 1_000_000L;
+  private static final String MODEL = "m";
+
+  /** Engine that loads for a while, loses answers, and carries out orders late. */
+  private static final class Engine {
+    private final Backend backend;
+    private long weights = 1;
+    private long orders;
+    private long busyUntil = Long.MIN_VALUE;
+    private long loading;
+    private final List<Late> late = new ArrayList<>();
+
+    private Engine(int index) {
+      backend =
+          new Backend(
+              new ListedBackend(
+                  "e" + index, 1, "llm", "10.0.0.1", 80, "dc", 8, true, Map.of(MODEL, 1L)),
+              0);
+    }
+
+    private void tick(long now) {
+      if (busyUntil != Long.MIN_VALUE && now >= busyUntil) {
+        weights = loading;
+        busyUntil = Long.MIN_VALUE;
+      }
+      late.removeIf(
+          order -> {
+            if (order.atNanos() > now) {
+              return false;
+            }
+            accept(order.order(), now);
+            return true;
+          });
+    }
+
+    private OrderAnswer accept(LoadOrder order, long now) {
+      if (busyUntil != Long.MIN_VALUE || order.ordersBefore() != orders) {
+        return OrderAnswer.CONFLICT;
+      }
+      if (weights >= order.version()) {
+        return OrderAnswer.HOLDS;
+      }
+      orders++;
+      loading = order.version();
+      busyUntil = now + 400 * MILLI;
+      return OrderAnswer.ACCEPTED;
+    }
+
+    private EngineReport report() {
+      return new EngineReport(busyUntil != Long.MIN_VALUE, orders, Map.of(MODEL, weights));
+    }
+  }
+
+  private record Late(LoadOrder order, long atNanos) {}
+
+  @Test
+  void nothingIsDoneWithoutTheRight() {
+    WeightsTargets targets = new WeightsTargets(0);
+    targets.named(MODEL, 2, true, 0);
+    List<Backend> fleet = List.of(new Engine(0).backend);
+    assertThat(WeightsRollout.hasWork(fleet, targets)).isTrue();
+    assertThat(new WeightsRollout().next(fleet, targets, OptionalLong.empty(), 0)).isEmpty();
+  }
+
+  @Property(tries = 200, seed = "23")
+  void everyEngineGetsTheNewestWeightsAndHalfServesOn(@ForAll long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    Map<Backend, Engine> engines = new HashMap<>();
+    int count = random.nextInt(1, 20);
+    for (int i = 0; i < count; i++) {
+      Engine engine = new Engine(i);
+      engines.put(engine.backend, engine);
+    }
+    WeightsTargets targets = new WeightsTargets(0);
+    targets.named(MODEL, 2, true, 0);
+    WeightsRollout rollout = new WeightsRollout();
+    long now = 0;
+    for (;
+        now < 60_000 * MILLI && WeightsRollout.hasWork(engines.keySet(), targets);
+        now += 20 * MILLI) {
+      if (now == 1_000 * MILLI) {
+        targets.named(MODEL, 3, true, now);
+      }
+      for (Engine engine : engines.values()) {
+        engine.tick(now);
+      }
+      for (RolloutStep step : rollout.next(engines.keySet(), targets, OptionalLong.of(1), now)) {
+        follow(rollout, step, engines, random, now);
+      }
+      long loading = engines.values().stream().filter(e -> e.busyUntil != Long.MIN_VALUE).count();
+      if (random.nextInt(50) > 0 && now < 4_000 * MILLI) {
+        assertThat(loading).isLessThanOrEqualTo((count + 1) / 2 + lateOrders(engines));
+      }
+    }
+    assertThat(now).isLessThan(60_000 * MILLI);
+    assertThat(engines.values()).allMatch(e -> e.backend.weights(MODEL).getAsLong() >= 2);
+  }
+
+  private static long lateOrders(Map<Backend, Engine> engines) {
+    return engines.values().stream().filter(e -> !e.late.isEmpty() || e.orders > 1).count();
+  }
+
+  private static void follow(
+      WeightsRollout rollout,
+      RolloutStep step,
+      Map<Backend, Engine> engines,
+      SplittableRandom random,
+      long now) {
+    switch (step) {
+      case RolloutStep.ReadReport(Backend backend) -> {
+        if (random.nextInt(10) == 0) {
+          rollout.unreported(backend, now);
+        } else {
+          rollout.reported(backend, engines.get(backend).report(), now);
+        }
+      }
+      case RolloutStep.Send(LoadOrder order) -> {
+        Engine engine = engines.get(order.backend());
+        if (random.nextInt(5) == 0) {
+          engine.late.add(new Late(order, now + random.nextInt(3_000) * MILLI));
+          rollout.answered(order, OrderAnswer.UNKNOWN, now);
+        } else {
+          rollout.answered(order, engine.accept(order, now), now);
+        }
+      }
+    }
+  }
+
+  @Test
+  void foundVersionBindsAtOnceAndASeenOneLater() {
+    WeightsTargets targets = new WeightsTargets(4_500 * MILLI);
+    targets.named(MODEL, 2, false, 10);
+    assertThat(targets.wanted(MODEL, 10).binding()).isTrue();
+    targets.named(MODEL, 3, true, 10);
+    assertThat(targets.wanted(MODEL, 4_499 * MILLI).binding()).isFalse();
+    assertThat(targets.wanted(MODEL, 4_501 * MILLI).binding()).isTrue();
+    assertThat(targets.named(MODEL, 2, true, 20)).isFalse();
+    assertThat(targets.version(MODEL)).hasValue(3);
+  }
+}
--- a/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
@@ -273,7 +273,12 @@
   /** Answers a request that was not read whole and closes the connection. */
   private void reject(HttpResponseStatus status, String reason) {
     closing = true;
-    owner.log().line("request_rejected").with("status", status.code()).with("cause", reason).write();
+    owner
+        .log()
+        .line("request_rejected")
+        .with("status", status.code())
+        .with("cause", reason)
+        .write();
     FullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
--- a/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
@@ -32,7 +32,10 @@
   private static final double FRESH_SHARE = 0.4;
 
   private static final HttpDecoderConfig DECODER =
-      new HttpDecoderConfig().setMaxHeaderSize(32_768).setMaxChunkSize(65_536).setValidateHeaders(false);
+      new HttpDecoderConfig()
+          .setMaxHeaderSize(32_768)
+          .setMaxChunkSize(65_536)
+          .setValidateHeaders(false);
 
   /** Waits for a connection. */
   interface Taker {
--- a/gateway/src/main/java/org/pollenrock/gateway/EventLog.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/EventLog.java
@@ -11,8 +11,9 @@
 /**
  * JSON lines on an output stream, written by a thread of their own from a bounded buffer.
  *
- * <p>Writing a line never blocks. While the reader is slow, lines of good outcomes are dropped first,
- * once half of the buffer is full; when it is full, every line is. A later line tells how many.
+ * <p>Writing a line never blocks. While the reader is slow, lines of good outcomes are dropped
+ * first, once half of the buffer is full; when it is full, every line is. A later line tells how
+ * many.
  */
 public final class EventLog {
   /** Bytes that wait for the reader at most. */
@@ -127,7 +128,8 @@
       }
       if (dropped.get() > reported) {
         reported = dropped.get();
-        full.writeBytes(new Line("log_lines_dropped", Weight.NEEDED).with("total", reported).bytes());
+        full.writeBytes(
+            new Line("log_lines_dropped", Weight.NEEDED).with("total", reported).bytes());
       }
       boolean written = flush(full);
       synchronized (lock) {
--- a/gateway/src/main/java/org/pollenrock/gateway/EventSplitter.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/EventSplitter.java
@@ -47,7 +47,8 @@
       if (lineEnd < 0) {
         break;
       }
-      boolean blank = lineEnd == lineStart || lineEnd == lineStart + 1 && all.getByte(lineStart) == '\r';
+      boolean blank =
+          lineEnd == lineStart || lineEnd == lineStart + 1 && all.getByte(lineStart) == '\r';
       lineStart = lineEnd + 1;
       if (blank) {
         ByteBuf event = all.slice(eventStart, lineStart - eventStart);
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -222,8 +222,7 @@
     boolean again = step == NextStep.RESEND || step == NextStep.RESUME;
     if (again && request.deadlineNanos() - System.nanoTime() > MIN_RESEND_NANOS) {
       boolean counted = failure != SendFailure.NOT_SENT;
-      Dispatch next =
-          scope.dispatcher().resubmit(request, tried, counted, System.nanoTime());
+      Dispatch next = scope.dispatcher().resubmit(request, tried, counted, System.nanoTime());
       if (!(next instanceof Dispatch.Refused)) {
         follow(next);
         return;
@@ -387,7 +386,8 @@
     answer(status, CallerConnection.noHeaders(), "failed", cause);
   }
 
-  private void answer(HttpResponseStatus status, HttpHeaders headers, String outcome, String cause) {
+  private void answer(
+      HttpResponseStatus status, HttpHeaders headers, String outcome, String cause) {
     response.full(status, headers, Unpooled.EMPTY_BUFFER);
     finish(outcome, status.code(), cause);
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -66,8 +66,7 @@
     targets = new WeightsTargets(settings.weightsBindingNanos());
     PrefixDirectory directory = new PrefixDirectory();
     ServerSelector selector = new ServerSelector(settings.selector(), directory);
-    dispatcher =
-        new Dispatcher(fleet, selector, targets, settings.allowance(), System.nanoTime());
+    dispatcher = new Dispatcher(fleet, selector, targets, settings.allowance(), System.nanoTime());
     news = new PeerNews(loop, settings.peers(), fleet, directory, log);
     links = new ServerLinks(loop, metrics);
     waitingRoom = new WaitingRoom(dispatcher);
--- a/gateway/src/main/java/org/pollenrock/gateway/OrderTask.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/OrderTask.java
@@ -80,8 +80,7 @@
       held = fence.isPresent();
       log.line(held ? "orders_held" : "orders_lapsed").with("fence", fence.orElse(0)).write();
     }
-    for (RolloutStep step :
-        rollout.next(gateway.fleet().all(), gateway.targets(), fence, now)) {
+    for (RolloutStep step : rollout.next(gateway.fleet().all(), gateway.targets(), fence, now)) {
       follow(step);
     }
   }
@@ -91,8 +90,7 @@
       lease.unread();
       return;
     }
-    lease.read(
-        newest.get().claim(), newest.get().offset(), newest.get().end(), System.nanoTime());
+    lease.read(newest.get().claim(), newest.get().offset(), newest.get().end(), System.nanoTime());
     look();
   }
 
--- a/gateway/src/main/java/org/pollenrock/gateway/PeerNews.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerNews.java
@@ -28,8 +28,8 @@
 /**
  * Tells other instances what this one learned about servers, and takes what they tell.
  *
- * <p>News goes out in datagrams that may be lost. Nothing that must hold depends on it: it only saves
- * requests that would be refused and prompts that would be read twice.
+ * <p>News goes out in datagrams that may be lost. Nothing that must hold depends on it: it only
+ * saves requests that would be refused and prompts that would be read twice.
  */
 public final class PeerNews {
   /** Time for which news is gathered into one datagram, in milliseconds. */
@@ -97,8 +97,7 @@
       return;
     }
     for (long beginning : beginnings) {
-      pending.addReads(
-          PrefixRead.newBuilder().setBeginning(beginning).setServer(backend.seed()));
+      pending.addReads(PrefixRead.newBuilder().setBeginning(beginning).setServer(backend.seed()));
     }
     schedule();
   }
@@ -152,8 +151,7 @@
     for (EngineWeights weights : news.getWeightsList()) {
       fleet
           .bySeed(weights.getServer())
-          .ifPresent(
-              backend -> backend.weightsReported(weights.getModel(), weights.getVersion()));
+          .ifPresent(backend -> backend.weightsReported(weights.getModel(), weights.getVersion()));
     }
   }
 
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -169,7 +169,8 @@
     } else if (said.notRun()) {
       mode = Mode.REFUSED;
     } else if (said.requestId().isEmpty() && !request.id().isEmpty()
-        || success && (!said.signed() || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
+        || success
+            && (!said.signed() || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
       connection.abandon();
       failed(new IOException("answer without the server's identity"));
       return true;
@@ -251,7 +252,10 @@
   /** An engine with older weights than named most likely refuses because it loads new ones. */
   private void refusedByServer() {
     long now = System.nanoTime();
-    if (request.prompt().map(prompt -> scope.dispatcher().outdated(backend, prompt.model())).orElse(false)) {
+    if (request
+        .prompt()
+        .map(prompt -> scope.dispatcher().outdated(backend, prompt.model()))
+        .orElse(false)) {
       backend.loading(now);
     } else {
       backend.refused(now);
@@ -261,7 +265,8 @@
 
   /** Tells a server with another identity at the address from one with other weights. */
   private void misdirected(ServerAnswer said) {
-    boolean sameServer = said.serverId().isEmpty() || said.serverId().get().equals(context.serverId());
+    boolean sameServer =
+        said.serverId().isEmpty() || said.serverId().get().equals(context.serverId());
     if (sameServer && request.prompt().isPresent()) {
       mode = Mode.OTHER_WEIGHTS;
       request.prompt().ifPresent(prompt -> backend.weightsUnknown(prompt.model()));
