--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -451,6 +451,8 @@
         .with("server", lastServer())
         .with("placement", choice == null ? null : choice.reason().name())
         .with("fetched_from", fetchedFrom())
+        .with("prompt", call.prompt().map(Prompt::affinity).map(Long::toHexString).orElse(null))
+        .with("weights", servedWeights())
         .with("prompt_tokens", request == null ? 0 : request.promptTokens())
         .with("shared_tokens", sharedTokens())
         .with("waited_ms", waitedNanos / 1_000_000)
@@ -464,6 +466,13 @@
     return choice == null ? null : choice.backend().entry().id();
   }
 
+  private long servedWeights() {
+    if (choice == null || call.prompt().isEmpty()) {
+      return 0;
+    }
+    return choice.backend().weights(call.prompt().get().model()).orElse(0);
+  }
+
   private String fetchedFrom() {
     return choice == null ? null : choice.source().map(from -> from.entry().id()).orElse(null);
   }
