--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
@@ -155,7 +156,9 @@
    * @return whether newer weights are named than it is known to have
    */
   public boolean outdated(Backend backend, String model) {
-    return !targets.wanted(model, 0).met(backend.weights(model));
+    OptionalLong has = backend.weights(model);
+    OptionalLong newest = targets.version(model);
+    return has.isPresent() && newest.isPresent() && has.getAsLong() < newest.getAsLong();
   }
 
   /**
--- a/core/src/main/java/org/pollenrock/core/dispatch/SelectorSettings.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/SelectorSettings.java
@@ -7,8 +7,7 @@
  * @param fetchShare cost of fetching a token from another server, as a share of reading it
  * @param batchTokens cost of one running request to those that are read beside it, in tokens read
  * @param remoteTokens cost of sending a request to another data centre, in tokens read
- * @param newWeightsShare share of the slots up to which servers with the newest weights are
- *     preferred over others
+ * @param oldWeightsTokens cost of weights that were replaced some time ago, in tokens read
  * @param silenceNanos silence after which a server that owes an answer is avoided
  * @param failureRate share of failures above which a server is avoided
  * @param probeNanos interval at which an avoided server is tried
@@ -18,7 +17,7 @@
     double fetchShare,
     double batchTokens,
     double remoteTokens,
-    double newWeightsShare,
+    double oldWeightsTokens,
     long silenceNanos,
     double failureRate,
     long probeNanos) {
@@ -31,7 +30,8 @@
   /** Reading time of this many tokens is about a round trip between data centres. */
   private static final double DEFAULT_REMOTE_TOKENS = 400;
 
-  private static final double DEFAULT_NEW_WEIGHTS_SHARE = 0.6;
+  /** Reading time of this many tokens is a fifth of a usual objective for the first token. */
+  private static final double DEFAULT_OLD_WEIGHTS_TOKENS = 12_000;
 
   /** Several times the time to the first token of an unloaded engine. */
   private static final long DEFAULT_SILENCE_NANOS = 400_000_000L;
@@ -53,7 +53,7 @@
         DEFAULT_FETCH_SHARE,
         DEFAULT_BATCH_TOKENS,
         DEFAULT_REMOTE_TOKENS,
-        DEFAULT_NEW_WEIGHTS_SHARE,
+        DEFAULT_OLD_WEIGHTS_TOKENS,
         DEFAULT_SILENCE_NANOS,
         DEFAULT_FAILURE_RATE,
         DEFAULT_PROBE_NANOS);
--- a/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
@@ -168,14 +168,16 @@
       DispatchRequest request, List<Backend> open, WantedWeights wanted, long nowNanos) {
     Prompt prompt = request.prompt().orElseThrow();
     meanTokens += MEAN_WEIGHT * (prompt.tokens() - meanTokens);
-    List<Backend> candidates = preferNewWeights(prompt.model(), open, wanted, nowNanos);
     KeptTokens kept = keptTokens(request, prompt, open, nowNanos);
-    Backend home = first(candidates, null, prompt.affinity());
+    Backend home = first(open, null, prompt.affinity());
     Backend best = null;
     double bestCost = Double.MAX_VALUE;
-    for (Backend server : candidates) {
+    for (Backend server : open) {
       int keeps = server == home ? prompt.sharedTokens() : kept.at(server);
       double cost = promptCost(prompt, server, keeps, nowNanos);
+      if (wanted.avoids(server.weights(prompt.model()))) {
+        cost += settings.oldWeightsTokens();
+      }
       if (cost < bestCost) {
         best = server;
         bestCost = cost;
@@ -249,18 +251,6 @@
     return first;
   }
 
-  private List<Backend> preferNewWeights(
-      String model, List<Backend> open, WantedWeights wanted, long nowNanos) {
-    List<Backend> renewed = new ArrayList<>();
-    for (Backend server : open) {
-      if (wanted.met(server.weights(model))
-          && server.load(nowNanos) < settings.newWeightsShare() * slots(server)) {
-        renewed.add(server);
-      }
-    }
-    return renewed.isEmpty() ? open : renewed;
-  }
-
   private Selection byLoad(List<Backend> open, long nowNanos) {
     Backend best = null;
     double bestCost = Double.MAX_VALUE;
--- a/core/src/main/java/org/pollenrock/core/dispatch/WantedWeights.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/WantedWeights.java
@@ -3,32 +3,38 @@
 import java.util.OptionalLong;
 
 /**
- * Version of the weights that a request should run on.
+ * Versions of the weights that a request may run on.
  *
- * @param version the named version, if there is one
- * @param binding whether older weights must not be used any more
+ * @param newest newest named version, which it should run on
+ * @param preferred oldest version that is as good as the newest for now
+ * @param oldest oldest version that it may still run on
  */
-public record WantedWeights(OptionalLong version, boolean binding) {
+public record WantedWeights(OptionalLong newest, OptionalLong preferred, OptionalLong oldest) {
   /** No version was named. */
-  public static final WantedWeights NONE = new WantedWeights(OptionalLong.empty(), false);
+  public static final WantedWeights NONE =
+      new WantedWeights(OptionalLong.empty(), OptionalLong.empty(), OptionalLong.empty());
 
   /**
-   * Tells whether weights are as new as wanted.
+   * Tells whether other servers should go before one.
    *
-   * @param weights version that a server is known to have
-   * @return whether it is; true as well when either is unknown
+   * @param weights version that it is known to have
+   * @return whether its weights were replaced some time ago
    */
-  public boolean met(OptionalLong weights) {
-    return version.isEmpty() || weights.isEmpty() || weights.getAsLong() >= version.getAsLong();
+  public boolean avoids(OptionalLong weights) {
+    return isOlder(weights, preferred);
   }
 
   /**
    * Tells whether a server must not be used.
    *
    * @param weights version that it is known to have
-   * @return whether older weights are forbidden and it has such
+   * @return whether it is too old
    */
   public boolean excludes(OptionalLong weights) {
-    return binding && !met(weights);
+    return isOlder(weights, oldest);
+  }
+
+  private static boolean isOlder(OptionalLong weights, OptionalLong bound) {
+    return bound.isPresent() && weights.isPresent() && weights.getAsLong() < bound.getAsLong();
   }
 }
--- a/core/src/main/java/org/pollenrock/core/weights/WeightsRollout.java
+++ b/core/src/main/java/org/pollenrock/core/weights/WeightsRollout.java
@@ -10,15 +10,18 @@
 import org.pollenrock.core.fleet.Backend;
 
 /**
- * Brings engines to the named weights, a part of them at a time, the least loaded first.
+ * Brings engines to the named weights, a part of them at a time, those with the oldest weights and
+ * among them the least loaded first.
  *
  * <p>An order carries the number of orders that the engine had accepted, so that an order which is
  * carried out late does nothing after a newer one. What an engine did is believed from its reports
  * and answers alone.
  */
 public final class WeightsRollout {
-  /** Part of the engines of a model that load at the same time. */
-  private static final double CONCURRENT_SHARE = 0.5;
+  /**
+   * Part of the engines of a model that load at the same time; the others bear the load meanwhile.
+   */
+  private static final double CONCURRENT_SHARE = 0.4;
 
   /** Interval of reading the report of an engine that loads, close to the age of reports. */
   private static final long POLL_NANOS = 120_000_000L;
@@ -151,12 +154,18 @@
       }
     }
     int room = Math.max(1, (int) Math.ceil(engines * CONCURRENT_SHARE)) - running(nowNanos);
-    waiting.sort(Comparator.comparingDouble(backend -> backend.load(nowNanos)));
+    waiting.sort(
+        Comparator.comparingLong((Backend backend) -> oldestWeights(backend, targets))
+            .thenComparingDouble(backend -> backend.load(nowNanos)));
     for (Backend backend : waiting.subList(0, Math.clamp(room, 0, waiting.size()))) {
       changes.put(backend, new Change(nowNanos));
     }
   }
 
+  private static long oldestWeights(Backend backend, WeightsTargets targets) {
+    return backend.weights(outdated(backend, targets)).orElse(0);
+  }
+
   private int running(long nowNanos) {
     return (int)
         changes.values().stream()
--- a/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
+++ b/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
@@ -1,5 +1,7 @@
 package org.pollenrock.core.weights;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -12,9 +14,16 @@
  * was found rather than seen being named may have been named long ago and binds at once.
  */
 public final class WeightsTargets {
+  /**
+   * Time after the naming of a version from which servers with older weights are avoided, just
+   * before their answers lose value. Until then their caches are worth more.
+   */
+  private static final long PREFERRED_NANOS = 1_200_000_000L;
+
+  private record Named(long version, long preferredFromNanos, long bindingFromNanos) {}
+
   private final long bindingNanos;
-  private final Map<String, Long> versions = new HashMap<>();
-  private final Map<String, Long> bindingFrom = new HashMap<>();
+  private final Map<String, Deque<Named>> versions = new HashMap<>();
 
   /**
    * Creates targets without a version.
@@ -35,28 +44,43 @@
    * @return whether it is newer than the one known
    */
   public boolean named(String model, long version, boolean seen, long nowNanos) {
-    Long known = versions.get(model);
-    if (known != null && known >= version) {
+    Deque<Named> known = versions.computeIfAbsent(model, added -> new ArrayDeque<>());
+    if (!known.isEmpty() && known.getLast().version() >= version) {
       return false;
     }
-    versions.put(model, version);
-    bindingFrom.put(model, seen ? nowNanos + bindingNanos : nowNanos);
+    known.addLast(
+        seen
+            ? new Named(version, nowNanos + PREFERRED_NANOS, nowNanos + bindingNanos)
+            : new Named(version, nowNanos, nowNanos));
     return true;
   }
 
   /**
-   * Version that a request should run on.
+   * Versions that a request may run on.
    *
    * @param model the model
    * @param nowNanos current time
-   * @return the version, and whether it binds
+   * @return the newest version, and the oldest that is preferred or may be used
    */
   public WantedWeights wanted(String model, long nowNanos) {
-    Long version = versions.get(model);
-    if (version == null) {
+    Deque<Named> known = versions.get(model);
+    if (known == null) {
       return WantedWeights.NONE;
     }
-    return new WantedWeights(OptionalLong.of(version), nowNanos - bindingFrom.get(model) >= 0);
+    OptionalLong oldest = OptionalLong.empty();
+    OptionalLong preferred = OptionalLong.empty();
+    for (Named named : known) {
+      if (nowNanos - named.preferredFromNanos() >= 0) {
+        preferred = OptionalLong.of(named.version());
+      }
+      if (nowNanos - named.bindingFromNanos() >= 0) {
+        oldest = OptionalLong.of(named.version());
+      }
+    }
+    while (oldest.isPresent() && known.getFirst().version() < oldest.getAsLong()) {
+      known.removeFirst();
+    }
+    return new WantedWeights(OptionalLong.of(known.getLast().version()), preferred, oldest);
   }
 
   /**
@@ -66,16 +90,18 @@
    * @return the version, if one was named
    */
   public OptionalLong version(String model) {
-    Long version = versions.get(model);
-    return version == null ? OptionalLong.empty() : OptionalLong.of(version);
+    Deque<Named> known = versions.get(model);
+    return known == null ? OptionalLong.empty() : OptionalLong.of(known.getLast().version());
   }
 
   /**
    * All targets.
    *
-   * @return versions by model
+   * @return newest versions by model
    */
   public Map<String, Long> all() {
-    return Map.copyOf(versions);
+    Map<String, Long> newest = new HashMap<>();
+    versions.forEach((model, known) -> newest.put(model, known.getLast().version()));
+    return newest;
   }
 }
--- a/core/src/test/java/org/pollenrock/core/dispatch/ServerSelectorTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/ServerSelectorTest.java
@@ -32,6 +32,10 @@
     return (Selection.Chosen) selection;
   }
 
+  private static WantedWeights wanted(OptionalLong preferred, OptionalLong oldest) {
+    return new WantedWeights(OptionalLong.of(2), preferred, oldest);
+  }
+
   private static DispatchRequest ask(String subject, int shared) {
     return Fixtures.request("r", Optional.of(Fixtures.prompt(subject, shared, 500)), 5, 0);
   }
@@ -89,7 +93,7 @@
   @Test
   void beginningIsNeverFetchedFromOtherWeights() {
     List<Backend> servers = engines(1, 2, 2);
-    WantedWeights wanted = new WantedWeights(OptionalLong.of(2), false);
+    WantedWeights wanted = wanted(OptionalLong.of(2), OptionalLong.empty());
     for (int i = 0; i < 100; i++) {
       DispatchRequest request = ask("s" + i, 5000);
       selector.promptRead(request, servers.get(0), 0);
@@ -106,8 +110,8 @@
   @Test
   void newWeightsArePreferredAndOldOnesExcludedOnceTheyBind() {
     List<Backend> servers = engines(1, 1, 1, 2);
-    WantedWeights leaning = new WantedWeights(OptionalLong.of(2), false);
-    WantedWeights binding = new WantedWeights(OptionalLong.of(2), true);
+    WantedWeights leaning = wanted(OptionalLong.of(2), OptionalLong.empty());
+    WantedWeights binding = wanted(OptionalLong.of(2), OptionalLong.of(2));
     assertThat(choose(ask("s", 100), servers, leaning, 0).backend()).isSameAs(servers.get(3));
     List<Backend> old = servers.subList(0, 3);
     assertThat(choose(ask("s", 100), old, leaning, 0).backend()).isIn(old);
@@ -115,6 +119,30 @@
         .isInstanceOf(Selection.AllBusy.class);
   }
 
+  /** Load pattern: new weights are named under load, and one engine of four has them already. */
+  @Test
+  void firstEngineWithNewWeightsIsNotFlooded() {
+    List<Backend> servers = engines(1, 1, 1, 2);
+    WantedWeights justNamed = wanted(OptionalLong.empty(), OptionalLong.empty());
+    WantedWeights later = wanted(OptionalLong.of(2), OptionalLong.empty());
+    for (WantedWeights wanted : List.of(justNamed, later)) {
+      Map<Backend, Integer> counts = new HashMap<>();
+      for (int i = 0; i < 40; i++) {
+        DispatchRequest request = ask("s" + i, 5000);
+        Backend chosen = choose(request, servers, wanted, 0).backend();
+        chosen.started(request.promptTokens(), 0);
+        counts.merge(chosen, 1, Integer::sum);
+      }
+      assertThat(counts.get(servers.get(3))).isLessThan(20);
+      counts.forEach(
+          (server, count) -> {
+            for (int i = 0; i < count; i++) {
+              server.ended(5500, false);
+            }
+          });
+    }
+  }
+
   @Test
   void serverOfAnotherModelIsNoServer() {
     Prompt prompt = new Prompt("other", 100, 10, List.of());
--- a/core/src/test/java/org/pollenrock/core/weights/WeightsRolloutTest.java
+++ b/core/src/test/java/org/pollenrock/core/weights/WeightsRolloutTest.java
@@ -148,11 +148,39 @@
   void foundVersionBindsAtOnceAndASeenOneLater() {
     WeightsTargets targets = new WeightsTargets(4_500 * MILLI);
     targets.named(MODEL, 2, false, 10);
-    assertThat(targets.wanted(MODEL, 10).binding()).isTrue();
+    assertThat(targets.wanted(MODEL, 10).oldest()).hasValue(2);
     targets.named(MODEL, 3, true, 10);
-    assertThat(targets.wanted(MODEL, 4_499 * MILLI).binding()).isFalse();
-    assertThat(targets.wanted(MODEL, 4_501 * MILLI).binding()).isTrue();
+    assertThat(targets.wanted(MODEL, 4_499 * MILLI).oldest()).hasValue(2);
+    assertThat(targets.wanted(MODEL, 4_501 * MILLI).oldest()).hasValue(3);
     assertThat(targets.named(MODEL, 2, true, 20)).isFalse();
     assertThat(targets.version(MODEL)).hasValue(3);
   }
+
+  /** A later version must not put off the time at which an earlier one binds. */
+  @Test
+  void eachVersionBindsFromItsOwnNaming() {
+    WeightsTargets targets = new WeightsTargets(4_500 * MILLI);
+    targets.named(MODEL, 2, true, 0);
+    targets.named(MODEL, 3, true, 2_400 * MILLI);
+    targets.named(MODEL, 4, true, 4_800 * MILLI);
+    assertThat(targets.wanted(MODEL, 4_600 * MILLI).oldest()).hasValue(2);
+    assertThat(targets.wanted(MODEL, 7_000 * MILLI).oldest()).hasValue(3);
+    assertThat(targets.wanted(MODEL, 9_400 * MILLI).oldest()).hasValue(4);
+    assertThat(targets.wanted(MODEL, 9_400 * MILLI).newest()).hasValue(4);
+  }
+
+  /** Versions in quick succession must not starve the engines that are furthest behind. */
+  @Test
+  void enginesWithTheOldestWeightsGoFirst() {
+    Engine behind = new Engine(0);
+    Engine ahead = new Engine(1);
+    ahead.backend.weightsReported(MODEL, 2);
+    behind.backend.started(0, 0);
+    WeightsTargets targets = new WeightsTargets(0);
+    targets.named(MODEL, 3, true, 0);
+    assertThat(
+            new WeightsRollout()
+                .next(List.of(ahead.backend, behind.backend), targets, OptionalLong.of(1), 0))
+        .containsExactly(new RolloutStep.ReadReport(behind.backend));
+  }
 }
