--- a/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
@@ -91,23 +91,12 @@
       Set<String> tried,
       WantedWeights wanted,
       long nowNanos) {
-    List<Backend> able = new ArrayList<>(servers.size());
-    boolean outdated = false;
-    for (Backend server : servers) {
-      if (request.prompt().isPresent()) {
-        String model = request.prompt().get().model();
-        if (!server.serves(model)) {
-          continue;
-        }
-        if (wanted.excludes(server.weights(model))) {
-          outdated = true;
-          continue;
-        }
-      }
-      able.add(server);
-    }
+    List<Backend> able = able(request, servers, wanted);
     if (able.isEmpty()) {
-      return outdated ? new Selection.AllBusy() : new Selection.NoServer();
+      // Servers with weights that are too old get newer ones soon, so the request may wait.
+      return serving(request, servers).isEmpty()
+          ? new Selection.NoServer()
+          : new Selection.AllBusy();
     }
     List<Backend> untried = without(able, tried);
     List<Backend> open = new ArrayList<>();
@@ -155,6 +144,29 @@
     return server.silentNanos(nowNanos) > settings.silenceNanos();
   }
 
+  private static List<Backend> serving(DispatchRequest request, List<Backend> servers) {
+    if (request.prompt().isEmpty()) {
+      return servers;
+    }
+    String model = request.prompt().get().model();
+    return servers.stream().filter(server -> server.serves(model)).toList();
+  }
+
+  /** Servers whose weights may be used, those that are too old for now only without others. */
+  private static List<Backend> able(
+      DispatchRequest request, List<Backend> servers, WantedWeights wanted) {
+    List<Backend> serving = serving(request, servers);
+    if (request.prompt().isEmpty() || wanted.usual().isEmpty()) {
+      return serving;
+    }
+    String model = request.prompt().get().model();
+    List<Backend> usual =
+        serving.stream().filter(server -> !wanted.leavesOut(server.weights(model))).toList();
+    return usual.isEmpty()
+        ? serving.stream().filter(server -> !wanted.excludes(server.weights(model))).toList()
+        : usual;
+  }
+
   private Selection lastResort(List<Backend> avoided, long nowNanos) {
     return avoided.stream()
         .min(
--- a/core/src/main/java/org/pollenrock/core/dispatch/WantedWeights.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/WantedWeights.java
@@ -7,12 +7,24 @@
  *
  * @param newest newest named version, which it should run on
  * @param preferred oldest version that is as good as the newest for now
- * @param oldest oldest version that it may still run on
+ * @param usual oldest version that it may run on while there is a server that has it
+ * @param oldest oldest version that it may run on at all
  */
-public record WantedWeights(OptionalLong newest, OptionalLong preferred, OptionalLong oldest) {
+public record WantedWeights(
+    OptionalLong newest, OptionalLong preferred, OptionalLong usual, OptionalLong oldest) {
   /** No version was named. */
-  public static final WantedWeights NONE =
-      new WantedWeights(OptionalLong.empty(), OptionalLong.empty(), OptionalLong.empty());
+  public static final WantedWeights NONE = of(OptionalLong.empty());
+
+  /**
+   * Newest version that nothing is bound to yet.
+   *
+   * @param newest the version, if there is one
+   * @return versions without a bound
+   */
+  public static WantedWeights of(OptionalLong newest) {
+    return new WantedWeights(
+        newest, OptionalLong.empty(), OptionalLong.empty(), OptionalLong.empty());
+  }
 
   /**
    * Tells whether other servers should go before one.
@@ -24,6 +36,16 @@
     return isOlder(weights, preferred);
   }
 
+  /**
+   * Tells whether a server is used only if there is no other.
+   *
+   * @param weights version that it is known to have
+   * @return whether it is too old for now
+   */
+  public boolean leavesOut(OptionalLong weights) {
+    return isOlder(weights, usual);
+  }
+
   /**
    * Tells whether a server must not be used.
    *
--- a/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
+++ b/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
@@ -1,8 +1,8 @@
 package org.pollenrock.core.weights;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import org.pollenrock.core.dispatch.WantedWeights;
@@ -20,10 +20,18 @@
    */
   private static final long PREFERRED_NANOS = 1_200_000_000L;
 
-  private record Named(long version, long preferredFromNanos, long bindingFromNanos) {}
+  /**
+   * Part of the time until old weights are forbidden after which they are used only where no server
+   * has newer ones, since a request may wait at a server before it runs.
+   */
+  private static final double LEFT_OUT_SHARE = 0.7;
+
+  private record Named(
+      long version, long preferredFromNanos, long leftOutFromNanos, long bindingFromNanos) {}
 
   private final long bindingNanos;
-  private final Map<String, Deque<Named>> versions = new HashMap<>();
+  private boolean away;
+  private final Map<String, List<Named>> versions = new HashMap<>();
 
   /**
    * Creates targets without a version.
@@ -44,35 +52,72 @@
    * @return whether it is newer than the one known
    */
   public boolean named(String model, long version, boolean seen, long nowNanos) {
-    Deque<Named> known = versions.computeIfAbsent(model, added -> new ArrayDeque<>());
+    List<Named> known = versions.computeIfAbsent(model, added -> new ArrayList<>());
     if (!known.isEmpty() && known.getLast().version() >= version) {
       return false;
     }
     known.addLast(
         seen
-            ? new Named(version, nowNanos + PREFERRED_NANOS, nowNanos + bindingNanos)
-            : new Named(version, nowNanos, nowNanos));
+            ? new Named(
+                version, nowNanos + PREFERRED_NANOS, leftOutFrom(nowNanos), nowNanos + bindingNanos)
+            : new Named(version, nowNanos, nowNanos, nowNanos));
     return true;
   }
 
+  /**
+   * The log on which versions are named and orders are claimed can't be read, so that engines may
+   * have to go on with old weights.
+   */
+  public void logLost() {
+    away = true;
+  }
+
+  /**
+   * The log can be read again; versions bind anew from now on.
+   *
+   * @param nowNanos current time
+   */
+  public void logRegained(long nowNanos) {
+    away = false;
+    versions
+        .values()
+        .forEach(
+            known ->
+                known.replaceAll(
+                    named ->
+                        new Named(
+                            named.version(),
+                            named.preferredFromNanos(),
+                            leftOutFrom(nowNanos),
+                            nowNanos + bindingNanos)));
+  }
+
   /**
    * Versions that a request may run on.
    *
    * @param model the model
    * @param nowNanos current time
-   * @return the newest version, and the oldest that is preferred or may be used
+   * @return the newest version, and the oldest that are as good, usual, or allowed at all
    */
   public WantedWeights wanted(String model, long nowNanos) {
-    Deque<Named> known = versions.get(model);
+    List<Named> known = versions.get(model);
     if (known == null) {
       return WantedWeights.NONE;
     }
-    OptionalLong oldest = OptionalLong.empty();
+    OptionalLong newest = OptionalLong.of(known.getLast().version());
+    if (away) {
+      return WantedWeights.of(newest);
+    }
     OptionalLong preferred = OptionalLong.empty();
+    OptionalLong usual = OptionalLong.empty();
+    OptionalLong oldest = OptionalLong.empty();
     for (Named named : known) {
       if (nowNanos - named.preferredFromNanos() >= 0) {
         preferred = OptionalLong.of(named.version());
       }
+      if (nowNanos - named.leftOutFromNanos() >= 0) {
+        usual = OptionalLong.of(named.version());
+      }
       if (nowNanos - named.bindingFromNanos() >= 0) {
         oldest = OptionalLong.of(named.version());
       }
@@ -80,7 +125,7 @@
     while (oldest.isPresent() && known.getFirst().version() < oldest.getAsLong()) {
       known.removeFirst();
     }
-    return new WantedWeights(OptionalLong.of(known.getLast().version()), preferred, oldest);
+    return new WantedWeights(newest, preferred, usual, oldest);
   }
 
   /**
@@ -90,7 +135,7 @@
    * @return the version, if one was named
    */
   public OptionalLong version(String model) {
-    Deque<Named> known = versions.get(model);
+    List<Named> known = versions.get(model);
     return known == null ? OptionalLong.empty() : OptionalLong.of(known.getLast().version());
   }
 
@@ -104,4 +149,8 @@
     versions.forEach((model, known) -> newest.put(model, known.getLast().version()));
     return newest;
   }
+
+  private long leftOutFrom(long nowNanos) {
+    return nowNanos + (long) (bindingNanos * LEFT_OUT_SHARE);
+  }
 }
--- a/core/src/test/java/org/pollenrock/core/dispatch/ServerSelectorTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/ServerSelectorTest.java
@@ -33,7 +33,7 @@
   }
 
   private static WantedWeights wanted(OptionalLong preferred, OptionalLong oldest) {
-    return new WantedWeights(OptionalLong.of(2), preferred, oldest);
+    return new WantedWeights(OptionalLong.of(2), preferred, oldest, oldest);
   }
 
   private static DispatchRequest ask(String subject, int shared) {
@@ -119,6 +119,18 @@
         .isInstanceOf(Selection.AllBusy.class);
   }
 
+  @Test
+  void oldWeightsThatAreLeftOutAreUsedWhileNoServerHasNewerOnes() {
+    WantedWeights leftOut =
+        new WantedWeights(
+            OptionalLong.of(2), OptionalLong.of(2), OptionalLong.of(2), OptionalLong.empty());
+    assertThat(choose(ask("s", 100), engines(1, 1), leftOut, 0)).isNotNull();
+    List<Backend> mixed = engines(1, 1, 2);
+    for (int i = 0; i < 50; i++) {
+      assertThat(choose(ask("s" + i, 100), mixed, leftOut, 0).backend()).isSameAs(mixed.get(2));
+    }
+  }
+
   /** Load pattern: new weights are named under load, and one engine of four has them already. */
   @Test
   void firstEngineWithNewWeightsIsNotFlooded() {
--- a/core/src/test/java/org/pollenrock/core/weights/WeightsRolloutTest.java
+++ b/core/src/test/java/org/pollenrock/core/weights/WeightsRolloutTest.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.pollenrock.core.dispatch.WantedWeights;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.ListedBackend;
 
@@ -169,6 +170,20 @@
     assertThat(targets.wanted(MODEL, 9_400 * MILLI).newest()).hasValue(4);
   }
 
+  /** While the log is away nobody can give orders, and engines with old weights must serve on. */
+  @Test
+  void nothingBindsWhileTheLogIsAway() {
+    WeightsTargets targets = new WeightsTargets(4_500 * MILLI);
+    targets.named(MODEL, 2, true, 0);
+    targets.logLost();
+    assertThat(targets.wanted(MODEL, 9_000 * MILLI))
+        .isEqualTo(WantedWeights.of(OptionalLong.of(2)));
+    targets.logRegained(9_000 * MILLI);
+    assertThat(targets.wanted(MODEL, 13_000 * MILLI).oldest()).isEmpty();
+    assertThat(targets.wanted(MODEL, 13_000 * MILLI).usual()).hasValue(2);
+    assertThat(targets.wanted(MODEL, 13_501 * MILLI).oldest()).hasValue(2);
+  }
+
   /** Versions in quick succession must not starve the engines that are furthest behind. */
   @Test
   void enginesWithTheOldestWeightsGoFirst() {
