--- /dev/null
+++ b/gateway/src/test/java/org/pollenrock/gateway/EventSplitterTest.java
@@ -0,0 +1,93 @@
+package org.pollenrock.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Guards against torn, repeated and lost events of a stream. */
+class EventSplitterTest {
+  private static String push(EventSplitter splitter, String text) {
+    ByteBuf bytes = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+    String out = splitter.push(bytes).map(EventSplitterTest::text).orElse("");
+    bytes.release();
+    return out;
+  }
+
+  private static String text(ByteBuf bytes) {
+    String text = bytes.toString(StandardCharsets.UTF_8);
+    bytes.release();
+    return text;
+  }
+
+  private static EventSplitter splitter(OptionalLong last) {
+    return new EventSplitter(ByteBufAllocator.DEFAULT, last);
+  }
+
+  @Test
+  void passesOnWholeEventsOnly() {
+    EventSplitter splitter = splitter(OptionalLong.empty());
+    assertThat(push(splitter, "id: 1\ndata: a\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n");
+    assertThat(splitter.midEvent()).isTrue();
+    assertThat(splitter.lastEvent()).hasValue(1);
+    assertThat(push(splitter, "ta: b\r\n\r\n")).isEqualTo("id: 2\ndata: b\r\n\r\n");
+    assertThat(splitter.midEvent()).isFalse();
+    assertThat(splitter.lastEvent()).hasValue(2);
+  }
+
+  @Test
+  void dropsWhatWasPassedOnBeforeAndForgetsATornEvent() {
+    EventSplitter splitter = splitter(OptionalLong.of(4));
+    assertThat(push(splitter, "id: 4\ndata: old\n\nid: 5\ndata: new\n\nid: 6\nd"))
+        .isEqualTo("id: 5\ndata: new\n\n");
+    splitter.restart();
+    assertThat(push(splitter, "id: 5\ndata: new\n\nid: 6\ndata: x\n\n"))
+        .isEqualTo("id: 6\ndata: x\n\n");
+    assertThat(splitter.events()).isEqualTo(2);
+  }
+
+  @Test
+  void eventWithoutANumberIsPassedOn() {
+    EventSplitter splitter = splitter(OptionalLong.empty());
+    assertThat(push(splitter, "weight-versions: 3\ndata: a\n\nid: x\ndata: b\n\n"))
+        .isEqualTo("weight-versions: 3\ndata: a\n\nid: x\ndata: b\n\n");
+    assertThat(splitter.lastEvent()).isEmpty();
+  }
+
+  @Property(tries = 300, seed = "5")
+  void anyCutOfTheBytesGivesTheSameStream(@ForAll long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    StringBuilder stream = new StringBuilder();
+    int events = random.nextInt(1, 20);
+    for (int i = 1; i <= events; i++) {
+      stream.append("id: ").append(i).append("\ndata: ").append("é".repeat(random.nextInt(9)));
+      stream.append("\n\n");
+    }
+    byte[] bytes = stream.toString().getBytes(StandardCharsets.UTF_8);
+    EventSplitter splitter = splitter(OptionalLong.empty());
+    ByteBuf out = Unpooled.buffer();
+    for (int at = 0; at < bytes.length; ) {
+      int length = Math.min(bytes.length - at, random.nextInt(1, 12));
+      ByteBuf part = Unpooled.copiedBuffer(bytes, at, length);
+      splitter
+          .push(part)
+          .ifPresent(
+              whole -> {
+                out.writeBytes(whole);
+                whole.release();
+              });
+      part.release();
+      at += length;
+    }
+    assertThat(text(out)).isEqualTo(stream.toString());
+    assertThat(splitter.lastEvent()).hasValue(events);
+    assertThat(splitter.midEvent()).isFalse();
+  }
+}
