--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatch.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatch.java
@@ -45,6 +45,8 @@
     SERVERS_REFUSED,
     /** No configuration is known yet. */
     NO_CONFIGURATION,
+    /** This instance stops and takes no more requests. */
+    STOPPING,
     /** Too many bytes of request bodies are held. */
     MEMORY
   }
--- a/core/src/main/java/org/pollenrock/core/fleet/Backend.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Backend.java
@@ -21,6 +21,9 @@
   /** Time for which an engine that loads weights gets no request, unless it is done sooner. */
   private static final long LOADING_PAUSE_NANOS = 450_000_000L;
 
+  /** Time that a slow engine takes to read a token of a prompt. */
+  private static final long READING_NANOS_PER_TOKEN = 20_000L;
+
   /** Pause after the first failed connect; doubles with each further one. */
   private static final long CONNECT_PAUSE_NANOS = 250_000_000L;
 
@@ -180,6 +183,8 @@
    */
   public void loading(long nowNanos) {
     loadingUntilNanos = nowNanos + LOADING_PAUSE_NANOS;
+    // An engine that loads answers nobody; that is no sign of a fault.
+    heardNanos = Math.max(heardNanos, loadingUntilNanos);
   }
 
   /**
@@ -239,7 +244,8 @@
   }
 
   /**
-   * Time for which the server has been silent although an answer is due.
+   * Time for which the server has been silent although an answer is due. The time that it takes to
+   * read the prompts that it was sent does not count.
    *
    * @param nowNanos current time
    * @return the time in nanoseconds; 0 when nothing is due
@@ -248,7 +254,8 @@
     if (inFlight == 0) {
       return 0;
     }
-    return Math.max(0, nowNanos - Math.max(heardNanos, waitingSinceNanos));
+    long since = Math.max(heardNanos, waitingSinceNanos);
+    return Math.max(0, nowNanos - since - unreadTokens * READING_NANOS_PER_TOKEN);
   }
 
   /**
--- a/core/src/test/java/org/pollenrock/core/fleet/BackendTest.java
+++ b/core/src/test/java/org/pollenrock/core/fleet/BackendTest.java
@@ -48,6 +48,18 @@
     assertThat(backend.silentNanos(2_000 * MILLI)).isZero();
   }
 
+  /** A long prompt and a load of weights look like silence, but are none. */
+  @Test
+  void readingAndLoadingAreNoSilence() {
+    backend.started(50_000, 0);
+    assertThat(backend.silentNanos(1_000 * MILLI)).isZero();
+    assertThat(backend.silentNanos(1_500 * MILLI)).isEqualTo(500 * MILLI);
+    backend.answering(50_000);
+    backend.loading(1_500 * MILLI);
+    assertThat(backend.silentNanos(1_900 * MILLI)).isZero();
+    assertThat(backend.silentNanos(2_050 * MILLI)).isEqualTo(100 * MILLI);
+  }
+
   @Test
   void pausesAfterFailedConnectsGrowAndEndWithTheNextAnswer() {
     backend.unreachable(0);
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -87,6 +87,10 @@
 
   /** Routes the request and sends it, lets it wait, or answers it. */
   void run() {
+    if (scope.stopping().getAsBoolean()) {
+      refuse(Dispatch.Cause.STOPPING);
+      return;
+    }
     Optional<RoutingConfig> config = scope.configs().current();
     if (config.isEmpty()) {
       refuse(Dispatch.Cause.NO_CONFIGURATION);
--- a/gateway/src/main/java/org/pollenrock/gateway/ExchangeScope.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ExchangeScope.java
@@ -1,6 +1,7 @@
 package org.pollenrock.gateway;
 
 import io.netty.channel.EventLoop;
+import java.util.function.BooleanSupplier;
 import org.pollenrock.core.dispatch.Dispatcher;
 import org.pollenrock.core.dispatch.ServerSelector;
 import org.pollenrock.core.fleet.Fleet;
@@ -22,6 +23,7 @@
  * @param memory bytes held for exchanges
  * @param waitingRoom exchanges that wait for a server
  * @param news news to other instances
+ * @param stopping whether no more requests are taken
  */
 record ExchangeScope(
     EventLoop loop,
@@ -36,4 +38,5 @@
     GatewayMetrics metrics,
     HeldMemory memory,
     WaitingRoom waitingRoom,
-    PeerNews news) {}
+    PeerNews news,
+    BooleanSupplier stopping) {}
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -46,6 +46,7 @@
   private final List<Runnable> watchers = new ArrayList<>();
   private int sweeps;
   private boolean draining;
+  private boolean refusing;
 
   /**
    * Creates a gateway.
@@ -86,7 +87,8 @@
             metrics,
             memory,
             waitingRoom,
-            news);
+            news,
+            () -> refusing);
     callers =
         new CallerListener(
             loop,
@@ -127,8 +129,12 @@
     callers.drain();
   }
 
-  /** Closes connections on which nothing is under way. */
-  public void closeIdle() {
+  /**
+   * Closes connections on which nothing is under way, and from now on refuses requests: those that
+   * still arrive might not be finished in time.
+   */
+  public void refuse() {
+    refusing = true;
     callers.closeIdle();
   }
 
