--- a/ctl/src/main/java/org/pollenrock/ctl/Pollenrockctl.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/Pollenrockctl.java
@@ -11,6 +11,7 @@
 import org.pollenrock.ctl.command.PublishCommand;
 import org.pollenrock.ctl.command.ShowCommand;
 import org.pollenrock.ctl.command.StateCommand;
+import org.pollenrock.ctl.command.TraceCommand;
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -38,6 +39,7 @@
       PublishCommand.class,
       HistoryCommand.class,
       StateCommand.class,
+      TraceCommand.class,
       ExplainCommand.class,
       LoadCommand.class,
       AutoComplete.GenerateCompletion.class,
