--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/dispatch/CacheUse.java
@@ -0,0 +1,27 @@
+package org.pollenrock.core.dispatch;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * What an engine is told of a prompt's cache.
+ *
+ * @param text text under which cached parts are found; differs between versions of the weights and
+ *     between customers that share nothing
+ * @param weights version of the weights that it must have; empty when it is not known
+ * @param fetchFrom address from which to fetch what it lacks of the prompt's beginning
+ * @param saveTo address to which to save the prompt
+ */
+public record CacheUse(
+    String text, OptionalLong weights, Optional<String> fetchFrom, Optional<String> saveTo) {
+  /**
+   * Text under which parts are cached.
+   *
+   * @param scope customers that share them
+   * @param weights version of the weights; 0 when it is not known
+   * @return the text
+   */
+  public static String text(String scope, long weights) {
+    return scope + "@" + weights;
+  }
+}
--- a/core/src/main/java/org/pollenrock/core/dispatch/PrefixDirectory.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/PrefixDirectory.java
@@ -16,9 +16,6 @@
   /** Servers that are remembered of one beginning, the latest first. */
   private static final int MAX_HOLDERS = 4;
 
-  /** Time for which a server is taken to keep a beginning that it read. */
-  private static final long KEPT_NANOS = 8_000_000_000L;
-
   /** Age at which the knowledge of a read is told to other instances again. */
   private static final long RETELL_NANOS = 3_000_000_000L;
 
@@ -105,16 +102,19 @@
    * Servers that are taken to keep a beginning.
    *
    * @param key hash of the beginning
+   * @param maxAgeNanos age of a read up to which the server is taken to keep it
    * @param nowNanos current time
    * @return the servers
    */
-  public List<Backend> holders(long key, long nowNanos) {
+  public List<Backend> holders(long key, long maxAgeNanos, long nowNanos) {
     Deque<Holder> known = holders.get(key);
     if (known == null) {
       return List.of();
     }
-    known.removeIf(holder -> nowNanos - holder.readNanos > KEPT_NANOS);
-    return known.stream().map(holder -> holder.backend).toList();
+    return known.stream()
+        .filter(holder -> nowNanos - holder.readNanos <= maxAgeNanos)
+        .map(holder -> holder.backend)
+        .toList();
   }
 
   private Holder holder(long key, Backend backend, long nowNanos) {
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/dispatch/PrefixStore.java
@@ -0,0 +1,174 @@
+package org.pollenrock.core.dispatch;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.pollenrock.core.placement.RendezvousHash;
+
+/**
+ * Store that keeps beginnings of prompts for all engines, and what it is known to keep.
+ *
+ * <p>Only long beginnings are worth the bytes. The store drops what was used least lately and loses
+ * everything at a restart; a beginning that it lacks costs an engine nothing but reading it.
+ */
+public final class PrefixStore {
+  /** Shortest beginning that is saved, in tokens; shorter ones are read about as fast. */
+  private static final int MIN_TOKENS = 1_500;
+
+  /** Shortest part of a prompt that its beginning must be, since the rest is saved with it. */
+  private static final double MIN_SHARE = 0.25;
+
+  /** Time for which a save is taken to be under way. */
+  private static final long SAVING_NANOS = 3_000_000_000L;
+
+  /** Beginnings that are remembered; the one known for the longest time yields. */
+  private static final int MAX_BEGINNINGS = 16_384;
+
+  private final Map<Long, Boolean> kept = bounded();
+  private final Map<Long, Long> saving = bounded();
+  private Optional<String> address = Optional.empty();
+  private boolean reachable;
+
+  /** Creates knowledge of no store. */
+  public PrefixStore() {}
+
+  /**
+   * Sets the store's address.
+   *
+   * @param newAddress host and port; empty when there is no store
+   */
+  public void address(Optional<String> newAddress) {
+    if (!address.equals(newAddress)) {
+      address = newAddress;
+      reachable = false;
+      clear();
+    }
+  }
+
+  /**
+   * Address of the store.
+   *
+   * @return host and port, if there is a store
+   */
+  public Optional<String> address() {
+    return address;
+  }
+
+  /**
+   * The store answers, or does not.
+   *
+   * @param answers whether it does
+   */
+  public void reachable(boolean answers) {
+    reachable = answers;
+  }
+
+  /**
+   * Tells whether the store answers.
+   *
+   * @return whether it does
+   */
+  public boolean reachable() {
+    return address.isPresent() && reachable;
+  }
+
+  /** The store lost everything. */
+  public void clear() {
+    kept.clear();
+    saving.clear();
+  }
+
+  /**
+   * Hash of a beginning in the store.
+   *
+   * @param cacheText text under which engines cache it
+   * @param lastPart identity of its last part
+   * @return the hash
+   */
+  public static long key(String cacheText, String lastPart) {
+    return RendezvousHash.mix(RendezvousHash.seed(cacheText) ^ RendezvousHash.seed(lastPart));
+  }
+
+  /**
+   * The store keeps a beginning.
+   *
+   * @param key hash of the beginning
+   */
+  public void keeps(long key) {
+    kept.put(key, true);
+    saving.remove(key);
+  }
+
+  /**
+   * The store dropped a beginning.
+   *
+   * @param key hash of the beginning
+   */
+  public void dropped(long key) {
+    kept.remove(key);
+  }
+
+  /**
+   * Where an engine can fetch the beginning of a prompt.
+   *
+   * @param prompt the prompt
+   * @param cacheText text under which it is cached
+   * @return address of the store, if it is known to keep the beginning
+   */
+  public Optional<String> source(Prompt prompt, String cacheText) {
+    if (!reachable() || !worthSaving(prompt)) {
+      return Optional.empty();
+    }
+    return kept.containsKey(key(prompt, cacheText)) ? address : Optional.empty();
+  }
+
+  /**
+   * Where an engine should save the prompt once it has read it.
+   *
+   * @param prompt the prompt
+   * @param cacheText text under which it is cached
+   * @param nowNanos current time
+   * @return address of the store, if it lacks the beginning and nobody is known to save it
+   */
+  public Optional<String> trySave(Prompt prompt, String cacheText, long nowNanos) {
+    if (!reachable() || !worthSaving(prompt)) {
+      return Optional.empty();
+    }
+    long key = key(prompt, cacheText);
+    Long since = saving.get(key);
+    if (kept.containsKey(key) || since != null && nowNanos - since < SAVING_NANOS) {
+      return Optional.empty();
+    }
+    saving.put(key, nowNanos);
+    return address;
+  }
+
+  private static boolean worthSaving(Prompt prompt) {
+    int shared = prompt.sharedTokens();
+    return shared >= MIN_TOKENS && shared >= MIN_SHARE * prompt.tokens();
+  }
+
+  /**
+   * Hash of a prompt's shared beginning in the store.
+   *
+   * @param prompt a prompt with a shared beginning
+   * @param cacheText text under which engines cache it
+   * @return the hash
+   */
+  public static long key(Prompt prompt, String cacheText) {
+    List<PromptPart> parts = prompt.parts();
+    return key(cacheText, parts.get(parts.size() - 2).id());
+  }
+
+  private static <V> Map<Long, V> bounded() {
+    return new LinkedHashMap<>() {
+      private static final long serialVersionUID = 1L;
+
+      @Override
+      protected boolean removeEldestEntry(Map.Entry<Long, V> eldest) {
+        return size() > MAX_BEGINNINGS;
+      }
+    };
+  }
+}
--- a/core/src/main/java/org/pollenrock/core/dispatch/Selection.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Selection.java
@@ -10,11 +10,11 @@
    *
    * @param backend the server
    * @param reason why this one
-   * @param source server from which it should fetch what it lacks of the prompt's beginning
+   * @param cache what it is told of the prompt's cache; empty for a plain request
    */
-  record Chosen(Backend backend, Reason reason, Optional<Backend> source) implements Selection {
+  record Chosen(Backend backend, Reason reason, Optional<CacheUse> cache) implements Selection {
     /**
-     * A choice without a server to fetch from.
+     * A choice for a plain request.
      *
      * @param backend the server
      * @param reason why this one
--- a/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
@@ -32,8 +32,12 @@
   /** Mean length of a prompt before any was seen, in tokens. */
   private static final double FIRST_MEAN_TOKENS = 4_000;
 
+  /** Time for which a server under load is taken to keep a beginning that it read. */
+  private static final long KEPT_NANOS = 5_000_000_000L;
+
   private final SelectorSettings settings;
   private final PrefixDirectory directory;
+  private final PrefixStore store;
   private double meanTokens = FIRST_MEAN_TOKENS;
 
   /**
@@ -41,10 +45,12 @@
    *
    * @param settings its bounds
    * @param directory where beginnings of prompts were read
+   * @param store store of beginnings
    */
-  public ServerSelector(SelectorSettings settings, PrefixDirectory directory) {
+  public ServerSelector(SelectorSettings settings, PrefixDirectory directory, PrefixStore store) {
     this.settings = settings;
     this.directory = directory;
+    this.store = store;
   }
 
   /**
@@ -110,12 +116,12 @@
     if (request.repeatable()) {
       for (Backend server : avoided) {
         if (!open.isEmpty() && server.tryProbe(settings.probeNanos(), nowNanos)) {
-          return new Selection.Chosen(server, Selection.Reason.PROBE);
+          return chosen(request, server, Selection.Reason.PROBE);
         }
       }
     }
     if (open.isEmpty()) {
-      return lastResort(avoided, nowNanos);
+      return lastResort(request, avoided, nowNanos);
     }
     return request.prompt().isPresent()
         ? byPrompt(request, open, wanted, nowNanos)
@@ -167,12 +173,29 @@
         : usual;
   }
 
-  private Selection lastResort(List<Backend> avoided, long nowNanos) {
+  /** An avoided server; it is told of the cache, but fetches and saves nothing. */
+  private static Selection chosen(
+      DispatchRequest request, Backend server, Selection.Reason reason) {
+    return new Selection.Chosen(
+        server,
+        reason,
+        request
+            .prompt()
+            .map(
+                prompt -> {
+                  OptionalLong weights = server.weights(prompt.model());
+                  String text = CacheUse.text(request.cacheScope(), weights.orElse(0));
+                  return new CacheUse(text, weights, Optional.empty(), Optional.empty());
+                }));
+  }
+
+  private static Selection lastResort(
+      DispatchRequest request, List<Backend> avoided, long nowNanos) {
     return avoided.stream()
         .min(
             Comparator.comparingLong((Backend server) -> server.silentNanos(nowNanos))
                 .thenComparingDouble(server -> server.failureRate(nowNanos)))
-        .<Selection>map(server -> new Selection.Chosen(server, Selection.Reason.LAST_RESORT))
+        .map(server -> chosen(request, server, Selection.Reason.LAST_RESORT))
         .orElseGet(Selection.AllBusy::new);
   }
 
@@ -199,7 +222,24 @@
     return new Selection.Chosen(
         best,
         keeps || best == home ? Selection.Reason.HOME : Selection.Reason.SPILL,
-        keeps ? Optional.empty() : source(prompt, best, kept, open));
+        Optional.of(cacheUse(request, best, kept, open, nowNanos)));
+  }
+
+  private CacheUse cacheUse(
+      DispatchRequest request, Backend target, KeptTokens kept, List<Backend> open, long nowNanos) {
+    Prompt prompt = request.prompt().orElseThrow();
+    OptionalLong weights = target.weights(prompt.model());
+    String text = CacheUse.text(request.cacheScope(), weights.orElse(0));
+    if (weights.isEmpty() || prompt.sharedTokens() == 0) {
+      return new CacheUse(text, weights, Optional.empty(), Optional.empty());
+    }
+    Optional<String> fetchFrom =
+        kept.at(target) == prompt.sharedTokens()
+            ? Optional.empty()
+            : source(prompt, target, kept, open)
+                .or(() -> store.source(prompt, text))
+                .or(() -> guess(prompt, target, open));
+    return new CacheUse(text, weights, fetchFrom, store.trySave(prompt, text, nowNanos));
   }
 
   private double promptCost(Prompt prompt, Backend server, int keeps, long nowNanos) {
@@ -210,25 +250,32 @@
     return unread + batch + fetch + (local ? 0 : settings.remoteTokens());
   }
 
-  /** Server with the same weights that is likely to keep most of the beginning of a prompt. */
-  private static Optional<Backend> source(
+  /** Address of the server with the same weights that keeps most of the beginning of a prompt. */
+  private static Optional<String> source(
       Prompt prompt, Backend target, KeptTokens kept, List<Backend> open) {
-    OptionalLong weights = target.weights(prompt.model());
-    if (weights.isEmpty() || prompt.sharedTokens() == 0) {
-      return Optional.empty();
-    }
-    List<Backend> sources =
-        open.stream()
-            .filter(server -> server != target)
-            .filter(server -> server.weights(prompt.model()).equals(weights))
-            .toList();
-    Backend source = first(sources, null, prompt.affinity());
-    for (Backend server : sources) {
-      if (kept.at(server) > kept.at(target) && kept.at(server) > kept.at(source)) {
+    Backend source = null;
+    int most = kept.at(target);
+    for (Backend server : open) {
+      if (kept.at(server) > most && sameWeights(prompt, server, target)) {
         source = server;
+        most = kept.at(server);
       }
     }
-    return Optional.ofNullable(source);
+    return Optional.ofNullable(source).map(from -> from.entry().address());
+  }
+
+  /** Address of the server where other instances are most likely to have had the prompt read. */
+  private static Optional<String> guess(Prompt prompt, Backend target, List<Backend> open) {
+    List<Backend> others =
+        open.stream()
+            .filter(server -> server != target && sameWeights(prompt, server, target))
+            .toList();
+    return Optional.ofNullable(first(others, null, prompt.affinity()))
+        .map(from -> from.entry().address());
+  }
+
+  private static boolean sameWeights(Prompt prompt, Backend server, Backend other) {
+    return server.weights(prompt.model()).equals(other.weights(prompt.model()));
   }
 
   /** Tokens of a prompt's beginning that servers are known to keep. */
@@ -242,7 +289,7 @@
     for (Beginning beginning : prompt.beginnings()) {
       for (long version : versions) {
         long key = PrefixDirectory.key(beginning.hash(), request.cacheScope(), version);
-        for (Backend holder : directory.holders(key, nowNanos)) {
+        for (Backend holder : directory.holders(key, KEPT_NANOS, nowNanos)) {
           if (holder.weights(prompt.model()).orElse(-1) == version) {
             kept.keeps(holder, beginning.tokens());
           }
--- a/core/src/main/java/org/pollenrock/core/route/RoutingConfig.java
+++ b/core/src/main/java/org/pollenrock/core/route/RoutingConfig.java
@@ -12,6 +12,7 @@
  * @param customers customers by API key
  * @param authenticated whether requests need an API key unless their route is anonymous
  * @param bounds bounds on callers
+ * @param prefixStore address of the store of prompts' beginnings, if there is one
  */
 public record RoutingConfig(
     long version,
@@ -19,7 +20,8 @@
     Map<String, ServiceSpec> services,
     Map<String, CustomerAccess> customers,
     boolean authenticated,
-    CallerBounds bounds) {
+    CallerBounds bounds,
+    Optional<String> prefixStore) {
   /** Copies the maps. */
   public RoutingConfig {
     services = Map.copyOf(services);
--- a/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
@@ -17,7 +17,8 @@
   private final Dispatcher dispatcher =
       new Dispatcher(
           fleet,
-          new ServerSelector(SelectorSettings.defaults("near"), new PrefixDirectory()),
+          new ServerSelector(
+              SelectorSettings.defaults("near"), new PrefixDirectory(), new PrefixStore()),
           new WeightsTargets(0),
           new RetryAllowanceSettings(0.2, 10, 10 * Fixtures.SECOND),
           -20 * Fixtures.SECOND);
--- a/core/src/test/java/org/pollenrock/core/dispatch/Fixtures.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/Fixtures.java
@@ -15,7 +15,15 @@
 
   static ListedBackend engine(String id, String dataCentre, long weights) {
     return new ListedBackend(
-        id, 1, "llm", "10.0.0.1", 8000, dataCentre, 32, true, Map.of(MODEL, weights));
+        id,
+        1,
+        "llm",
+        "10.0.0." + Math.floorMod(id.hashCode(), 250),
+        8000,
+        dataCentre,
+        32,
+        true,
+        Map.of(MODEL, weights));
   }
 
   static ListedBackend plain(String id, String dataCentre, int slots) {
--- a/core/src/test/java/org/pollenrock/core/dispatch/ServerSelectorTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/ServerSelectorTest.java
@@ -14,8 +14,9 @@
 
 /** Guards against lost caches, overloaded homes, and work for servers that can't serve it. */
 class ServerSelectorTest {
+  private final PrefixStore store = new PrefixStore();
   private final ServerSelector selector =
-      new ServerSelector(SelectorSettings.defaults("near"), new PrefixDirectory());
+      new ServerSelector(SelectorSettings.defaults("near"), new PrefixDirectory(), store);
 
   private static List<Backend> engines(long... weights) {
     List<Backend> servers = new ArrayList<>();
@@ -43,7 +44,8 @@
   @Test
   void instancesAgreeOnTheHomeOfABeginningWithoutTalking() {
     ServerSelector other =
-        new ServerSelector(SelectorSettings.defaults("near"), new PrefixDirectory());
+        new ServerSelector(
+            SelectorSettings.defaults("near"), new PrefixDirectory(), new PrefixStore());
     List<Backend> servers = engines(1, 1, 1, 1, 1, 1, 1, 1);
     for (int i = 0; i < 50; i++) {
       DispatchRequest request = ask("dossier-" + i, 5000);
@@ -78,7 +80,7 @@
     Selection.Chosen spilled = choose(request, servers, WantedWeights.NONE, 1);
     assertThat(spilled.backend()).isNotSameAs(home);
     assertThat(spilled.reason()).isEqualTo(Selection.Reason.SPILL);
-    assertThat(spilled.source()).containsSame(home);
+    assertThat(spilled.cache().orElseThrow().fetchFrom()).contains(home.entry().address());
   }
 
   @Test
@@ -87,7 +89,8 @@
     DispatchRequest request = ask("s", 5000);
     Backend home = choose(request, servers, WantedWeights.NONE, 0).backend();
     selector.promptRead(request, home, 0);
-    assertThat(choose(request, servers, WantedWeights.NONE, 1).source()).isEmpty();
+    assertThat(choose(request, servers, WantedWeights.NONE, 1).cache().orElseThrow().fetchFrom())
+        .isEmpty();
   }
 
   @Test
@@ -98,15 +101,48 @@
       DispatchRequest request = ask("s" + i, 5000);
       selector.promptRead(request, servers.get(0), 0);
       Selection.Chosen chosen = choose(request, servers, wanted, 1);
-      chosen
-          .source()
-          .ifPresent(
-              source ->
-                  assertThat(source.weights(Fixtures.MODEL))
-                      .isEqualTo(chosen.backend().weights(Fixtures.MODEL)));
+      CacheUse cache = chosen.cache().orElseThrow();
+      assertThat(cache.weights()).isEqualTo(chosen.backend().weights(Fixtures.MODEL));
+      assertThat(cache.text()).isEqualTo("shared@" + cache.weights().getAsLong());
+      assertThat(cache.fetchFrom()).isNotEqualTo(Optional.of(servers.get(0).entry().address()));
     }
   }
 
+  /** Load pattern: engines under load drop a long beginning before it is asked for again. */
+  @Test
+  void longBeginningIsSavedOnceAndFetchedFromTheStoreLater() {
+    List<Backend> servers = engines(1, 1, 1);
+    store.address(Optional.of("10.9.9.9:80"));
+    store.reachable(true);
+    DispatchRequest request = ask("dossier", 5000);
+    CacheUse first = choose(request, servers, WantedWeights.NONE, 0).cache().orElseThrow();
+    assertThat(first.saveTo()).contains("10.9.9.9:80");
+    CacheUse second = choose(request, servers, WantedWeights.NONE, 1).cache().orElseThrow();
+    assertThat(second.saveTo()).isEmpty();
+    store.keeps(PrefixStore.key(request.prompt().orElseThrow(), first.text()));
+    long later = 20 * Fixtures.SECOND;
+    CacheUse third = choose(request, servers, WantedWeights.NONE, later).cache().orElseThrow();
+    assertThat(third.fetchFrom()).contains("10.9.9.9:80");
+    assertThat(third.saveTo()).isEmpty();
+    store.reachable(false);
+    CacheUse fourth = choose(request, servers, WantedWeights.NONE, later).cache().orElseThrow();
+    assertThat(fourth.fetchFrom()).isNotEqualTo(Optional.of("10.9.9.9:80"));
+    assertThat(fourth.saveTo()).isEmpty();
+  }
+
+  @Test
+  void nothingIsFetchedOrSavedWhileTheWeightsAreUnknown() {
+    List<Backend> servers = engines(1, 1);
+    store.address(Optional.of("10.9.9.9:80"));
+    store.reachable(true);
+    servers.forEach(server -> server.weightsUnknown(Fixtures.MODEL));
+    CacheUse cache =
+        choose(ask("dossier", 5000), servers, WantedWeights.NONE, 0).cache().orElseThrow();
+    assertThat(cache.weights()).isEmpty();
+    assertThat(cache.fetchFrom()).isEmpty();
+    assertThat(cache.saveTo()).isEmpty();
+  }
+
   @Test
   void newWeightsArePreferredAndOldOnesExcludedOnceTheyBind() {
     List<Backend> servers = engines(1, 1, 1, 2);
--- a/core/src/test/java/org/pollenrock/core/route/RoutingConfigTest.java
+++ b/core/src/test/java/org/pollenrock/core/route/RoutingConfigTest.java
@@ -35,7 +35,8 @@
         Map.of(),
         Map.of("key", OWNER),
         true,
-        CallerBounds.DEFAULT);
+        CallerBounds.DEFAULT,
+        Optional.empty());
   }
 
   @Test
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.pollenrock.core.dispatch.AdmissionRule;
+import org.pollenrock.core.dispatch.CacheUse;
 import org.pollenrock.core.dispatch.Dispatch;
 import org.pollenrock.core.dispatch.DispatchRequest;
 import org.pollenrock.core.dispatch.FailurePolicy;
@@ -287,20 +288,12 @@
             backend.entry().id(),
             Math.max(1, (request.deadlineNanos() - now) / 1_000_000),
             customer,
-            request.prompt().map(prompt -> engineContext(prompt, choice)),
+            chosen.cache().map(cache -> new SendContext.Engine(request.urgency(), cache)),
             relay.started() ? relay.lastEvent() : OptionalLong.empty());
     send = new ServerSend(scope, this, backend, request, route, context);
     send.start(head, body);
   }
 
-  private SendContext.Engine engineContext(Prompt prompt, Selection.Chosen choice) {
-    OptionalLong weights = choice.backend().weights(prompt.model());
-    // Parts that were read under other weights must not be found, wherever they are kept.
-    String scopeText = request.cacheScope() + "@" + weights.orElse(0);
-    return new SendContext.Engine(
-        request.urgency(), scopeText, weights, choice.source().map(from -> from.entry().address()));
-  }
-
   /** Customers whose prompts are isolated have a scope of their own. */
   private String cacheScope() {
     return customer
@@ -478,7 +471,7 @@
   }
 
   private String fetchedFrom() {
-    return choice == null ? null : choice.source().map(from -> from.entry().id()).orElse(null);
+    return choice == null ? null : choice.cache().flatMap(CacheUse::fetchFrom).orElse(null);
   }
 
   private long sharedTokens() {
--- a/gateway/src/main/java/org/pollenrock/gateway/ExchangeScope.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ExchangeScope.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.function.BooleanSupplier;
 import org.pollenrock.core.dispatch.Dispatcher;
+import org.pollenrock.core.dispatch.PrefixStore;
 import org.pollenrock.core.dispatch.ServerSelector;
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.route.ConfigHistory;
@@ -15,6 +16,7 @@
  * @param fleet backend servers
  * @param dispatcher sends requests to servers
  * @param selector tells which servers are avoided
+ * @param store store of prompts' beginnings
  * @param callers reads what callers say
  * @param servers reads and writes what is said to servers
  * @param links connections to servers
@@ -31,6 +33,7 @@
     Fleet fleet,
     Dispatcher dispatcher,
     ServerSelector selector,
+    PrefixStore store,
     CallerProtocol callers,
     ServerProtocol servers,
     ServerLinks links,
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.pollenrock.core.dispatch.Dispatcher;
 import org.pollenrock.core.dispatch.PrefixDirectory;
+import org.pollenrock.core.dispatch.PrefixStore;
 import org.pollenrock.core.dispatch.ServerSelector;
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.route.ConfigHistory;
@@ -33,6 +34,7 @@
   private final ConfigHistory configs = new ConfigHistory();
   private final Fleet fleet = new Fleet();
   private final WeightsTargets targets;
+  private final PrefixStore prefixStore = new PrefixStore();
   private final Dispatcher dispatcher;
   private final ServerLinks links;
   private final WaitingRoom waitingRoom;
@@ -66,9 +68,9 @@
     this.log = log;
     targets = new WeightsTargets(settings.weightsBindingNanos());
     PrefixDirectory directory = new PrefixDirectory();
-    ServerSelector selector = new ServerSelector(settings.selector(), directory);
+    ServerSelector selector = new ServerSelector(settings.selector(), directory, prefixStore);
     dispatcher = new Dispatcher(fleet, selector, targets, settings.allowance(), System.nanoTime());
-    news = new PeerNews(loop, settings.peers(), fleet, directory, log);
+    news = new PeerNews(loop, settings.peers(), fleet, directory, prefixStore, log);
     links = new ServerLinks(loop, metrics);
     waitingRoom = new WaitingRoom(dispatcher);
     memory = new HeldMemory(settings.maxHeldBytes());
@@ -80,6 +82,7 @@
             fleet,
             dispatcher,
             selector,
+            prefixStore,
             callerProtocol,
             serverProtocol,
             links,
@@ -215,6 +218,15 @@
     return targets;
   }
 
+  /**
+   * Store of prompts' beginnings.
+   *
+   * @return what is known of it
+   */
+  public PrefixStore prefixStore() {
+    return prefixStore;
+  }
+
   /**
    * Sends requests to servers.
    *
--- a/gateway/src/main/java/org/pollenrock/gateway/PeerNews.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerNews.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.pollenrock.core.dispatch.PrefixDirectory;
+import org.pollenrock.core.dispatch.PrefixStore;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.protocol.generated.EngineLoading;
@@ -42,6 +43,7 @@
   private final InetSocketAddress address;
   private final Fleet fleet;
   private final PrefixDirectory directory;
+  private final PrefixStore store;
   private final EventLog log;
   private List<InetSocketAddress> peers = List.of();
   private Set<InetAddress> known = Set.of();
@@ -54,11 +56,13 @@
       InetSocketAddress address,
       Fleet fleet,
       PrefixDirectory directory,
+      PrefixStore store,
       EventLog log) {
     this.loop = loop;
     this.address = address;
     this.fleet = fleet;
     this.directory = directory;
+    this.store = store;
     this.log = log;
   }
 
@@ -102,6 +106,12 @@
     schedule();
   }
 
+  /** The store keeps a beginning. */
+  void stored(long key) {
+    pending.addStored(key);
+    schedule();
+  }
+
   /** An engine is about to load weights. */
   void loading(Backend backend) {
     pending.addLoading(EngineLoading.newBuilder().setServer(backend.seed()));
@@ -116,9 +126,10 @@
   }
 
   private void schedule() {
-    if (pending.getReadsCount() >= MAX_READS) {
+    int facts = pending.getReadsCount() + pending.getStoredCount();
+    if (facts >= MAX_READS) {
       flush();
-    } else if (!scheduled && pending.getReadsCount() > 0) {
+    } else if (!scheduled && facts > 0) {
       scheduled = true;
       loop.schedule(this::flush, GATHER_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -145,6 +156,7 @@
           .bySeed(read.getServer())
           .ifPresent(backend -> directory.heard(read.getBeginning(), backend, now));
     }
+    news.getStoredList().forEach(store::keeps);
     for (EngineLoading loading : news.getLoadingList()) {
       fleet.bySeed(loading.getServer()).ifPresent(backend -> backend.loading(now));
     }
--- a/gateway/src/main/java/org/pollenrock/gateway/SendContext.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/SendContext.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.pollenrock.core.dispatch.CacheUse;
 import org.pollenrock.core.route.CustomerAccess;
 
 /**
@@ -24,10 +25,7 @@
    * What an engine is told.
    *
    * @param urgency rank from 0, which goes first, to 9
-   * @param cacheScope text under which cached parts of the prompt are found
-   * @param weights the only version of the weights that may run the request
-   * @param fetchFrom address of a server from which to fetch what is lacking of the prompt
+   * @param cache what it is told of the prompt's cache
    */
-  public record Engine(
-      int urgency, String cacheScope, OptionalLong weights, Optional<String> fetchFrom) {}
+  public record Engine(int urgency, CacheUse cache) {}
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -16,6 +16,7 @@
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import org.pollenrock.core.dispatch.DispatchRequest;
+import org.pollenrock.core.dispatch.PrefixStore;
 import org.pollenrock.core.dispatch.SendFailure;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.route.Route;
@@ -192,7 +193,7 @@
     if (!answering && !closed && (mode == Mode.STREAM || mode == Mode.PLAIN)) {
       answering = true;
       backend.answering(request.promptTokens());
-      scope.news().read(scope.selector().promptRead(request, backend, now), backend);
+      promptRead(now);
     }
     if (mode == Mode.STREAM) {
       owner.streamBytes(this, bytes);
@@ -249,6 +250,20 @@
     }
   }
 
+  private void promptRead(long now) {
+    scope.news().read(scope.selector().promptRead(request, backend, now), backend);
+    context
+        .engine()
+        .map(SendContext.Engine::cache)
+        .filter(cache -> cache.saveTo().isPresent())
+        .ifPresent(
+            cache -> {
+              long key = PrefixStore.key(request.prompt().orElseThrow(), cache.text());
+              scope.store().keeps(key);
+              scope.news().stored(key);
+            });
+  }
+
   /** An engine with older weights than named most likely refuses because it loads new ones. */
   private void refusedByServer() {
     long now = System.nanoTime();
