--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
@@ -148,19 +147,6 @@
         .toList();
   }
 
-  /**
-   * Tells whether an engine has older weights than named.
-   *
-   * @param backend the engine
-   * @param model the model
-   * @return whether newer weights are named than it is known to have
-   */
-  public boolean outdated(Backend backend, String model) {
-    OptionalLong has = backend.weights(model);
-    OptionalLong newest = targets.version(model);
-    return has.isPresent() && newest.isPresent() && has.getAsLong() < newest.getAsLong();
-  }
-
   /**
    * Number of requests that wait.
    *
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -264,13 +264,10 @@
             });
   }
 
-  /** An engine with older weights than named most likely refuses because it loads new ones. */
+  /** An engine has room for many waiting requests, so one that refuses most likely loads weights. */
   private void refusedByServer() {
     long now = System.nanoTime();
-    if (request
-        .prompt()
-        .map(prompt -> scope.dispatcher().outdated(backend, prompt.model()))
-        .orElse(false)) {
+    if (request.prompt().isPresent()) {
       backend.loading(now);
     } else {
       backend.refused(now);
