--- a/core/src/main/java/org/pollenrock/core/route/Route.java
+++ b/core/src/main/java/org/pollenrock/core/route/Route.java
@@ -33,6 +33,12 @@
     boolean anonymous,
     boolean prefixAffinity,
     boolean resumable) {
+  /** Urgency of requests that go last. */
+  public static final int LAST_URGENCY = 9;
+
+  /** Prompts up to this length are read in some tens of milliseconds. */
+  private static final int LONG_PROMPT_TOKENS = 4_000;
+
   /** Copies the services. */
   public Route {
     services = List.copyOf(services);
@@ -75,12 +81,18 @@
   }
 
   /**
-   * Urgency of a customer's requests on this route.
+   * Urgency of a request.
+   *
+   * <p>Among requests of one rank those with short prompts go first: they hold the others up for a
+   * moment only, while a long one would hold up many.
    *
    * @param customerPriority rank of the customer, which goes before the rank of the route
-   * @return rank from 0, which goes first, to 9
+   * @param promptTokens tokens of its prompt; 0 for a plain request
+   * @return urgency from 0, which goes first, to 9
    */
-  public int urgency(OptionalInt customerPriority) {
-    return Math.clamp(customerPriority.orElse(priority), 0, 9);
+  public int urgency(OptionalInt customerPriority, long promptTokens) {
+    int rank = customerPriority.orElse(priority);
+    int size = promptTokens > LONG_PROMPT_TOKENS ? 1 : 0;
+    return Math.clamp(2L * rank + size, 0, LAST_URGENCY);
   }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -250,7 +250,9 @@
             route.serviceFor(call.id()),
             route.prefixAffinity() ? call.prompt() : Optional.empty(),
             cacheScope(),
-            route.urgency(customer.map(CustomerAccess::priority).orElse(OptionalInt.empty())),
+            route.urgency(
+                customer.map(CustomerAccess::priority).orElse(OptionalInt.empty()),
+                call.prompt().map(Prompt::tokens).orElse(0)),
             route.repeatable(),
             route.objectiveMillis(),
             arrivedNanos,
@@ -441,6 +443,7 @@
         .with("customer", customer.map(CustomerAccess::name).orElse(null))
         .with("service", request == null ? null : request.service())
         .with("config", configVersion)
+        .with("urgency", request == null ? -1 : request.urgency())
         .with("outcome", outcome)
         .with("status", status)
         .with("cause", cause)
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -264,7 +264,9 @@
             });
   }
 
-  /** An engine has room for many waiting requests, so one that refuses most likely loads weights. */
+  /**
+   * An engine has room for many waiting requests, so one that refuses most likely loads weights.
+   */
   private void refusedByServer() {
     long now = System.nanoTime();
     if (request.prompt().isPresent()) {
