--- a/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
@@ -136,18 +136,8 @@
    * @return whether other servers go first
    */
   public boolean avoid(Backend server, long nowNanos) {
-    return silent(server, nowNanos) || server.failureRate(nowNanos) > settings.failureRate();
-  }
-
-  /**
-   * Tells whether a server owes answers and has sent nothing to this instance for too long.
-   *
-   * @param server the server
-   * @param nowNanos current time
-   * @return whether it is silent
-   */
-  public boolean silent(Backend server, long nowNanos) {
-    return server.silentNanos(nowNanos) > settings.silenceNanos();
+    return server.silentNanos(nowNanos) > settings.silenceNanos()
+        || server.failureRate(nowNanos) > settings.failureRate();
   }
 
   private static List<Backend> serving(DispatchRequest request, List<Backend> servers) {
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -196,6 +196,13 @@
     sendFailed(from, SendFailure.SERVER_ERROR, "status " + answer.status().code());
   }
 
+  @Override
+  public boolean canResend() {
+    return route.repeatable()
+        && runs + 1 < route.maxAttempts()
+        && (!relay.started() || relay.lastEvent().isPresent());
+  }
+
   @Override
   public void sendFailed(ServerSend from, SendFailure failure, String cause) {
     send = null;
@@ -228,12 +235,15 @@
     if (again && request.deadlineNanos() - System.nanoTime() > MIN_RESEND_NANOS) {
       boolean counted = failure != SendFailure.NOT_SENT;
       Dispatch next = scope.dispatcher().resubmit(request, tried, counted, System.nanoTime());
-      if (!(next instanceof Dispatch.Refused)) {
+      if (next instanceof Dispatch.Refused refused) {
+        conclude(FailurePolicy.withoutResend(failure, state), refused.cause(), cause);
+      } else {
         follow(next);
-        return;
       }
+      return;
     }
-    conclude(again ? FailurePolicy.withoutResend(failure, state) : step, cause);
+    NextStep last = again ? FailurePolicy.withoutResend(failure, state) : step;
+    conclude(last, Dispatch.Cause.SERVERS_REFUSED, cause);
   }
 
   private void admit() {
@@ -327,9 +337,9 @@
     }
   }
 
-  private void conclude(NextStep step, String cause) {
+  private void conclude(NextStep step, Dispatch.Cause refusal, String cause) {
     switch (step) {
-      case REFUSE -> refuse(Dispatch.Cause.SERVERS_REFUSED);
+      case REFUSE -> refuse(refusal);
       case PASS_ON -> {
         PlainAnswer answer = serverError;
         serverError = null;
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -24,9 +24,14 @@
 
 /** One send of a request to one server, up to the end of that server's answer. */
 final class ServerSend implements ConnectionPool.Taker, HttpConnection.Listener {
-  /** Interval at which a repeatable request looks whether its server went silent. */
+  /**
+   * Interval at which a repeatable request looks whether its server went silent; also the least.
+   */
   private static final long WATCH_MILLIS = 450;
 
+  /** Objectives for the first byte of an answer after which a silent server is given up. */
+  private static final long SILENT_OBJECTIVES = 2;
+
   /** Longest answer that is held until it is whole, in bytes. */
   private static final int MAX_PLAIN_BYTES = 8 << 20;
 
@@ -56,6 +61,9 @@
     /** A whole answer arrived. */
     void answered(ServerSend send, PlainAnswer answer);
 
+    /** Whether the request could go to another server if this send failed. */
+    boolean canResend();
+
     /** No whole answer will come. */
     void sendFailed(ServerSend send, SendFailure failure, String cause);
   }
@@ -332,13 +340,18 @@
     watch = scope.loop().schedule(this::look, WATCH_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  /** A server that owes answers and sends nothing to anybody is taken as unreachable. */
+  /**
+   * Gives up a server that owes answers and sends nothing to anybody, if another one can be asked.
+   * A single answer may take as long as it wants.
+   */
   private void look() {
     if (closed) {
       return;
     }
     long now = System.nanoTime();
-    if (!scope.selector().silent(backend, now)) {
+    long patience =
+        Math.max(WATCH_MILLIS, SILENT_OBJECTIVES * request.objectiveMillis()) * 1_000_000;
+    if (backend.silentNanos(now) < patience || !owner.canResend()) {
       watch();
       return;
     }
