--- a/gateway/src/main/java/org/pollenrock/gateway/PeerNews.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerNews.java
@@ -33,11 +33,14 @@
  * saves requests that would be refused and prompts that would be read twice.
  */
 public final class PeerNews {
-  /** Time for which news is gathered into one datagram, in milliseconds. */
-  private static final long GATHER_MILLIS = 30;
+  /**
+   * Time for which news is gathered into one datagram for each peer, in milliseconds, so that an
+   * instance sends at most a hundred datagrams a second, however many peers it has.
+   */
+  private static final long GATHER_MILLIS_PER_PEER = 10;
 
-  /** Reads in one datagram, so that it stays below a usual packet's size. */
-  private static final int MAX_READS = 60;
+  /** Facts in one datagram, so that it stays below a usual packet's size. */
+  private static final int MAX_FACTS = 60;
 
   private final EventLoop loop;
   private final InetSocketAddress address;
@@ -108,6 +111,9 @@
 
   /** The store keeps a beginning. */
   void stored(long key) {
+    if (peers.isEmpty()) {
+      return;
+    }
     pending.addStored(key);
     schedule();
   }
@@ -127,11 +133,11 @@
 
   private void schedule() {
     int facts = pending.getReadsCount() + pending.getStoredCount();
-    if (facts >= MAX_READS) {
+    if (facts >= MAX_FACTS) {
       flush();
     } else if (!scheduled && facts > 0) {
       scheduled = true;
-      loop.schedule(this::flush, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+      loop.schedule(this::flush, GATHER_MILLIS_PER_PEER * peers.size(), TimeUnit.MILLISECONDS);
     }
   }
 
