--- a/core/src/main/java/org/pollenrock/core/dispatch/AdmissionRule.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/AdmissionRule.java
@@ -40,12 +40,12 @@
    * Tells whether a request that finds no free server may wait for one.
    *
    * @param request the request
-   * @param line requests that wait already
+   * @param queue requests that wait already
    * @param slots slots of all servers of the service
    * @return whether it may wait
    */
-  public static boolean mayWait(DispatchRequest request, WaitingLine line, int slots) {
-    return line.ahead(request.urgency()) < MAX_WAITING_PER_SLOT * Math.max(1, slots);
+  public static boolean mayWait(DispatchRequest request, DispatchQueue queue, int slots) {
+    return queue.ahead(request.urgency()) < MAX_WAITING_PER_SLOT * Math.max(1, slots);
   }
 
   /**
--- a/core/src/main/java/org/pollenrock/core/dispatch/CacheUse.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/CacheUse.java
@@ -9,7 +9,7 @@
  * @param text text under which cached parts are found; differs between versions of the weights and
  *     between customers that share nothing
  * @param weights version of the weights that it must have; empty when it is not known
- * @param fetchFrom address from which to fetch what it lacks of the prompt's beginning
+ * @param fetchFrom address from which to fetch what it lacks of the prompt's prefix
  * @param saveTo address to which to save the prompt
  */
 public record CacheUse(
--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatch.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatch.java
@@ -14,7 +14,7 @@
    *
    * @param waiting its place
    */
-  record Queued(Waiting waiting) implements Dispatch {}
+  record Queued(QueueEntry waiting) implements Dispatch {}
 
   /**
    * It can't be served.
@@ -29,7 +29,7 @@
    * @param waiting the place that it had
    * @param choice the server
    */
-  record Released(Waiting waiting, Selection.Chosen choice) {}
+  record Released(QueueEntry waiting, Selection.Chosen choice) {}
 
   /** Why a request can't be served. */
   enum Cause {
--- a/core/src/main/java/org/pollenrock/core/dispatch/WaitingLine.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/DispatchQueue.java
@@ -10,16 +10,16 @@
  * Requests of one service that wait for a server; the most urgent and among those the oldest goes
  * first.
  */
-public final class WaitingLine {
-  private static final Comparator<Waiting> FIRST_TO_GO =
-      Comparator.comparingInt((Waiting waiting) -> waiting.request().urgency())
-          .thenComparingLong(Waiting::order);
+public final class DispatchQueue {
+  private static final Comparator<QueueEntry> FIRST_TO_GO =
+      Comparator.comparingInt((QueueEntry waiting) -> waiting.request().urgency())
+          .thenComparingLong(QueueEntry::order);
 
-  private final TreeSet<Waiting> line = new TreeSet<>(FIRST_TO_GO);
+  private final TreeSet<QueueEntry> queue = new TreeSet<>(FIRST_TO_GO);
   private long nextOrder;
 
-  /** Creates an empty line. */
-  public WaitingLine() {}
+  /** Creates an empty queue. */
+  public DispatchQueue() {}
 
   /**
    * Adds a request.
@@ -29,9 +29,9 @@
    * @param giveUpNanos time at which it is to be refused
    * @return its place
    */
-  public Waiting add(DispatchRequest request, Set<String> tried, long giveUpNanos) {
-    Waiting waiting = new Waiting(request, Set.copyOf(tried), giveUpNanos, nextOrder++);
-    line.add(waiting);
+  public QueueEntry add(DispatchRequest request, Set<String> tried, long giveUpNanos) {
+    QueueEntry waiting = new QueueEntry(request, Set.copyOf(tried), giveUpNanos, nextOrder++);
+    queue.add(waiting);
     return waiting;
   }
 
@@ -41,8 +41,8 @@
    * @param waiting its place
    * @return whether it was still waiting
    */
-  public boolean remove(Waiting waiting) {
-    return line.remove(waiting);
+  public boolean remove(QueueEntry waiting) {
+    return queue.remove(waiting);
   }
 
   /**
@@ -51,14 +51,14 @@
    * @param nowNanos current time
    * @return the requests
    */
-  public List<Waiting> expire(long nowNanos) {
-    List<Waiting> expired = new ArrayList<>();
-    for (Waiting waiting : line) {
+  public List<QueueEntry> expire(long nowNanos) {
+    List<QueueEntry> expired = new ArrayList<>();
+    for (QueueEntry waiting : queue) {
       if (waiting.giveUpNanos() - nowNanos <= 0) {
         expired.add(waiting);
       }
     }
-    expired.forEach(line::remove);
+    expired.forEach(queue::remove);
     return expired;
   }
 
@@ -67,8 +67,8 @@
    *
    * @return a copy
    */
-  public List<Waiting> inOrder() {
-    return List.copyOf(line);
+  public List<QueueEntry> inOrder() {
+    return List.copyOf(queue);
   }
 
   /**
@@ -79,7 +79,7 @@
    */
   public int ahead(int urgency) {
     int count = 0;
-    for (Waiting waiting : line) {
+    for (QueueEntry waiting : queue) {
       if (waiting.request().urgency() > urgency) {
         break;
       }
@@ -94,6 +94,6 @@
    * @return the number
    */
   public int size() {
-    return line.size();
+    return queue.size();
   }
 }
--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -18,7 +18,7 @@
   private final WeightsTargets targets;
   private final RetryAllowanceSettings allowanceSettings;
   private final long startedNanos;
-  private final Map<String, WaitingLine> lines = new HashMap<>();
+  private final Map<String, DispatchQueue> queues = new HashMap<>();
   private final Map<String, RetryAllowance> allowances = new HashMap<>();
   private int instances = 1;
 
@@ -78,18 +78,18 @@
    *
    * @param service the service
    * @param nowNanos current time
-   * @return the requests with their servers; each was taken out of the line
+   * @return the requests with their servers; each was taken out of the queue
    */
   public List<Dispatch.Released> release(String service, long nowNanos) {
-    WaitingLine line = lines.get(service);
-    if (line == null || line.size() == 0) {
+    DispatchQueue queue = queues.get(service);
+    if (queue == null || queue.size() == 0) {
       return List.of();
     }
     List<Dispatch.Released> released = new ArrayList<>();
-    for (Waiting waiting : line.inOrder()) {
+    for (QueueEntry waiting : queue.inOrder()) {
       Selection selection = choose(waiting.request(), waiting.tried(), nowNanos);
       if (selection instanceof Selection.Chosen chosen) {
-        line.remove(waiting);
+        queue.remove(waiting);
         chosen.backend().started(waiting.request().promptTokens(), nowNanos);
         released.add(new Dispatch.Released(waiting, chosen));
         continue;
@@ -107,9 +107,9 @@
    * @param nowNanos current time
    * @return the requests, to be refused
    */
-  public List<Waiting> expire(long nowNanos) {
-    List<Waiting> expired = new ArrayList<>();
-    lines.values().forEach(line -> expired.addAll(line.expire(nowNanos)));
+  public List<QueueEntry> expire(long nowNanos) {
+    List<QueueEntry> expired = new ArrayList<>();
+    queues.values().forEach(queue -> expired.addAll(queue.expire(nowNanos)));
     return expired;
   }
 
@@ -118,10 +118,10 @@
    *
    * @param waiting the request
    */
-  public void withdraw(Waiting waiting) {
-    WaitingLine line = lines.get(waiting.request().service());
-    if (line != null) {
-      line.remove(waiting);
+  public void withdraw(QueueEntry waiting) {
+    DispatchQueue queue = queues.get(waiting.request().service());
+    if (queue != null) {
+      queue.remove(waiting);
     }
   }
 
@@ -141,8 +141,8 @@
    * @return names of the services
    */
   public List<String> waitingServices() {
-    return lines.entrySet().stream()
-        .filter(line -> line.getValue().size() > 0)
+    return queues.entrySet().stream()
+        .filter(queue -> queue.getValue().size() > 0)
         .map(Map.Entry::getKey)
         .toList();
   }
@@ -153,11 +153,11 @@
    * @return the number over all services
    */
   public int waiting() {
-    return lines.values().stream().mapToInt(WaitingLine::size).sum();
+    return queues.values().stream().mapToInt(DispatchQueue::size).sum();
   }
 
   private Dispatch place(DispatchRequest request, Set<String> tried, long nowNanos) {
-    WaitingLine line = lines.computeIfAbsent(request.service(), service -> new WaitingLine());
+    DispatchQueue queue = queues.computeIfAbsent(request.service(), service -> new DispatchQueue());
     List<Backend> servers = fleet.usable(request.service());
     return switch (choose(request, tried, nowNanos)) {
       case Selection.Chosen chosen -> {
@@ -167,9 +167,9 @@
       case Selection.NoServer() -> new Dispatch.Refused(Dispatch.Cause.NO_SERVER);
       case Selection.AllBusy() -> {
         int slots = servers.stream().mapToInt(Backend::slots).sum();
-        yield AdmissionRule.mayWait(request, line, slots)
+        yield AdmissionRule.mayWait(request, queue, slots)
             ? new Dispatch.Queued(
-                line.add(request, tried, AdmissionRule.giveUpNanos(request, nowNanos)))
+                queue.add(request, tried, AdmissionRule.giveUpNanos(request, nowNanos)))
             : new Dispatch.Refused(Dispatch.Cause.QUEUE_FULL);
       }
     };
--- a/core/src/main/java/org/pollenrock/core/dispatch/KeptTokens.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/KeptTokens.java
@@ -4,16 +4,16 @@
 import java.util.Map;
 import org.pollenrock.core.fleet.Backend;
 
-/** Tokens of one prompt's beginning that servers keep. */
+/** Tokens of one prompt's prefix that servers keep. */
 final class KeptTokens {
   private final Map<Backend, Integer> tokens = new IdentityHashMap<>();
 
-  /** A server keeps a beginning of some length. */
+  /** A server keeps a prefix of some length. */
   void keeps(Backend server, int length) {
     tokens.merge(server, length, Math::max);
   }
 
-  /** Longest beginning that a server is known to keep, in tokens; 0 when it keeps none. */
+  /** Longest prefix that a server is known to keep, in tokens; 0 when it keeps none. */
   int at(Backend server) {
     return tokens.getOrDefault(server, 0);
   }
--- a/core/src/main/java/org/pollenrock/core/dispatch/PrefixDirectory.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/PrefixDirectory.java
@@ -8,12 +8,12 @@
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.placement.RendezvousHash;
 
-/** Which servers are known to keep which shared beginnings of prompts. */
+/** Which servers are known to keep which shared prefixes of prompts. */
 public final class PrefixDirectory {
-  /** Beginnings that are remembered; the least recently used one yields. */
-  public static final int MAX_BEGINNINGS = 16_384;
+  /** Prefixes that are remembered; the least recently used one yields. */
+  public static final int MAX_PREFIXES = 16_384;
 
-  /** Servers that are remembered of one beginning, the latest first. */
+  /** Servers that are remembered of one prefix, the latest first. */
   private static final int MAX_HOLDERS = 4;
 
   /** Age at which the knowledge of a read is told to other instances again. */
@@ -37,7 +37,7 @@
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<Long, Deque<Holder>> eldest) {
-          return size() > MAX_BEGINNINGS;
+          return size() > MAX_PREFIXES;
         }
       };
 
@@ -45,22 +45,22 @@
   public PrefixDirectory() {}
 
   /**
-   * Hash of a beginning as caches tell it apart.
+   * Hash of a prefix as caches tell it apart.
    *
-   * @param beginning hash of the model and the parts
+   * @param prefix hash of the model and the parts
    * @param cacheScope customers that share it
    * @param weights version of the weights that read it
    * @return the hash
    */
-  public static long key(long beginning, String cacheScope, long weights) {
+  public static long key(long prefix, String cacheScope, long weights) {
     return RendezvousHash.mix(
-        beginning ^ RendezvousHash.seed(cacheScope) ^ RendezvousHash.mix(weights));
+        prefix ^ RendezvousHash.seed(cacheScope) ^ RendezvousHash.mix(weights));
   }
 
   /**
-   * A server has read a beginning.
+   * A server has read a prefix.
    *
-   * @param key hash of the beginning
+   * @param key hash of the prefix
    * @param backend the server
    * @param nowNanos current time
    */
@@ -71,7 +71,7 @@
   /**
    * Tells whether other instances should be told of a read, and takes them as told.
    *
-   * @param key hash of the beginning
+   * @param key hash of the prefix
    * @param backend the server
    * @param nowNanos current time
    * @return whether to tell them
@@ -88,7 +88,7 @@
   /**
    * Another instance told of a read.
    *
-   * @param key hash of the beginning
+   * @param key hash of the prefix
    * @param backend the server
    * @param nowNanos current time
    */
@@ -99,9 +99,9 @@
   }
 
   /**
-   * Servers that are taken to keep a beginning.
+   * Servers that are taken to keep a prefix.
    *
-   * @param key hash of the beginning
+   * @param key hash of the prefix
    * @param maxAgeNanos age of a read up to which the server is taken to keep it
    * @param nowNanos current time
    * @return the servers
--- a/core/src/main/java/org/pollenrock/core/dispatch/PrefixStore.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/PrefixStore.java
@@ -7,23 +7,23 @@
 import org.pollenrock.core.placement.RendezvousHash;
 
 /**
- * Store that keeps beginnings of prompts for all engines, and what it is known to keep.
+ * Store that keeps prefixes of prompts for all engines, and what it is known to keep.
  *
- * <p>Only long beginnings are worth the bytes. The store drops what was used least lately and loses
- * everything at a restart; a beginning that it lacks costs an engine nothing but reading it.
+ * <p>Only long prefixes are worth the bytes. The store drops what was used least lately and loses
+ * everything at a restart; a prefix that it lacks costs an engine nothing but reading it.
  */
 public final class PrefixStore {
-  /** Shortest beginning that is saved, in tokens; shorter ones are read about as fast. */
+  /** Shortest prefix that is saved, in tokens; shorter ones are read about as fast. */
   private static final int MIN_TOKENS = 1_500;
 
-  /** Shortest part of a prompt that its beginning must be, since the rest is saved with it. */
+  /** Shortest part of a prompt that its prefix must be, since the rest is saved with it. */
   private static final double MIN_SHARE = 0.25;
 
   /** Time for which a save is taken to be under way. */
   private static final long SAVING_NANOS = 3_000_000_000L;
 
-  /** Beginnings that are remembered; the one known for the longest time yields. */
-  private static final int MAX_BEGINNINGS = 16_384;
+  /** Prefixes that are remembered; the one known for the longest time yields. */
+  private static final int MAX_PREFIXES = 16_384;
 
   private final Map<Long, Boolean> kept = bounded();
   private final Map<Long, Long> saving = bounded();
@@ -80,7 +80,7 @@
   }
 
   /**
-   * Hash of a beginning in the store.
+   * Hash of a prefix in the store.
    *
    * @param cacheText text under which engines cache it
    * @param lastPart identity of its last part
@@ -91,9 +91,9 @@
   }
 
   /**
-   * The store keeps a beginning.
+   * The store keeps a prefix.
    *
-   * @param key hash of the beginning
+   * @param key hash of the prefix
    */
   public void keeps(long key) {
     kept.put(key, true);
@@ -101,20 +101,20 @@
   }
 
   /**
-   * The store dropped a beginning.
+   * The store dropped a prefix.
    *
-   * @param key hash of the beginning
+   * @param key hash of the prefix
    */
   public void dropped(long key) {
     kept.remove(key);
   }
 
   /**
-   * Where an engine can fetch the beginning of a prompt.
+   * Where an engine can fetch the prefix of a prompt.
    *
    * @param prompt the prompt
    * @param cacheText text under which it is cached
-   * @return address of the store, if it is known to keep the beginning
+   * @return address of the store, if it is known to keep the prefix
    */
   public Optional<String> source(Prompt prompt, String cacheText) {
     if (!reachable() || !worthSaving(prompt)) {
@@ -129,7 +129,7 @@
    * @param prompt the prompt
    * @param cacheText text under which it is cached
    * @param nowNanos current time
-   * @return address of the store, if it lacks the beginning and nobody is known to save it
+   * @return address of the store, if it lacks the prefix and nobody is known to save it
    */
   public Optional<String> trySave(Prompt prompt, String cacheText, long nowNanos) {
     if (!reachable() || !worthSaving(prompt)) {
@@ -150,9 +150,9 @@
   }
 
   /**
-   * Hash of a prompt's shared beginning in the store.
+   * Hash of a prompt's shared prefix in the store.
    *
-   * @param prompt a prompt with a shared beginning
+   * @param prompt a prompt with a shared prefix
    * @param cacheText text under which engines cache it
    * @return the hash
    */
@@ -167,7 +167,7 @@
 
       @Override
       protected boolean removeEldestEntry(Map.Entry<Long, V> eldest) {
-        return size() > MAX_BEGINNINGS;
+        return size() > MAX_PREFIXES;
       }
     };
   }
--- a/core/src/main/java/org/pollenrock/core/dispatch/Prompt.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Prompt.java
@@ -19,7 +19,7 @@
   }
 
   /**
-   * Tokens of the longest beginning that other requests share.
+   * Tokens of the longest prefix that other requests share.
    *
    * @return the number
    */
@@ -32,36 +32,36 @@
   }
 
   /**
-   * Beginnings that other requests share, one for each part, the shortest first.
+   * Prefixes that other requests share, one for each part, the shortest first.
    *
-   * @return the beginnings
+   * @return the prefixes
    */
-  public List<Beginning> beginnings() {
-    List<Beginning> beginnings = new ArrayList<>(parts.size());
+  public List<SharedPrefix> prefixes() {
+    List<SharedPrefix> prefixes = new ArrayList<>(parts.size());
     long hash = RendezvousHash.seed(model);
     int tokens = 0;
     for (PromptPart part : sharedParts()) {
       hash = RendezvousHash.mix(hash ^ RendezvousHash.seed(part.id()));
       tokens += part.tokens();
-      beginnings.add(new Beginning(hash, tokens));
+      prefixes.add(new SharedPrefix(hash, tokens));
     }
-    return beginnings;
+    return prefixes;
   }
 
   /**
-   * Hash by which requests are kept together: that of the beginning whose last part is the longest,
+   * Hash by which requests are kept together: that of the prefix whose last part is the longest,
    * since reading that part again costs most.
    *
    * @return the hash; the model's alone when no part is shared
    */
   public long affinity() {
-    List<Beginning> beginnings = beginnings();
+    List<SharedPrefix> prefixes = prefixes();
     long affinity = RendezvousHash.seed(model);
     int longest = 0;
-    for (int i = 0; i < beginnings.size(); i++) {
+    for (int i = 0; i < prefixes.size(); i++) {
       if (parts.get(i).tokens() > longest) {
         longest = parts.get(i).tokens();
-        affinity = beginnings.get(i).hash();
+        affinity = prefixes.get(i).hash();
       }
     }
     return affinity;
--- a/core/src/main/java/org/pollenrock/core/dispatch/Waiting.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/QueueEntry.java
@@ -10,4 +10,5 @@
  * @param giveUpNanos time at which it is refused
  * @param order its place among requests of the same urgency
  */
-public record Waiting(DispatchRequest request, Set<String> tried, long giveUpNanos, long order) {}
+public record QueueEntry(
+    DispatchRequest request, Set<String> tried, long giveUpNanos, long order) {}
--- a/core/src/main/java/org/pollenrock/core/dispatch/Selection.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Selection.java
@@ -32,9 +32,9 @@
 
   /** Why a server was chosen. */
   enum Reason {
-    /** Keeps the prompt's shared beginning, or is the one that should. */
+    /** Keeps the prompt's shared prefix, or is the one that should. */
     HOME,
-    /** Another one, because those that keep the beginning have much to read. */
+    /** Another one, because those that keep the prefix have much to read. */
     SPILL,
     /** The least loaded one. */
     LEAST_LOADED,
--- a/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
@@ -14,8 +14,8 @@
  * Chooses the server of a request.
  *
  * <p>Requests with a prompt go where it is read first: to a server with little to read that keeps
- * its shared beginning, or that can fetch it. Rendezvous hashing lets all instances agree without
- * talking on where a beginning is kept. Plain requests go to the least loaded server, in their own
+ * its shared prefix, or that can fetch it. Rendezvous hashing lets all instances agree without
+ * talking on where a prefix is kept. Plain requests go to the least loaded server, in their own
  * data centre while one there has a free slot. Servers that are silent or fail often are avoided
  * while there are others, and tried now and then.
  */
@@ -32,7 +32,7 @@
   /** Mean length of a prompt before any was seen, in tokens. */
   private static final double FIRST_MEAN_TOKENS = 4_000;
 
-  /** Time for which a server under load is taken to keep a beginning that it read. */
+  /** Time for which a server under load is taken to keep a prefix that it read. */
   private static final long KEPT_NANOS = 5_000_000_000L;
 
   private final SelectorSettings settings;
@@ -44,8 +44,8 @@
    * Creates a selector.
    *
    * @param settings its bounds
-   * @param directory where beginnings of prompts were read
-   * @param store store of beginnings
+   * @param directory where prefixes of prompts were read
+   * @param store store of prefixes
    */
   public ServerSelector(SelectorSettings settings, PrefixDirectory directory, PrefixStore store) {
     this.settings = settings;
@@ -59,7 +59,7 @@
    * @param request the request
    * @param server the server
    * @param nowNanos current time
-   * @return hashes of its beginnings of which other instances should be told
+   * @return hashes of its prefixes of which other instances should be told
    */
   public List<Long> promptRead(DispatchRequest request, Backend server, long nowNanos) {
     if (request.prompt().isEmpty()) {
@@ -71,8 +71,8 @@
       return List.of();
     }
     List<Long> news = new ArrayList<>();
-    for (Beginning beginning : prompt.beginnings()) {
-      long key = PrefixDirectory.key(beginning.hash(), request.cacheScope(), weights.getAsLong());
+    for (SharedPrefix prefix : prompt.prefixes()) {
+      long key = PrefixDirectory.key(prefix.hash(), request.cacheScope(), weights.getAsLong());
       directory.read(key, server, nowNanos);
       if (directory.tell(key, server, nowNanos)) {
         news.add(key);
@@ -240,7 +240,7 @@
     return unread + batch + fetch + (local ? 0 : settings.remoteTokens());
   }
 
-  /** Address of the server with the same weights that keeps most of the beginning of a prompt. */
+  /** Address of the server with the same weights that keeps most of the prefix of a prompt. */
   private static Optional<String> source(
       Prompt prompt, Backend target, KeptTokens kept, List<Backend> open) {
     Backend source = null;
@@ -268,7 +268,7 @@
     return server.weights(prompt.model()).equals(other.weights(prompt.model()));
   }
 
-  /** Tokens of a prompt's beginning that servers are known to keep. */
+  /** Tokens of a prompt's prefix that servers are known to keep. */
   private KeptTokens keptTokens(
       DispatchRequest request, Prompt prompt, List<Backend> servers, long nowNanos) {
     KeptTokens kept = new KeptTokens();
@@ -276,12 +276,12 @@
     for (Backend server : servers) {
       server.weights(prompt.model()).ifPresent(versions::add);
     }
-    for (Beginning beginning : prompt.beginnings()) {
+    for (SharedPrefix prefix : prompt.prefixes()) {
       for (long version : versions) {
-        long key = PrefixDirectory.key(beginning.hash(), request.cacheScope(), version);
+        long key = PrefixDirectory.key(prefix.hash(), request.cacheScope(), version);
         for (Backend holder : directory.holders(key, KEPT_NANOS, nowNanos)) {
           if (holder.weights(prompt.model()).orElse(-1) == version) {
-            kept.keeps(holder, beginning.tokens());
+            kept.keeps(holder, prefix.tokens());
           }
         }
       }
@@ -289,7 +289,7 @@
     return kept;
   }
 
-  /** First server in the ranking of a beginning, one server left out. */
+  /** First server in the ranking of a prefix, one server left out. */
   private static Backend first(List<Backend> servers, Backend leftOut, long subject) {
     Backend first = null;
     for (Backend server : servers) {
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/dispatch/SharedPrefix.java
@@ -0,0 +1,9 @@
+package org.pollenrock.core.dispatch;
+
+/**
+ * Leading parts of a prompt that other requests share.
+ *
+ * @param hash hash of the model and all parts of the prefix
+ * @param tokens tokens of the prefix
+ */
+public record SharedPrefix(long hash, int tokens) {}
--- a/core/src/main/java/org/pollenrock/core/route/RoutingConfig.java
+++ b/core/src/main/java/org/pollenrock/core/route/RoutingConfig.java
@@ -12,7 +12,7 @@
  * @param customers customers by API key
  * @param authenticated whether requests need an API key unless their route is anonymous
  * @param bounds bounds on callers
- * @param prefixStore address of the store of prompts' beginnings, if there is one
+ * @param prefixStore address of the store of shared prefixes, if there is one
  */
 public record RoutingConfig(
     long version,
--- a/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
@@ -44,7 +44,7 @@
 
   /** Load pattern: a burst on a small service whose every slot is taken. */
   @Test
-  void urgentRequestsLeaveTheLineFirst() {
+  void urgentRequestsLeaveTheQueueFirst() {
     List<Backend> running = fill(2);
     dispatcher.submit(request("late", 5, 1), 1);
     dispatcher.submit(request("urgent", 0, 2), 2);
@@ -53,9 +53,9 @@
     assertThat(released).extracting(r -> r.waiting().request().id()).containsExactly("urgent");
   }
 
-  /** Load pattern: overload that lasts; the line must not grow without bound. */
+  /** Load pattern: overload that lasts; the queue must not grow without bound. */
   @Test
-  void lineIsBoundedForEachUrgency() {
+  void queueIsBoundedForEachUrgency() {
     fill(2);
     int queued = 0;
     while (dispatcher.submit(request("r" + queued, 5, 1), 1) instanceof Dispatch.Queued) {
--- a/core/src/test/java/org/pollenrock/core/dispatch/ServerSelectorTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/ServerSelectorTest.java
@@ -42,7 +42,7 @@
   }
 
   @Test
-  void instancesAgreeOnTheHomeOfABeginningWithoutTalking() {
+  void instancesAgreeOnTheHomeOfAPrefixWithoutTalking() {
     ServerSelector other =
         new ServerSelector(
             SelectorSettings.defaults("near"), new PrefixDirectory(), new PrefixStore());
@@ -69,7 +69,7 @@
 
   /** Load pattern: one hot subject that a single server can't read for. */
   @Test
-  void hotSubjectSpillsAndTheOthersFetchItsBeginning() {
+  void hotSubjectSpillsAndTheOthersFetchItsPrefix() {
     List<Backend> servers = engines(1, 1, 1, 1);
     DispatchRequest request = ask("hot", 5000);
     Backend home = choose(request, servers, WantedWeights.NONE, 0).backend();
@@ -84,7 +84,7 @@
   }
 
   @Test
-  void serverThatKeepsTheBeginningFetchesNothing() {
+  void serverThatKeepsThePrefixFetchesNothing() {
     List<Backend> servers = engines(1, 1, 1);
     DispatchRequest request = ask("s", 5000);
     Backend home = choose(request, servers, WantedWeights.NONE, 0).backend();
@@ -94,7 +94,7 @@
   }
 
   @Test
-  void beginningIsNeverFetchedFromOtherWeights() {
+  void prefixIsNeverFetchedFromOtherWeights() {
     List<Backend> servers = engines(1, 2, 2);
     WantedWeights wanted = wanted(OptionalLong.of(2), OptionalLong.empty());
     for (int i = 0; i < 100; i++) {
@@ -108,9 +108,9 @@
     }
   }
 
-  /** Load pattern: engines under load drop a long beginning before it is asked for again. */
+  /** Load pattern: engines under load drop a long prefix before it is asked for again. */
   @Test
-  void longBeginningIsSavedOnceAndFetchedFromTheStoreLater() {
+  void longPrefixIsSavedOnceAndFetchedFromTheStoreLater() {
     List<Backend> servers = engines(1, 1, 1);
     store.address(Optional.of("10.9.9.9:80"));
     store.reachable(true);
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -23,10 +23,10 @@
 import org.pollenrock.core.dispatch.FailurePolicy;
 import org.pollenrock.core.dispatch.NextStep;
 import org.pollenrock.core.dispatch.Prompt;
+import org.pollenrock.core.dispatch.QueueEntry;
 import org.pollenrock.core.dispatch.Selection;
 import org.pollenrock.core.dispatch.SendFailure;
 import org.pollenrock.core.dispatch.SendState;
-import org.pollenrock.core.dispatch.Waiting;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.route.CustomerAccess;
 import org.pollenrock.core.route.Route;
@@ -63,7 +63,7 @@
   private long configVersion;
   private DispatchRequest request;
   private ScheduledFuture<?> deadline;
-  private Waiting waiting;
+  private QueueEntry waiting;
   private ServerSend send;
   private Selection.Chosen choice;
   private long waitedNanos;
@@ -120,7 +120,7 @@
     }
     callerLeft = true;
     if (waiting != null) {
-      scope.waitingRoom().leave(waiting);
+      scope.queuedExchanges().leave(waiting);
       waiting = null;
     }
     if (send != null && send.sent() && route.kind() == RouteKind.NON_IDEMPOTENT) {
@@ -278,9 +278,9 @@
   private void follow(Dispatch dispatch) {
     switch (dispatch) {
       case Dispatch.Sent(Selection.Chosen choice) -> sendTo(choice);
-      case Dispatch.Queued(Waiting place) -> {
+      case Dispatch.Queued(QueueEntry place) -> {
         waiting = place;
-        scope.waitingRoom().enter(place, this);
+        scope.queuedExchanges().enter(place, this);
       }
       case Dispatch.Refused(Dispatch.Cause cause) -> refuse(cause);
     }
@@ -319,7 +319,7 @@
       return;
     }
     if (waiting != null) {
-      scope.waitingRoom().leave(waiting);
+      scope.queuedExchanges().leave(waiting);
       waitedTooLong();
       return;
     }
--- a/gateway/src/main/java/org/pollenrock/gateway/ExchangeScope.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ExchangeScope.java
@@ -16,14 +16,14 @@
  * @param fleet backend servers
  * @param dispatcher sends requests to servers
  * @param selector tells which servers are avoided
- * @param store store of prompts' beginnings
+ * @param store store of shared prefixes
  * @param callers reads what callers say
  * @param servers reads and writes what is said to servers
  * @param links connections to servers
  * @param log the log
  * @param metrics counters and histograms
  * @param memory bytes held for exchanges
- * @param waitingRoom exchanges that wait for a server
+ * @param queuedExchanges exchanges that wait for a server
  * @param news news to other instances
  * @param stopping whether no more requests are taken
  */
@@ -40,6 +40,6 @@
     EventLog log,
     GatewayMetrics metrics,
     HeldMemory memory,
-    WaitingRoom waitingRoom,
+    QueuedExchanges queuedExchanges,
     PeerNews news,
     BooleanSupplier stopping) {}
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -37,7 +37,7 @@
   private final PrefixStore prefixStore = new PrefixStore();
   private final Dispatcher dispatcher;
   private final ServerLinks links;
-  private final WaitingRoom waitingRoom;
+  private final QueuedExchanges queuedExchanges;
   private final HeldMemory memory;
   private final CallerListener callers;
   private final PageListener readiness;
@@ -72,7 +72,7 @@
     dispatcher = new Dispatcher(fleet, selector, targets, settings.allowance(), System.nanoTime());
     news = new PeerNews(loop, settings.peers(), fleet, directory, prefixStore, log);
     links = new ServerLinks(loop, metrics);
-    waitingRoom = new WaitingRoom(dispatcher);
+    queuedExchanges = new QueuedExchanges(dispatcher);
     memory = new HeldMemory(settings.maxHeldBytes());
     control = new ControlClient(loop);
     ExchangeScope scope =
@@ -89,7 +89,7 @@
             log,
             metrics,
             memory,
-            waitingRoom,
+            queuedExchanges,
             news,
             () -> refusing);
     callers =
@@ -179,7 +179,7 @@
 
   /** Sends waiting requests, because servers changed. */
   public void serversChanged() {
-    waitingRoom.sweep();
+    queuedExchanges.sweep();
   }
 
   /**
@@ -219,7 +219,7 @@
   }
 
   /**
-   * Store of prompts' beginnings.
+   * Store of shared prefixes.
    *
    * @return what is known of it
    */
@@ -277,7 +277,7 @@
     for (String gone : fleet.expire(now)) {
       log.line("server_gone").with("server", gone).with("cause", "not listed again").write();
     }
-    waitingRoom.sweep();
+    queuedExchanges.sweep();
     watchers.forEach(Runnable::run);
     if (++sweeps % CONNECTION_SWEEPS == 0) {
       callers.sweep();
--- a/gateway/src/main/java/org/pollenrock/gateway/PeerNews.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerNews.java
@@ -98,18 +98,18 @@
     known = hosts;
   }
 
-  /** A server has read shared beginnings. */
-  void read(List<Long> beginnings, Backend backend) {
+  /** A server has read shared prefixs. */
+  void read(List<Long> prefixes, Backend backend) {
     if (peers.isEmpty()) {
       return;
     }
-    for (long beginning : beginnings) {
-      pending.addReads(PrefixRead.newBuilder().setBeginning(beginning).setServer(backend.seed()));
+    for (long prefix : prefixes) {
+      pending.addReads(PrefixRead.newBuilder().setPrefix(prefix).setServer(backend.seed()));
     }
     schedule();
   }
 
-  /** The store keeps a beginning. */
+  /** The store keeps a prefix. */
   void stored(long key) {
     if (peers.isEmpty()) {
       return;
@@ -160,7 +160,7 @@
     for (PrefixRead read : news.getReadsList()) {
       fleet
           .bySeed(read.getServer())
-          .ifPresent(backend -> directory.heard(read.getBeginning(), backend, now));
+          .ifPresent(backend -> directory.heard(read.getPrefix(), backend, now));
     }
     news.getStoredList().forEach(store::keeps);
     for (EngineLoading loading : news.getLoadingList()) {
--- a/gateway/src/main/java/org/pollenrock/gateway/WaitingRoom.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QueuedExchanges.java
@@ -4,22 +4,22 @@
 import java.util.Map;
 import org.pollenrock.core.dispatch.Dispatch;
 import org.pollenrock.core.dispatch.Dispatcher;
-import org.pollenrock.core.dispatch.Waiting;
+import org.pollenrock.core.dispatch.QueueEntry;
 
 /** Exchanges whose requests wait for a server. */
-final class WaitingRoom {
+final class QueuedExchanges {
   private final Dispatcher dispatcher;
-  private final Map<Waiting, Exchange> exchanges = new HashMap<>();
+  private final Map<QueueEntry, Exchange> exchanges = new HashMap<>();
 
-  WaitingRoom(Dispatcher dispatcher) {
+  QueuedExchanges(Dispatcher dispatcher) {
     this.dispatcher = dispatcher;
   }
 
-  void enter(Waiting place, Exchange exchange) {
+  void enter(QueueEntry place, Exchange exchange) {
     exchanges.put(place, exchange);
   }
 
-  void leave(Waiting place) {
+  void leave(QueueEntry place) {
     exchanges.remove(place);
     dispatcher.withdraw(place);
   }
@@ -34,7 +34,7 @@
   /** Sends what can be sent and refuses what waited too long. */
   void sweep() {
     dispatcher.waitingServices().forEach(this::release);
-    for (Waiting expired : dispatcher.expire(System.nanoTime())) {
+    for (QueueEntry expired : dispatcher.expire(System.nanoTime())) {
       exchanges.remove(expired).waitedTooLong();
     }
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -376,7 +376,7 @@
       held = null;
     }
     backend.ended(request.promptTokens(), answering);
-    scope.loop().execute(() -> scope.waitingRoom().release(request.service()));
+    scope.loop().execute(() -> scope.queuedExchanges().release(request.service()));
   }
 
   /** Status that tells callers that a request has not run, although it has. */
