--- a/core/src/main/java/org/pollenrock/core/weights/WeightsRollout.java
+++ b/core/src/main/java/org/pollenrock/core/weights/WeightsRollout.java
@@ -132,15 +132,6 @@
     }
   }
 
-  /**
-   * Number of engines that are being changed.
-   *
-   * @return the number
-   */
-  public int active() {
-    return changes.size();
-  }
-
   private void start(Collection<Backend> backends, WeightsTargets targets, long nowNanos) {
     int engines = 0;
     List<Backend> waiting = new ArrayList<>();
--- a/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
@@ -116,10 +116,6 @@
     all.forEach(HttpConnection::close);
   }
 
-  int idle() {
-    return idle.size();
-  }
-
   private void connect(Taker taker) {
     HttpConnection connection = new HttpConnection(this);
     ChannelFuture connecting =
--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.time.Duration;
 
@@ -50,7 +49,6 @@
   private boolean closing;
   private boolean finished;
   private boolean reset;
-  private int answers;
   private long idleSinceNanos;
   private long keepAliveNanos = -1;
 
@@ -99,11 +97,6 @@
     return channel.isActive() && !closing;
   }
 
-  /** Requests that this connection has carried before. */
-  int answers() {
-    return answers;
-  }
-
   long idleSinceNanos() {
     return idleSinceNanos;
   }
@@ -199,7 +192,6 @@
     if (last && listener != null) {
       finished = true;
       inAnswer = false;
-      answers++;
       listener.end();
     }
   }
@@ -212,9 +204,4 @@
       failed.failed(cause);
     }
   }
-
-  /** Releases a request that is not sent after all. */
-  static void discard(FullHttpRequest request) {
-    ReferenceCountUtil.release(request);
-  }
 }
