--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -94,7 +94,7 @@
     queuedExchanges = new QueuedExchanges(dispatcher);
     bodyMemory = new BodyMemory(settings.maxHeldBodyBytes());
     controlClient = new ControlClient(loop, log);
-    loopMonitor = new LoopMonitor(loop, metrics);
+    loopMonitor = new LoopMonitor(loop, metrics, log);
     reachability =
         new ReachabilityMonitor(
             fleet, configs, controlClient, gossip, log, metrics, settings.gossipAddress());
@@ -299,6 +299,16 @@
     return gossip;
   }
 
+  /**
+   * Returns the latest time at which all input that had arrived was processed. It lies long before
+   * the current time if the process did not run meanwhile.
+   *
+   * @return the time, as returned by {@link System#nanoTime}
+   */
+  public long inputProcessedNanos() {
+    return loopMonitor.inputProcessedNanos();
+  }
+
   /**
    * Returns the address that callers connect to.
    *
--- a/gateway/src/main/java/org/pollenrock/gateway/LoopMonitor.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/LoopMonitor.java
@@ -4,11 +4,15 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Detects when the event loop runs late, for example while a process starts on a slow machine.
+ * Detects when the event loop runs late, for example while a process starts on a slow machine, and
+ * when the process did not run at all.
  *
  * <p>A late loop finds a request and the close of its caller's connection at the same time, but
  * reads the close one round of input later. Work that reaches a server is therefore delayed by one
  * round while the loop is late, so that requests of callers who have left are not sent on.
+ *
+ * <p>Input that is processed after a pause may have arrived long before. {@link
+ * #inputProcessedNanos} tells how long.
  */
 final class LoopMonitor {
   /** Interval of the checks. */
@@ -20,18 +24,27 @@
   /** Time for which the loop counts as late after a late check. */
   private static final long LATE_MEMORY_NANOS = 1_000_000_000L;
 
+  /** Delay of a check from which the process counts as paused. */
+  private static final long PAUSED_NANOS = 1_000_000_000L;
+
   /** Delay after which the next round of input is complete. */
   private static final long ROUND_MILLIS = 1;
 
   private final EventLoop loop;
   private final GatewayMetrics metrics;
+  private final EventLog log;
+  private long inputProcessedNanos;
+  private long checkedNanos;
   private long checkDueNanos;
   private long lateUntilNanos;
 
-  LoopMonitor(EventLoop loop, GatewayMetrics metrics) {
+  LoopMonitor(EventLoop loop, GatewayMetrics metrics, EventLog log) {
     this.loop = loop;
     this.metrics = metrics;
+    this.log = log;
     long now = System.nanoTime();
+    this.inputProcessedNanos = now;
+    this.checkedNanos = now;
     this.checkDueNanos = now + CHECK_INTERVAL_NANOS;
     this.lateUntilNanos = now;
   }
@@ -52,13 +65,29 @@
     }
   }
 
+  /**
+   * Returns the latest time for which all input that had arrived is known to be processed. Input
+   * that is being processed now arrived after it.
+   *
+   * @return the time, as returned by {@link System#nanoTime}
+   */
+  long inputProcessedNanos() {
+    return inputProcessedNanos;
+  }
+
   private void check() {
     long now = System.nanoTime();
     long delayNanos = Math.max(0, now - checkDueNanos);
     metrics.recordLoopDelay(delayNanos);
+    if (delayNanos > PAUSED_NANOS) {
+      log.line("process_paused").with("paused_ms", delayNanos / 1_000_000).write();
+    }
     if (delayNanos > LATE_NANOS) {
       lateUntilNanos = now + LATE_MEMORY_NANOS;
     }
+    // Input that arrived before the last check was processed between that check and this one.
+    inputProcessedNanos = checkedNanos;
+    checkedNanos = now;
     checkDueNanos = now + CHECK_INTERVAL_NANOS;
   }
 }
--- a/gateway/src/test/java/org/pollenrock/gateway/LoopMonitorTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/LoopMonitorTest.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -22,7 +23,8 @@
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
-  private final LoopMonitor monitor = new LoopMonitor(loop, new GatewayMetrics());
+  private final LoopMonitor monitor =
+      new LoopMonitor(loop, new GatewayMetrics(), new EventLog(OutputStream.nullOutputStream()));
 
   @AfterEach
   void stopLoop() {
