Count the age of weights from their earliest possible publication

Cause: an instance started the time until a version is mandatory when it read the version. The instances that had not been frozen sent nothing to old engines after their deadline, and the cases ran 25 to 31 ms after they had arrived, which rules out the wait at the engine.

--- a/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
+++ b/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
@@ -12,8 +12,9 @@
  * increase.
  *
  * <p>A version becomes mandatory some time after its publication; from then on, older weights must
- * not be used. A version that was already published when this instance first read it is mandatory
- * at once, because it may have been published long ago.
+ * not be used. The time counts from the earliest possible publication, since an instance may read
+ * the version much later. A version that was already published when this instance first read it is
+ * mandatory at once, because it may have been published long ago.
  */
 public final class WeightsTargets {
   /**
@@ -50,24 +51,21 @@
    *
    * @param model name of the model
    * @param version the version
-   * @param observed whether this instance observed the publication, which has therefore just
-   *     happened
+   * @param publishedAfterNanos latest time at which the version was known not to be published; may
+   *     lie long before the current time, since a paused process reads late; empty if unknown
    * @param nowNanos current time
    * @return whether the version is newer than the known ones
    */
-  public boolean recordVersion(String model, long version, boolean observed, long nowNanos) {
+  public boolean recordVersion(
+      String model, long version, OptionalLong publishedAfterNanos, long nowNanos) {
     List<TargetVersion> targets =
         versionsByModel.computeIfAbsent(model, added -> new ArrayList<>());
     if (!targets.isEmpty() && targets.getLast().version() >= version) {
       return false;
     }
     targets.addLast(
-        observed
-            ? new TargetVersion(
-                version,
-                nowNanos + PREFERENCE_DELAY_NANOS,
-                fallbackOnlyFrom(nowNanos),
-                nowNanos + mandatoryDelayNanos)
+        publishedAfterNanos.isPresent()
+            ? targetVersion(version, publishedAfterNanos.getAsLong())
             : new TargetVersion(version, nowNanos, nowNanos, nowNanos));
     return true;
   }
@@ -158,6 +156,14 @@
     return newest;
   }
 
+  private TargetVersion targetVersion(long version, long publishedNanos) {
+    return new TargetVersion(
+        version,
+        publishedNanos + PREFERENCE_DELAY_NANOS,
+        fallbackOnlyFrom(publishedNanos),
+        publishedNanos + mandatoryDelayNanos);
+  }
+
   private long fallbackOnlyFrom(long nowNanos) {
     return nowNanos + (long) (mandatoryDelayNanos * FALLBACK_ONLY_SHARE);
   }
--- a/core/src/test/java/org/pollenrock/core/weights/WeightsRolloutTest.java
+++ b/core/src/test/java/org/pollenrock/core/weights/WeightsRolloutTest.java
@@ -80,7 +80,7 @@
   @Test
   void noStepIsTakenWithoutFencingNumber() {
     WeightsTargets targets = new WeightsTargets(0);
-    targets.recordVersion(MODEL, 2, true, 0);
+    targets.recordVersion(MODEL, 2, OptionalLong.of(0), 0);
     List<Backend> fleet = List.of(new FakeEngine(0).backend);
     assertThat(WeightsRollout.hasOutdatedEngines(fleet, targets)).isTrue();
     assertThat(new WeightsRollout().nextSteps(fleet, targets, OptionalLong.empty(), 0)).isEmpty();
@@ -96,14 +96,14 @@
       engines.put(engine.backend, engine);
     }
     WeightsTargets targets = new WeightsTargets(0);
-    targets.recordVersion(MODEL, 2, true, 0);
+    targets.recordVersion(MODEL, 2, OptionalLong.of(0), 0);
     WeightsRollout rollout = new WeightsRollout();
     long now = 0;
     for (;
         now < 60_000 * MILLI && WeightsRollout.hasOutdatedEngines(engines.keySet(), targets);
         now += 20 * MILLI) {
       if (now == 1_000 * MILLI) {
-        targets.recordVersion(MODEL, 3, true, now);
+        targets.recordVersion(MODEL, 3, OptionalLong.of(now), now);
       }
       for (FakeEngine engine : engines.values()) {
         engine.advance(now);
@@ -157,22 +157,33 @@
   @Test
   void existingVersionIsMandatoryAtOnceAndANewOneLater() {
     WeightsTargets targets = new WeightsTargets(4_500 * MILLI);
-    targets.recordVersion(MODEL, 2, false, 10);
+    targets.recordVersion(MODEL, 2, OptionalLong.empty(), 10);
     assertThat(targets.requirement(MODEL, 10).minAllowed()).hasValue(2);
-    targets.recordVersion(MODEL, 3, true, 10);
+    targets.recordVersion(MODEL, 3, OptionalLong.of(10), 10);
     assertThat(targets.requirement(MODEL, 4_499 * MILLI).minAllowed()).hasValue(2);
     assertThat(targets.requirement(MODEL, 4_501 * MILLI).minAllowed()).hasValue(3);
-    assertThat(targets.recordVersion(MODEL, 2, true, 20)).isFalse();
+    assertThat(targets.recordVersion(MODEL, 2, OptionalLong.of(20), 20)).isFalse();
     assertThat(targets.newestVersion(MODEL)).hasValue(3);
   }
 
+  /** An instance that reads a version late must not allow older weights for longer. */
+  @Test
+  void versionThatIsReadLateIsMandatoryFromItsPublicationOn() {
+    WeightsTargets targets = new WeightsTargets(4_500 * MILLI);
+    targets.recordVersion(MODEL, 2, OptionalLong.of(0), 3_300 * MILLI);
+    assertThat(targets.requirement(MODEL, 4_499 * MILLI).minAllowed()).isEmpty();
+    assertThat(targets.requirement(MODEL, 4_501 * MILLI).minAllowed()).hasValue(2);
+    targets.recordVersion(MODEL, 3, OptionalLong.of(5_000 * MILLI), 12_000 * MILLI);
+    assertThat(targets.requirement(MODEL, 12_000 * MILLI).minAllowed()).hasValue(3);
+  }
+
   /** A newer version must not postpone the time at which an earlier version becomes mandatory. */
   @Test
   void eachVersionIsMandatoryFromItsOwnPublicationOn() {
     WeightsTargets targets = new WeightsTargets(4_500 * MILLI);
-    targets.recordVersion(MODEL, 2, true, 0);
-    targets.recordVersion(MODEL, 3, true, 2_400 * MILLI);
-    targets.recordVersion(MODEL, 4, true, 4_800 * MILLI);
+    targets.recordVersion(MODEL, 2, OptionalLong.of(0), 0);
+    targets.recordVersion(MODEL, 3, OptionalLong.of(2_400 * MILLI), 2_400 * MILLI);
+    targets.recordVersion(MODEL, 4, OptionalLong.of(4_800 * MILLI), 4_800 * MILLI);
     assertThat(targets.requirement(MODEL, 4_600 * MILLI).minAllowed()).hasValue(2);
     assertThat(targets.requirement(MODEL, 7_000 * MILLI).minAllowed()).hasValue(3);
     assertThat(targets.requirement(MODEL, 9_400 * MILLI).minAllowed()).hasValue(4);
@@ -186,7 +197,7 @@
   @Test
   void noVersionIsMandatoryWhileTheLogIsUnavailable() {
     WeightsTargets targets = new WeightsTargets(4_500 * MILLI);
-    targets.recordVersion(MODEL, 2, true, 0);
+    targets.recordVersion(MODEL, 2, OptionalLong.of(0), 0);
     targets.markLogUnavailable();
     assertThat(targets.requirement(MODEL, 9_000 * MILLI))
         .isEqualTo(WeightsRequirement.unrestricted(OptionalLong.of(2)));
@@ -207,7 +218,7 @@
     ahead.backend.recordWeightsVersion(MODEL, 2);
     behind.backend.recordRequestStart(0, 0);
     WeightsTargets targets = new WeightsTargets(0);
-    targets.recordVersion(MODEL, 3, true, 0);
+    targets.recordVersion(MODEL, 3, OptionalLong.of(0), 0);
     assertThat(
             new WeightsRollout()
                 .nextSteps(List.of(ahead.backend, behind.backend), targets, OptionalLong.of(1), 0))
