Do not count pauses of the process as an outage of the store

What callers would see: an instance that was frozen for more than about two seconds, and whose connection to the store broke meanwhile, allowed older weights for 5.1 s from its thaw on, although it had read the newer version before; it would also keep removed servers in use for the grace period of the server list.

Cause: TopicWatch measured the silence of the store with a clock that includes the pause, so the first failed read after it declared the topic lost, and the next response declared it regained, which starts the time of all versions anew.

Change: the silence is measured in the time for which the event loop ran. Real outages count as before.

WeightsVersionPauseTest.pauseDoesNotPostponeAKnownVersion fails without the change (no version is mandatory 6 s after its publication) and passes with it.

--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -300,13 +300,12 @@
   }
 
   /**
-   * Returns the latest time at which all input that had arrived was processed. It lies long before
-   * the current time if the process did not run meanwhile.
+   * Returns the times of the event loop that take pauses of the process into account.
    *
-   * @return the time, as returned by {@link System#nanoTime}
+   * @return the clock of the loop
    */
-  public long inputProcessedNanos() {
-    return loopMonitor.inputProcessedNanos();
+  public LoopClock loopClock() {
+    return loopMonitor;
   }
 
   /**
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/LoopClock.java
@@ -0,0 +1,24 @@
+package org.pollenrock.gateway;
+
+/**
+ * Times of the event loop that take pauses of the process into account.
+ *
+ * <p>After a pause, input that arrived meanwhile is processed late, and the silence of others
+ * covers a time in which this process could not have heard them.
+ */
+public interface LoopClock {
+  /**
+   * Returns the latest time for which all input that had arrived is known to be processed. Input
+   * that is being processed now arrived after it.
+   *
+   * @return the time in nanoseconds, as returned by {@link System#nanoTime}
+   */
+  long inputProcessedNanos();
+
+  /**
+   * Returns the time for which the event loop has run, without the pauses of the process.
+   *
+   * @return the time since the start in nanoseconds; grows in steps of the interval of the checks
+   */
+  long runningNanos();
+}
--- a/gateway/src/main/java/org/pollenrock/gateway/LoopMonitor.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/LoopMonitor.java
@@ -14,7 +14,7 @@
  * <p>Input that is processed after a pause may have arrived long before. {@link
  * #inputProcessedNanos} tells how long.
  */
-final class LoopMonitor {
+final class LoopMonitor implements LoopClock {
   /** Interval of the checks. */
   private static final long CHECK_INTERVAL_NANOS = 50_000_000L;
 
@@ -34,6 +34,7 @@
   private final GatewayMetrics metrics;
   private final EventLog log;
   private long inputProcessedNanos;
+  private long runningNanos;
   private long checkedNanos;
   private long checkDueNanos;
   private long lateUntilNanos;
@@ -65,21 +66,23 @@
     }
   }
 
-  /**
-   * Returns the latest time for which all input that had arrived is known to be processed. Input
-   * that is being processed now arrived after it.
-   *
-   * @return the time, as returned by {@link System#nanoTime}
-   */
-  long inputProcessedNanos() {
+  @Override
+  public long inputProcessedNanos() {
     return inputProcessedNanos;
   }
 
+  @Override
+  public long runningNanos() {
+    return runningNanos;
+  }
+
   private void check() {
     long now = System.nanoTime();
     long delayNanos = Math.max(0, now - checkDueNanos);
     metrics.recordLoopDelay(delayNanos);
-    if (delayNanos > PAUSED_NANOS) {
+    boolean paused = delayNanos > PAUSED_NANOS;
+    runningNanos += paused ? CHECK_INTERVAL_NANOS : now - checkedNanos;
+    if (paused) {
       log.line("process_paused").with("paused_ms", delayNanos / 1_000_000).write();
     }
     if (delayNanos > LATE_NANOS) {
--- a/standin/src/main/java/org/pollenrock/standin/platform/KeyedStoreStandin.java
+++ b/standin/src/main/java/org/pollenrock/standin/platform/KeyedStoreStandin.java
@@ -85,6 +85,11 @@
     server.silenceConnections();
   }
 
+  /** Closes the connections that are open now. */
+  public void closeConnections() {
+    server.closeConnections();
+  }
+
   /**
    * Makes the store refuse every call, or serve again.
    *
