Count suspensions of the machine towards the age of weights

What callers would see: an instance that was suspended, so that its monotonic clock stood still, allowed older weights for longer than the limit by the duration of the suspension.

Cause: the deadlines of weights versions are times of the monotonic clock, and the age of a version that is read after a suspension leaves the suspension out. The order lease already handled this with a check of its own.

Change: SuspensionDetector compares the wall clock with the monotonic clock, in one place for the lease, the weights targets and the age of records. A step of the wall clock ahead counts as a suspension, as it did for the lease: versions become mandatory earlier by the step, which costs requests that run on older weights but breaks nothing.

WeightsRolloutTest.suspensionCountsTowardsTheAgeOfAVersion and SuspensionDetectorTest guard it; the code before had no method that they could call, so they were not seen failing on it.

--- a/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
+++ b/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
@@ -31,7 +31,15 @@
 
   /** Published version and the times from which older versions are restricted. */
   private record TargetVersion(
-      long version, long preferredFromNanos, long fallbackOnlyFromNanos, long mandatoryFromNanos) {}
+      long version, long preferredFromNanos, long fallbackOnlyFromNanos, long mandatoryFromNanos) {
+    private TargetVersion earlier(long nanos) {
+      return new TargetVersion(
+          version,
+          preferredFromNanos - nanos,
+          fallbackOnlyFromNanos - nanos,
+          mandatoryFromNanos - nanos);
+    }
+  }
 
   private final long mandatoryDelayNanos;
   private boolean logUnavailable;
@@ -51,21 +59,21 @@
    *
    * @param model name of the model
    * @param version the version
-   * @param publishedAfterNanos latest time at which the version was known not to be published; may
-   *     lie long before the current time, since a paused process reads late; empty if unknown
+   * @param maxAgeNanos longest time for which the version may have been published; large if this
+   *     instance read late; empty if unknown
    * @param nowNanos current time
    * @return whether the version is newer than the known ones
    */
   public boolean recordVersion(
-      String model, long version, OptionalLong publishedAfterNanos, long nowNanos) {
+      String model, long version, OptionalLong maxAgeNanos, long nowNanos) {
     List<TargetVersion> targets =
         versionsByModel.computeIfAbsent(model, added -> new ArrayList<>());
     if (!targets.isEmpty() && targets.getLast().version() >= version) {
       return false;
     }
     targets.addLast(
-        publishedAfterNanos.isPresent()
-            ? targetVersion(version, publishedAfterNanos.getAsLong())
+        maxAgeNanos.isPresent()
+            ? targetVersion(version, nowNanos - maxAgeNanos.getAsLong())
             : new TargetVersion(version, nowNanos, nowNanos, nowNanos));
     return true;
   }
@@ -98,6 +106,17 @@
                             nowNanos + mandatoryDelayNanos)));
   }
 
+  /**
+   * Records that the machine was suspended, during which the clock of this instance stood still.
+   *
+   * @param suspendedNanos duration of the suspension
+   */
+  public void recordSuspension(long suspendedNanos) {
+    versionsByModel
+        .values()
+        .forEach(targets -> targets.replaceAll(target -> target.earlier(suspendedNanos)));
+  }
+
   /**
    * Returns the versions on which a request may run.
    *
--- a/core/src/test/java/org/pollenrock/core/weights/WeightsRolloutTest.java
+++ b/core/src/test/java/org/pollenrock/core/weights/WeightsRolloutTest.java
@@ -103,7 +103,7 @@
         now < 60_000 * MILLI && WeightsRollout.hasOutdatedEngines(engines.keySet(), targets);
         now += 20 * MILLI) {
       if (now == 1_000 * MILLI) {
-        targets.recordVersion(MODEL, 3, OptionalLong.of(now), now);
+        targets.recordVersion(MODEL, 3, OptionalLong.of(0), now);
       }
       for (FakeEngine engine : engines.values()) {
         engine.advance(now);
@@ -159,10 +159,10 @@
     WeightsTargets targets = new WeightsTargets(4_500 * MILLI);
     targets.recordVersion(MODEL, 2, OptionalLong.empty(), 10);
     assertThat(targets.requirement(MODEL, 10).minAllowed()).hasValue(2);
-    targets.recordVersion(MODEL, 3, OptionalLong.of(10), 10);
+    targets.recordVersion(MODEL, 3, OptionalLong.of(0), 10);
     assertThat(targets.requirement(MODEL, 4_499 * MILLI).minAllowed()).hasValue(2);
     assertThat(targets.requirement(MODEL, 4_501 * MILLI).minAllowed()).hasValue(3);
-    assertThat(targets.recordVersion(MODEL, 2, OptionalLong.of(20), 20)).isFalse();
+    assertThat(targets.recordVersion(MODEL, 2, OptionalLong.of(0), 20)).isFalse();
     assertThat(targets.newestVersion(MODEL)).hasValue(3);
   }
 
@@ -170,20 +170,30 @@
   @Test
   void versionThatIsReadLateIsMandatoryFromItsPublicationOn() {
     WeightsTargets targets = new WeightsTargets(4_500 * MILLI);
-    targets.recordVersion(MODEL, 2, OptionalLong.of(0), 3_300 * MILLI);
+    targets.recordVersion(MODEL, 2, OptionalLong.of(3_300 * MILLI), 3_300 * MILLI);
     assertThat(targets.requirement(MODEL, 4_499 * MILLI).minAllowed()).isEmpty();
     assertThat(targets.requirement(MODEL, 4_501 * MILLI).minAllowed()).hasValue(2);
-    targets.recordVersion(MODEL, 3, OptionalLong.of(5_000 * MILLI), 12_000 * MILLI);
+    targets.recordVersion(MODEL, 3, OptionalLong.of(7_000 * MILLI), 12_000 * MILLI);
     assertThat(targets.requirement(MODEL, 12_000 * MILLI).minAllowed()).hasValue(3);
   }
 
+  /** A suspension, during which the clock stands still, must not postpone a version. */
+  @Test
+  void suspensionCountsTowardsTheAgeOfAVersion() {
+    WeightsTargets targets = new WeightsTargets(4_500 * MILLI);
+    targets.recordVersion(MODEL, 2, OptionalLong.of(0), 0);
+    targets.recordSuspension(3_000 * MILLI);
+    assertThat(targets.requirement(MODEL, 1_499 * MILLI).minAllowed()).isEmpty();
+    assertThat(targets.requirement(MODEL, 1_501 * MILLI).minAllowed()).hasValue(2);
+  }
+
   /** A newer version must not postpone the time at which an earlier version becomes mandatory. */
   @Test
   void eachVersionIsMandatoryFromItsOwnPublicationOn() {
     WeightsTargets targets = new WeightsTargets(4_500 * MILLI);
     targets.recordVersion(MODEL, 2, OptionalLong.of(0), 0);
-    targets.recordVersion(MODEL, 3, OptionalLong.of(2_400 * MILLI), 2_400 * MILLI);
-    targets.recordVersion(MODEL, 4, OptionalLong.of(4_800 * MILLI), 4_800 * MILLI);
+    targets.recordVersion(MODEL, 3, OptionalLong.of(0), 2_400 * MILLI);
+    targets.recordVersion(MODEL, 4, OptionalLong.of(0), 4_800 * MILLI);
     assertThat(targets.requirement(MODEL, 4_600 * MILLI).minAllowed()).hasValue(2);
     assertThat(targets.requirement(MODEL, 7_000 * MILLI).minAllowed()).hasValue(3);
     assertThat(targets.requirement(MODEL, 9_400 * MILLI).minAllowed()).hasValue(4);
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import org.pollenrock.core.dispatch.Dispatcher;
 import org.pollenrock.core.dispatch.PrefixDirectory;
 import org.pollenrock.core.dispatch.PrefixStoreView;
@@ -131,6 +132,7 @@
     StatePages pages = new StatePages(this, metrics);
     operatorListener =
         settings.operatorAddress().map(address -> new PageListener(loop, address, pages));
+    addSuspensionListener(weightsTargets::recordSuspension);
     registerGauges();
   }
 
@@ -299,6 +301,20 @@
     return gossip;
   }
 
+  /**
+   * Adds a listener that is called on the event loop after a suspension of the machine.
+   *
+   * @param listener receives the duration of the suspension in nanoseconds
+   */
+  public void addSuspensionListener(LongConsumer listener) {
+    loopMonitor.addSuspensionListener(listener);
+  }
+
+  /** Calls the listeners for suspensions at once if there was one, instead of soon. */
+  public void detectSuspension() {
+    loopMonitor.detectSuspension();
+  }
+
   /**
    * Returns the times of the event loop that take pauses of the process into account.
    *
--- a/gateway/src/main/java/org/pollenrock/gateway/LoopClock.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/LoopClock.java
@@ -7,11 +7,18 @@
  * covers a time in which this process could not have heard them.
  */
 public interface LoopClock {
+  /**
+   * Returns the current time, which also advances while the machine is suspended.
+   *
+   * @return the time in nanoseconds since an arbitrary origin
+   */
+  long elapsedNanos();
+
   /**
    * Returns the latest time for which all input that had arrived is known to be processed. Input
    * that is being processed now arrived after it.
    *
-   * @return the time in nanoseconds, as returned by {@link System#nanoTime}
+   * @return the time in nanoseconds, on the scale of {@link #elapsedNanos}
    */
   long inputProcessedNanos();
 
--- a/gateway/src/main/java/org/pollenrock/gateway/LoopMonitor.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/LoopMonitor.java
@@ -1,7 +1,10 @@
 package org.pollenrock.gateway;
 
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 
 /**
  * Detects when the event loop runs late, for example while a process starts on a slow machine, and
@@ -12,7 +15,8 @@
  * round while the loop is late, so that requests of callers who have left are not sent on.
  *
  * <p>Input that is processed after a pause may have arrived long before. {@link
- * #inputProcessedNanos} tells how long.
+ * #inputProcessedNanos} tells how long. A pause may also be a suspension of the machine, during
+ * which the monotonic clock stands still.
  */
 final class LoopMonitor implements LoopClock {
   /** Interval of the checks. */
@@ -33,6 +37,9 @@
   private final EventLoop loop;
   private final GatewayMetrics metrics;
   private final EventLog log;
+  private final SuspensionDetector suspensions = new SuspensionDetector();
+  private final List<LongConsumer> suspensionListeners = new ArrayList<>();
+  private long suspendedNanos;
   private long inputProcessedNanos;
   private long runningNanos;
   private long checkedNanos;
@@ -66,6 +73,31 @@
     }
   }
 
+  /**
+   * Adds a listener that is called with the duration of each suspension, in nanoseconds.
+   *
+   * @param listener the listener
+   */
+  void addSuspensionListener(LongConsumer listener) {
+    suspensionListeners.add(listener);
+  }
+
+  /** Calls the listeners if the process was suspended since the last call. */
+  void detectSuspension() {
+    long suspended = suspensions.detect(System.nanoTime(), System.currentTimeMillis());
+    if (suspended > 0) {
+      log.line("clock_jump").with("ahead_ms", suspended / 1_000_000).write();
+      suspendedNanos += suspended;
+      suspensionListeners.forEach(listener -> listener.accept(suspended));
+    }
+  }
+
+  @Override
+  public long elapsedNanos() {
+    detectSuspension();
+    return System.nanoTime() + suspendedNanos;
+  }
+
   @Override
   public long inputProcessedNanos() {
     return inputProcessedNanos;
@@ -77,11 +109,12 @@
   }
 
   private void check() {
+    long elapsed = elapsedNanos();
     long now = System.nanoTime();
     long delayNanos = Math.max(0, now - checkDueNanos);
     metrics.recordLoopDelay(delayNanos);
     boolean paused = delayNanos > PAUSED_NANOS;
-    runningNanos += paused ? CHECK_INTERVAL_NANOS : now - checkedNanos;
+    runningNanos += CHECK_INTERVAL_NANOS + (paused ? 0 : delayNanos);
     if (paused) {
       log.line("process_paused").with("paused_ms", delayNanos / 1_000_000).write();
     }
@@ -90,7 +123,7 @@
     }
     // Input that arrived before the last check was processed between that check and this one.
     inputProcessedNanos = checkedNanos;
-    checkedNanos = now;
+    checkedNanos = elapsed;
     checkDueNanos = now + CHECK_INTERVAL_NANOS;
   }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/OrderTask.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/OrderTask.java
@@ -20,12 +20,6 @@
  * load orders to these engines while it holds the lease.
  */
 public final class OrderTask {
-  /**
-   * Maximum time by which the wall clock may advance more than the monotonic clock between two
-   * checks before the process is assumed to have been frozen.
-   */
-  private static final long MAX_CLOCK_JUMP_MILLIS = 200;
-
   /** Subject under which the candidates for the lease are ranked. */
   private static final String LEASE_SUBJECT = "orders";
 
@@ -39,7 +33,6 @@
   private final EventLog log;
   private final GatewayMetrics metrics;
   private final WeightsRollout rollout = new WeightsRollout();
-  private long clockOffsetMillis = Long.MIN_VALUE;
   private boolean leaseHeld;
 
   /**
@@ -69,6 +62,8 @@
 
   /** Starts to run the task with every sweep of the gateway. */
   public void start() {
+    // The lease is timed with the monotonic clock, so it would outlast its validity.
+    gateway.addSuspensionListener(suspended -> lease.requireRenewal());
     gateway.addSweepTask(this::advance);
   }
 
@@ -77,7 +72,7 @@
    * completed call, and as soon as a target version is set.
    */
   public void advance() {
-    detectClockJump();
+    gateway.detectSuspension();
     long now = System.nanoTime();
     boolean hasWork =
         gateway.fleet().hasReadList()
@@ -182,18 +177,4 @@
     rollout.recordAnswer(order, answer, System.nanoTime());
     advance();
   }
-
-  /**
-   * Requires a renewal of the lease after the process was frozen. The monotonic clock, which the
-   * lease is timed with, stands still while the process is frozen, so that the lease would outlast
-   * its validity.
-   */
-  private void detectClockJump() {
-    long offset = System.currentTimeMillis() - System.nanoTime() / 1_000_000;
-    if (clockOffsetMillis != Long.MIN_VALUE && offset - clockOffsetMillis > MAX_CLOCK_JUMP_MILLIS) {
-      log.line("clock_jump").with("ahead_ms", offset - clockOffsetMillis).write();
-      lease.requireRenewal();
-    }
-    clockOffsetMillis = offset;
-  }
 }
