Take over the order lease at once from a holder that vanished between rollouts

Cause: the holder of the last rollout was frozen when the version was published. A candidate stops reading claims when it sees no more outdated engines, so it misses the holder's last renewals. At the next rollout it finds an unknown claim, waits for the takeover time from then on, and then for the handover time, although the last order was 25 s old. If it happened to know the last claim, it claimed at once, even before a holder that was there.

Change: a candidate reads the newest claim once more when the claims of the rollout are no longer valid. At the next rollout it gives the last holder one renewal interval to claim first. The conditions under which orders are allowed are unchanged. It costs one call to the store for each candidate and rollout.

--- a/core/src/main/java/org/pollenrock/core/weights/OrderLease.java
+++ b/core/src/main/java/org/pollenrock/core/weights/OrderLease.java
@@ -11,7 +11,9 @@
  * only one of several claimants succeeds. The offset of the claim plus one is the fencing number.
  * Claims are renewed only while there are orders to send. Another instance claims when it has seen
  * no renewal of the newest claim for the takeover time. It sends its first order after the handover
- * time, which starts when the validity of the last holder's claim ends.
+ * time, which starts when the validity of the last holder's claim ends. The candidates read the
+ * last claim of a rollout, so that both times have passed if its holder is gone when the next one
+ * starts.
  */
 public final class OrderLease {
   private static final LeaseStep IDLE = new LeaseStep.Idle();
@@ -34,6 +36,8 @@
   private long knownLogEnd;
   private long lastReadNanos = Long.MIN_VALUE;
   private long workSinceNanos = Long.MIN_VALUE;
+  private long workEndNanos;
+  private boolean lastClaimUnread;
   private long nonce;
   private long claimSentNanos;
   private OptionalLong fencingNumber = OptionalLong.empty();
@@ -66,17 +70,13 @@
    *     methods
    */
   public LeaseStep nextStep(boolean hasWork, long nowNanos) {
-    if (!hasWork) {
-      workSinceNanos = Long.MIN_VALUE;
-    } else if (workSinceNanos == Long.MIN_VALUE) {
-      workSinceNanos = nowNanos;
-    }
+    recordWork(hasWork, nowNanos);
     if (callPending) {
       return IDLE;
     }
-    if (!newestClaimKnown
-        || hasWork && !isLatestClaimant() && nowNanos - lastReadNanos >= readIntervalNanos()) {
+    if (!newestClaimKnown || !isLatestClaimant() && isReadDue(hasWork, nowNanos)) {
       callPending = true;
+      lastClaimUnread = false;
       return new LeaseStep.ReadNewestClaim();
     }
     if (!hasWork) {
@@ -86,7 +86,9 @@
       boolean mustRenew = nowNanos - claimSentNanos >= settings.renewNanos() || !isValid(nowNanos);
       return mustRenew ? appendClaim(nowNanos) : IDLE;
     }
-    boolean delayElapsed = nowNanos - workSinceNanos >= claimDelayNanos;
+    // The holder of the last rollout comes first.
+    long startDelayNanos = claimDelayNanos + (newestClaim.isPresent() ? settings.renewNanos() : 0);
+    boolean delayElapsed = nowNanos - workSinceNanos >= startDelayNanos;
     boolean holderSilent =
         nowNanos - newestClaimSeenNanos >= settings.takeoverNanos() + claimDelayNanos;
     // Without a recent read, a renewal may have been missed, and the claim would only be refused.
@@ -107,6 +109,22 @@
     candidate = newCandidate;
   }
 
+  private void recordWork(boolean hasWork, long nowNanos) {
+    if (!hasWork && workSinceNanos != Long.MIN_VALUE) {
+      workSinceNanos = Long.MIN_VALUE;
+      workEndNanos = nowNanos;
+      lastClaimUnread = candidate;
+    } else if (hasWork && workSinceNanos == Long.MIN_VALUE) {
+      workSinceNanos = nowNanos;
+    }
+  }
+
+  private boolean isReadDue(boolean hasWork, long nowNanos) {
+    return hasWork
+        ? nowNanos - lastReadNanos >= readIntervalNanos()
+        : lastClaimUnread && nowNanos - workEndNanos >= settings.validNanos();
+  }
+
   private long readIntervalNanos() {
     return candidate ? settings.renewNanos() : STANDBY_READ_FACTOR * settings.renewNanos();
   }
--- a/core/src/test/java/org/pollenrock/core/weights/OrderLeaseTest.java
+++ b/core/src/test/java/org/pollenrock/core/weights/OrderLeaseTest.java
@@ -86,6 +86,46 @@
     assertThat(now - failureNanos).isBetween(HANDOVER_MILLIS * MILLI, 5_000 * MILLI);
   }
 
+  /** A rollout must not wait for a holder that vanished long after its last orders. */
+  @Test
+  void takeoverIsQuickIfTheHolderVanishedBeforeTheNextRollout() {
+    OrderLease first = new OrderLease("a", 0, 1, SETTINGS);
+    OrderLease second = new OrderLease("b", 600 * MILLI, 1, SETTINGS);
+    FakeClaimLog log = new FakeClaimLog();
+    long now = finishRollout(first, second, log);
+    long workNanos = now;
+    while (second.fencingNumber(now).isEmpty()) {
+      runStep(second, log, true, now);
+      now += 50 * MILLI;
+    }
+    assertThat(now - workNanos).isLessThanOrEqualTo(HANDOVER_MILLIS / 2 * MILLI);
+  }
+
+  /** A quick takeover must not take the lease from a holder that is there. */
+  @Test
+  void holderOfTheLastRolloutKeepsTheLease() {
+    OrderLease first = new OrderLease("a", 0, 1, SETTINGS);
+    OrderLease second = new OrderLease("b", 0, 1, SETTINGS);
+    FakeClaimLog log = new FakeClaimLog();
+    long now = finishRollout(first, second, log);
+    for (long end = now + 5_000 * MILLI; now < end; now += 50 * MILLI) {
+      assertThat(runStep(second, log, true, now)).isFalse();
+      runStep(first, log, true, now);
+    }
+    assertThat(first.fencingNumber(now)).isPresent();
+  }
+
+  /** Lets the first lease hold through a rollout and returns a time long after its end. */
+  private static long finishRollout(OrderLease first, OrderLease second, FakeClaimLog log) {
+    long now = 0;
+    for (; now < 20_000 * MILLI; now += 50 * MILLI) {
+      boolean hasWork = now < 2_300 * MILLI;
+      runStep(first, log, hasWork, now);
+      runStep(second, log, hasWork, now);
+    }
+    return now;
+  }
+
   /**
    * Load pattern: hundreds of instances see outdated engines while one of them gives the orders.
    */
