Add failing tests for silent connections and pauses that count as outages

What callers see: requests begin on outdated weights more than 6 s after a newer version was acknowledged, reach a server that has left, or run twice, although no other party was down.

Cause: the topic watch declares a topic lost when one poll fails after 1.8 s without a response, which every poll on a silent connection does. The next call regains it, dates all versions from that moment and makes removals of servers wait for the grace period. The check for silent servers gives up a request after a pause although the response waits in the socket, if the timers run before the input is read.

Evidence: a stopped process returns from a timed select without keys although input waits (5 of 5 stops), so its timers run first.

--- a/standin/src/main/java/org/pollenrock/standin/platform/KeyedStoreStandin.java
+++ b/standin/src/main/java/org/pollenrock/standin/platform/KeyedStoreStandin.java
@@ -146,6 +146,16 @@
     return found == null ? null : new String(found.value(), StandardCharsets.UTF_8);
   }
 
+  /**
+   * Whether a poll has come to wait for a record since the last one was written.
+   *
+   * @param topic the topic
+   * @return whether a poll came
+   */
+  public synchronized boolean isPolled(String topic) {
+    return !topic(topic).polls.isEmpty();
+  }
+
   /**
    * Calls that arrived.
    *
