Add a failing test for an order claim sent before the clock stood still

What servers see: orders with an outdated fencing number from an instance that was suspended while its claim was on the way.

Cause: the required renewal ends the validity of the previous claim only. If the suspension is detected before the response to the pending claim is read, that response makes the lease valid from the sending of the claim on, on a clock that did not count the suspension. Any read of the elapsed time detects a suspension, so this order is more likely than it was when only the order task did.

--- a/core/src/test/java/org/pollenrock/core/weights/OrderLeaseTest.java
+++ b/core/src/test/java/org/pollenrock/core/weights/OrderLeaseTest.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.junit.jupiter.api.Disabled;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -55,6 +56,19 @@
     assertThat(lease.fencingNumber(now)).isPresent();
   }
 
+  /** The response to a claim from before a standstill of the clock must not allow orders. */
+  @Test
+  @Disabled("KNOWN-RED.txt")
+  void claimSentBeforeAStandstillOfTheClockAllowsNoOrders() {
+    OrderLease lease = new OrderLease("a", 0, 1, SETTINGS);
+    FakeClaimLog log = new FakeClaimLog();
+    runStep(lease, log, true, 0);
+    LeaseStep.AppendClaim append = (LeaseStep.AppendClaim) lease.nextStep(true, 1);
+    lease.requireRenewal();
+    lease.recordClaimAccepted(append.claim(), append.logEnd(), 2);
+    assertThat(lease.fencingNumber(3)).isEmpty();
+  }
+
   @Test
   void noOrdersAreAllowedUntilTheRequiredRenewal() {
     OrderLease lease = new OrderLease("a", 0, 1, SETTINGS);
