--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import org.pollenrock.core.dispatch.Dispatcher;
 import org.pollenrock.core.dispatch.PrefixDirectory;
 import org.pollenrock.core.dispatch.PrefixStoreView;
@@ -131,6 +132,7 @@
     StatePages pages = new StatePages(this, metrics);
     operatorListener =
         settings.operatorAddress().map(address -> new PageListener(loop, address, pages));
+    addSuspensionListener(weightsTargets::recordSuspension);
     registerGauges();
   }
 
@@ -300,13 +302,26 @@
   }
 
   /**
-   * Returns the latest time at which all input that had arrived was processed. It lies long before
-   * the current time if the process did not run meanwhile.
+   * Adds a listener that is called on the event loop after a suspension of the machine.
    *
-   * @return the time, as returned by {@link System#nanoTime}
+   * @param listener receives the duration of the suspension in nanoseconds
    */
-  public long inputProcessedNanos() {
-    return loopMonitor.inputProcessedNanos();
+  public void addSuspensionListener(LongConsumer listener) {
+    loopMonitor.addSuspensionListener(listener);
+  }
+
+  /** Calls the listeners for suspensions at once if there was one, instead of soon. */
+  public void detectSuspension() {
+    loopMonitor.detectSuspension();
+  }
+
+  /**
+   * Returns the times of the event loop that take pauses of the process into account.
+   *
+   * @return the clock of the loop
+   */
+  public LoopClock loopClock() {
+    return loopMonitor;
   }
 
   /**
