--- a/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
@@ -24,8 +24,9 @@
  * HTTP client for calls with small bodies: to the platform's store, and to servers for probes,
  * reports and orders.
  *
- * <p>Each call has a timeout. A call that times out closes its connection, so that the next call
- * opens a new one instead of waiting on a connection that went silent.
+ * <p>Each call has a timeout. A call that times out closes its connection and the idle ones to the
+ * same address, so that the next call opens a new one instead of waiting on a connection that went
+ * silent.
  */
 public final class ControlClient {
   /** Maximum time to open a connection; allows for several round trips between zones. */
@@ -180,6 +181,7 @@
       boolean sent = connection != null;
       if (sent) {
         connection.abandon();
+        pool(address).closeIdle();
       }
       finish(failure(sent ? Step.RELAY : Step.SEND, "timeout", sent));
     }
