Do not give up responses that arrived during a pause of the process

What callers would see: a repeatable request in flight during a freeze runs twice, and servers are taken out of use at this instance and its peers although they responded.

Cause: after a stop of the process the event loop runs the timers that are due before it reads the input that waits. The check for silent servers then counts the pause as their silence.

Change: the check waits while input from the time of a pause may be pending.

--- a/gateway/src/main/java/org/pollenrock/gateway/LoopMonitor.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/LoopMonitor.java
@@ -28,6 +28,12 @@
   /** Time for which the loop counts as late after a late check. */
   private static final long LATE_MEMORY_NANOS = 1_000_000_000L;
 
+  /**
+   * Time without processed input from which input may be pending; less than the shortest silence
+   * that fails a send.
+   */
+  private static final long PENDING_INPUT_NANOS = 400_000_000L;
+
   /** Delay of a check from which the process counts as paused. */
   private static final long PAUSED_NANOS = 1_000_000_000L;
 
@@ -92,6 +98,16 @@
     }
   }
 
+  /**
+   * Returns whether input that arrived during a pause may still wait to be processed. Timers that
+   * expired during the pause run before it.
+   *
+   * @return whether the loop was paused and has not processed all input since
+   */
+  boolean isInputPending() {
+    return elapsedNanos() - inputProcessedNanos > PENDING_INPUT_NANOS;
+  }
+
   @Override
   public long elapsedNanos() {
     detectSuspension();
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -396,7 +396,7 @@
    * Fails the send when the server, although responses are due, has sent nothing on any connection
    * for too long, and the request can be sent to another server. The limit is lower for a server
    * that is already missing. As long as the server sends bytes for other requests, the response to
-   * this one may take any time.
+   * this one may take any time. After a pause of this process, the response may wait to be read.
    */
   private void checkSilence() {
     if (closed) {
@@ -406,7 +406,9 @@
     long latencyLimitMillis =
         backend.isMissing() ? 0 : MAX_SILENT_TARGET_LATENCIES * request.targetLatencyMillis();
     long maxSilenceNanos = Math.max(SILENCE_CHECK_MILLIS, latencyLimitMillis) * 1_000_000;
-    if (backend.silentNanos(now) < maxSilenceNanos || !owner.canResend()) {
+    if (backend.silentNanos(now) < maxSilenceNanos
+        || !owner.canResend()
+        || components.loopMonitor().isInputPending()) {
       scheduleSilenceCheck();
       return;
     }
