Name the shared parts of the prompt in the log of failed sends

A crash by one part of the prompts could not be told apart from one by load.

send_failed has the ids of the shared parts in the field parts, cut off at 200 characters so that a caller can't fill the log with a long list. The texts of two fields move from Exchange to CallerRequestMetadata, which has their values. Decisions are unchanged.

--- a/gateway/src/main/java/org/pollenrock/gateway/CallerRequestMetadata.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerRequestMetadata.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 import org.pollenrock.core.dispatch.Prompt;
+import org.pollenrock.core.dispatch.PromptPart;
 
 /**
  * Metadata of a caller's request that its headers carry.
@@ -24,8 +26,36 @@
     Optional<Prompt> prompt,
     OptionalLong lastEventNumber,
     List<String> unreadableHeaders) {
+  /** Maximum length of the ids of parts in a log line, in characters. */
+  private static final int MAX_LOGGED_IDS_LENGTH = 200;
+
   /** Creates the metadata with an immutable copy of the header names. */
   public CallerRequestMetadata {
     unreadableHeaders = List.copyOf(unreadableHeaders);
   }
+
+  /** Returns the number of tokens of the prompt that other requests share; 0 without a prompt. */
+  int sharedTokens() {
+    return prompt.map(Prompt::sharedTokens).orElse(0);
+  }
+
+  /**
+   * Returns the ids of the shared parts of the prompt for a log line, separated by commas and cut
+   * off at a maximum length; empty if the request shares no part.
+   */
+  Optional<String> sharedPartIds() {
+    return prompt
+        .map(
+            value ->
+                value.sharedParts().stream().map(PromptPart::id).collect(Collectors.joining(",")))
+        .filter(ids -> !ids.isEmpty())
+        .map(ids -> ids.substring(0, Math.min(ids.length(), MAX_LOGGED_IDS_LENGTH)));
+  }
+
+  /** Returns the names of the unreadable headers for a log line; empty if there are none. */
+  Optional<String> unreadableHeaderNames() {
+    return unreadableHeaders.isEmpty()
+        ? Optional.empty()
+        : Optional.of(String.join(",", unreadableHeaders));
+  }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -434,6 +434,7 @@
         .with("server_silent_ms", backend.silentNanos(now) / 1_000_000)
         .with("events", relay.eventCount())
         .with("next", step.name())
+        .with("parts", metadata.sharedPartIds().orElse(null))
         .write();
   }
 
@@ -462,21 +463,15 @@
         .with("weights", servedWeightsVersion())
         .with("cache_scope", request == null ? null : request.cacheScope())
         .with("prompt_tokens", request == null ? 0 : request.promptTokens())
-        .with("shared_tokens", sharedTokens())
+        .with("shared_tokens", metadata.sharedTokens())
         .with("waited_ms", waitedNanos / 1_000_000)
         .with("events", relay.eventCount())
         .with("first_byte_ms", firstByteNanos / 1_000_000)
         .with("total_ms", totalNanos / 1_000_000)
-        .with("unreadable_headers", unreadableHeaders())
+        .with("unreadable_headers", metadata.unreadableHeaderNames().orElse(null))
         .write();
   }
 
-  private String unreadableHeaders() {
-    return metadata.unreadableHeaders().isEmpty()
-        ? null
-        : String.join(",", metadata.unreadableHeaders());
-  }
-
   private String lastServerId() {
     return choice == null ? null : choice.backend().entry().id();
   }
@@ -491,8 +486,4 @@
   private String fetchedFrom() {
     return choice == null ? null : choice.fetchFrom().orElse(null);
   }
-
-  private long sharedTokens() {
-    return metadata.prompt().map(Prompt::sharedTokens).orElse(0);
-  }
 }
