Add the decision which parts of prompts are quarantined

Every instance took each crash for a fault of the server alone.

PartQuarantine, without I/O, counts per shared part the servers that ended while they ran a request with it, since the last completion of the part. A broken connection alone is no strike; the server has to end within 3 s. Strikes within 250 ms are one episode, so that a power failure blames no part that is in use everywhere. Three episodes quarantine a part for 10 minutes after the last strike; afterwards one more suffices. A completion clears it.

A part that is known to have completed before needs six episodes and a completion of other prompts since the first: an only engine that crashes again before it completes anything must not quarantine the part that all requests share. An instance that knows such a completion tells the others when it hears of a second episode. Without this, a part of sound requests that the bad ones contain too, and that none of them completed between three crashes, would be quarantined with the bad part.

Parts are bounded at 4,096 with strikes and 16,384 with completions; the oldest leave first.

Nothing uses it yet.

--- /dev/null
+++ b/core/src/test/java/org/pollenrock/core/quarantine/QuarantineFixture.java
@@ -0,0 +1,67 @@
+package org.pollenrock.core.quarantine;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.pollenrock.core.dispatch.Prompt;
+import org.pollenrock.core.dispatch.PromptPart;
+import org.pollenrock.core.fleet.Backend;
+import org.pollenrock.core.fleet.ListedBackend;
+
+/** Prompts, servers and announcements for the tests of this package. */
+final class QuarantineFixture implements PartQuarantine.Listener {
+  static final long MILLI = 1_000_000L;
+  static final long SECOND = 1_000_000_000L;
+  private static final String MODEL = "m";
+
+  final PartQuarantine quarantine = new PartQuarantine(this);
+  final List<PartQuarantine.Strike> strikes = new ArrayList<>();
+  final List<Long> cleared = new ArrayList<>();
+  final List<String> quarantined = new ArrayList<>();
+
+  static long hash(String partId) {
+    return PartQuarantine.hash(MODEL, partId);
+  }
+
+  /** Returns a prompt with the given shared parts and a part of its own. */
+  static Prompt prompt(String... sharedPartIds) {
+    List<PromptPart> parts = new ArrayList<>();
+    for (String id : sharedPartIds) {
+      parts.add(new PromptPart(id, 100));
+    }
+    parts.add(new PromptPart("own", 20));
+    return new Prompt(MODEL, 100 * sharedPartIds.length + 20, 10, parts);
+  }
+
+  static Backend server(String id) {
+    return server(id, 1);
+  }
+
+  static Backend server(String id, long startMillis) {
+    return new Backend(
+        new ListedBackend(id, startMillis, "llm", "10.0.0.1", 80, "near", 8, true, Map.of()), 0);
+  }
+
+  /** Breaks the sends with the given prompts, and ends their server a millisecond later. */
+  void crash(Backend server, long nanos, Prompt... prompts) {
+    for (Prompt prompt : prompts) {
+      quarantine.recordBroken(server, prompt, nanos);
+    }
+    quarantine.recordServerEnded(server, nanos + MILLI);
+  }
+
+  @Override
+  public void struck(PartQuarantine.Strike strike) {
+    strikes.add(strike);
+  }
+
+  @Override
+  public void cleared(long part, long nanos) {
+    cleared.add(part);
+  }
+
+  @Override
+  public void quarantined(long part, String partId) {
+    quarantined.add(partId);
+  }
+}
