Keep the live instances in a class of their own

The instances and the times of their last datagrams move to LivePeers; behaviour is unchanged. CacheGossipTest, which covers them, passes.

--- a/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
@@ -66,19 +66,9 @@
   /** Interval at which the servers whose cache events this instance follows are announced. */
   private static final long FOLLOWED_INTERVAL_NANOS = 1_000_000_000L;
 
-  /** Time without a datagram of a peer after which it no longer takes part in shared work. */
-  private static final long PEER_SILENCE_NANOS = 4_000_000_000L;
-
   /** Maximum number of batched entries, so that a datagram fits into a packet of usual size. */
   private static final int MAX_BATCH_ENTRIES = 60;
 
-  /** Another instance and the time of its last datagram. */
-  private record LivePeer(String dataCentre, long heardNanos) {
-    private boolean isLive(long nowNanos) {
-      return nowNanos - heardNanos <= PEER_SILENCE_NANOS;
-    }
-  }
-
   private final EventLoop loop;
   private final InetSocketAddress address;
   private final String dataCentre;
@@ -86,10 +76,10 @@
   private final PrefixDirectory directory;
   private final PrefixStoreView prefixStore;
   private final EventLog log;
+  private final LivePeers livePeers;
   private List<InetSocketAddress> peers = List.of();
   private List<InetSocketAddress> fullGossipPeers = List.of();
   private List<InetSocketAddress> prefixGossipPeers = List.of();
-  private final Map<InetAddress, LivePeer> livePeers = new HashMap<>();
   private Channel channel;
   private final Map<Backend, OutcomeCounts> outcomeCounts = new HashMap<>();
   private final WorkGossip workGossip = new WorkGossip();
@@ -116,6 +106,7 @@
     this.directory = directory;
     this.prefixStore = prefixStore;
     this.log = log;
+    livePeers = new LivePeers(address, dataCentre);
   }
 
   /** Binds the gossip address and starts to receive messages. */
@@ -149,18 +140,7 @@
     }
     fullGossipPeers = addresses(others);
     prefixGossipPeers = peers.stream().filter(peer -> !fullGossipPeers.contains(peer)).toList();
-    Map<InetAddress, LivePeer> known = Map.copyOf(livePeers);
-    livePeers.clear();
-    long now = System.nanoTime();
-    for (Peer peer : instances) {
-      if (!peer.address().equals(address)) {
-        InetAddress peerAddress = peer.address().getAddress();
-        LivePeer previous = known.get(peerAddress);
-        livePeers.put(
-            peerAddress,
-            new LivePeer(peer.dataCentre(), previous == null ? now : previous.heardNanos()));
-      }
-    }
+    livePeers.replace(instances, System.nanoTime());
   }
 
   /** Returns whether this instance exchanges full gossip, including work, with all others. */
@@ -223,16 +203,7 @@
    * @return identities of the instances
    */
   public List<InstanceId> liveInstances() {
-    long now = System.nanoTime();
-    List<InstanceId> live = new ArrayList<>();
-    live.add(ownId());
-    livePeers.forEach(
-        (peer, state) -> {
-          if (state.isLive(now)) {
-            live.add(instanceId(peer));
-          }
-        });
-    return live;
+    return livePeers.liveInstances(System.nanoTime());
   }
 
   /**
@@ -243,18 +214,7 @@
    * @return identities of the instances
    */
   public List<InstanceId> liveInstances(String preferredDataCentre) {
-    long now = System.nanoTime();
-    List<InstanceId> preferred = new ArrayList<>();
-    if (preferredDataCentre.equals(dataCentre)) {
-      preferred.add(ownId());
-    }
-    livePeers.forEach(
-        (peer, state) -> {
-          if (state.isLive(now) && state.dataCentre().equals(preferredDataCentre)) {
-            preferred.add(instanceId(peer));
-          }
-        });
-    return preferred.isEmpty() ? liveInstances() : preferred;
+    return livePeers.liveInstances(preferredDataCentre, System.nanoTime());
   }
 
   /**
@@ -263,11 +223,7 @@
    * @return the identity
    */
   public InstanceId ownId() {
-    return instanceId(address.getAddress());
-  }
-
-  private static InstanceId instanceId(InetAddress peer) {
-    return new InstanceId(peer.getHostAddress());
+    return livePeers.ownId();
   }
 
   /** Announces that the prefix store has a prefix. */
@@ -458,11 +414,9 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
       InetAddress sender = packet.sender().getAddress();
-      LivePeer peer = livePeers.get(sender);
-      if (peer == null) {
+      if (!livePeers.recordDatagram(sender, System.nanoTime())) {
         return;
       }
-      livePeers.put(sender, new LivePeer(peer.dataCentre(), System.nanoTime()));
       try {
         apply(FleetNews.parseFrom(ByteBufUtil.getBytes(packet.content())), sender);
       } catch (InvalidProtocolBufferException e) {
