Refuse requests with a part of their prompts that crashes engines

Cause: an instance took each break for a fault of the server alone. It resent the request or took the next one with the same part to the next engine.

Evidence: up to nine requests break at each crash, connections are refused afterwards, and the ids at consecutive crashes differ, so that it is not one request that is repeated.

Change: the gateway tells PartQuarantine about lost connections of requests with prompts, about completions, and about servers that ended. After a lost connection it opens a new one to the engine at once, which goes to the pool if the engine lives: so the end of an engine is known within milliseconds instead of at the next request. A response without length or chunks ends like a crash; its completion counts 1 s later if the engine lives. A stream of this kind that ends inside an event is a break. Invalid responses, silence and connections that a live engine drops are no strikes. The dispatcher refuses requests with a quarantined part with 503 and Retry-After, before they cost a retry budget: new ones, resends, resumptions and those in the queue. A begun stream is broken off as before. Strikes count for 10 minutes. Log lines, a gauge and a refusal cause tell operators.

Why it works: the part never completes, its strikes remain, and the third episode refuses it everywhere on this instance. The other parts of these prompts complete in sound requests. Strikes are not yet shared between instances.

Not done: a resend after the first crash is not suppressed. It belongs to the same episode, ordinary crashes need it, and the break is not yet known to be a crash when it is decided.

--- a/core/src/main/java/org/pollenrock/core/dispatch/DispatchResult.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/DispatchResult.java
@@ -48,6 +48,8 @@
     /** This instance is stopping and accepts no more requests. */
     STOPPING,
     /** The request bodies in memory exceed their limit in bytes. */
-    MEMORY
+    MEMORY,
+    /** A part of the prompt is quarantined because servers crashed under it. */
+    QUARANTINED
   }
 }
--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
+import org.pollenrock.core.quarantine.PartQuarantine;
 import org.pollenrock.core.weights.WeightsTargets;
 
 /**
@@ -17,6 +18,7 @@
   private final Fleet fleet;
   private final ServerSelector selector;
   private final WeightsTargets weightsTargets;
+  private final PartQuarantine quarantine;
   private final RetryAllowanceSettings allowanceSettings;
   private final long processStartNanos;
   private final Map<String, DispatchQueue> queues = new HashMap<>();
@@ -29,6 +31,7 @@
    * @param fleet the known servers
    * @param selector chooses a server for each request
    * @param weightsTargets target versions of the weights
+   * @param quarantine parts of prompts whose requests are refused
    * @param allowanceSettings retry budget of each service
    * @param processStartNanos start time of this process
    */
@@ -36,11 +39,13 @@
       Fleet fleet,
       ServerSelector selector,
       WeightsTargets weightsTargets,
+      PartQuarantine quarantine,
       RetryAllowanceSettings allowanceSettings,
       long processStartNanos) {
     this.fleet = fleet;
     this.selector = selector;
     this.weightsTargets = weightsTargets;
+    this.quarantine = quarantine;
     this.allowanceSettings = allowanceSettings;
     this.processStartNanos = processStartNanos;
   }
@@ -54,6 +59,9 @@
    */
   public DispatchResult submit(DispatchRequest request, long nowNanos) {
     retryAllowance(request.service()).recordRequest(nowNanos);
+    if (isQuarantined(request, nowNanos)) {
+      return new DispatchResult.Refused(DispatchResult.Cause.QUARANTINED);
+    }
     return dispatch(request, Set.of(), nowNanos);
   }
 
@@ -68,6 +76,9 @@
    */
   public DispatchResult resubmit(
       DispatchRequest request, Set<String> triedServers, boolean chargeRetryBudget, long nowNanos) {
+    if (isQuarantined(request, nowNanos)) {
+      return new DispatchResult.Refused(DispatchResult.Cause.QUARANTINED);
+    }
     if (chargeRetryBudget && !retryAllowance(request.service()).tryResend(nowNanos)) {
       return new DispatchResult.Refused(DispatchResult.Cause.RETRY_BUDGET);
     }
@@ -115,6 +126,26 @@
     return expired;
   }
 
+  /**
+   * Removes the waiting requests of a service whose prompts have a quarantined part.
+   *
+   * @param service name of the service
+   * @param nowNanos current time
+   * @return the removed entries, whose requests the caller of this method has to refuse
+   */
+  public List<QueueEntry> removeQuarantined(String service, long nowNanos) {
+    DispatchQueue queue = queues.get(service);
+    if (queue == null || queue.size() == 0) {
+      return List.of();
+    }
+    List<QueueEntry> quarantined =
+        queue.entriesInOrder().stream()
+            .filter(entry -> isQuarantined(entry.request(), nowNanos))
+            .toList();
+    quarantined.forEach(queue::remove);
+    return quarantined;
+  }
+
   /**
    * Removes a waiting request from the queue because its caller disconnected.
    *
@@ -173,6 +204,11 @@
         .orElse(0);
   }
 
+  private boolean isQuarantined(DispatchRequest request, long nowNanos) {
+    return request.prompt().isPresent()
+        && quarantine.isQuarantined(request.prompt().get(), nowNanos);
+  }
+
   private DispatchResult dispatch(
       DispatchRequest request, Set<String> triedServers, long nowNanos) {
     DispatchQueue queue = queues.computeIfAbsent(request.service(), service -> new DispatchQueue());
--- a/core/src/main/java/org/pollenrock/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/PartQuarantine.java
@@ -37,6 +37,9 @@
   /** Time within which strikes count as one episode, from the first one on. */
   public static final long EPISODE_NANOS = 250_000_000L;
 
+  /** Time for which a strike counts; announcements that clear it can be lost. */
+  static final long STRIKE_VALID_NANOS = QUARANTINE_NANOS;
+
   /** Time between a broken send and the detection that its server ended, in either order. */
   public static final long CONFIRMATION_NANOS = 3_000_000_000L;
 
@@ -177,14 +180,16 @@
    * sound.
    *
    * @param prompt prompt of the request
-   * @param nowNanos current time
+   * @param nowNanos time of the completion; a part that was struck after it is not cleared
    */
   public void recordCompletion(Prompt prompt, long nowNanos) {
     lastCompletionNanos = Optional.of(nowNanos);
     for (PromptPart part : prompt.sharedParts()) {
       long hash = hash(prompt.model(), part.id());
       completions.putLast(hash, nowNanos);
-      if (struckParts.remove(hash) != null) {
+      StruckPart struck = struckParts.get(hash);
+      if (struck != null && !struck.hasStrikeAfter(nowNanos)) {
+        struckParts.remove(hash);
         listener.cleared(hash, nowNanos);
       }
     }
@@ -322,17 +327,24 @@
   /** Returns whether the strikes of a part that is not quarantined suffice to quarantine it. */
   private boolean isDue(Strike strike, StruckPart struck) {
     Long completedNanos = completions.get(strike.part());
-    if (completedNanos == null) {
-      return struck.onProbation() || struck.episodes() >= EPISODES;
+    long sinceNanos = strike.nanos() - STRIKE_VALID_NANOS;
+    if (completedNanos != null && completedNanos - sinceNanos > 0) {
+      sinceNanos = completedNanos;
     }
-    if (strike.nanos() - completedNanos <= 0) {
+    if (strike.nanos() - sinceNanos <= 0) {
       return false;
     }
+    if (struck.onProbation()) {
+      return true;
+    }
+    int episodes = struck.episodesAfter(sinceNanos);
+    if (completedNanos == null) {
+      return episodes >= EPISODES;
+    }
     boolean othersComplete =
         lastCompletionNanos.isPresent()
-            && lastCompletionNanos.get() - struck.firstStrikeAfter(completedNanos) > 0;
-    return struck.onProbation()
-        || othersComplete && struck.episodesAfter(completedNanos) >= EPISODES_IF_COMPLETED;
+            && lastCompletionNanos.get() - struck.firstStrikeAfter(sinceNanos) > 0;
+    return othersComplete && episodes >= EPISODES_IF_COMPLETED;
   }
 
   private static long hash(Backend backend) {
--- a/core/src/main/java/org/pollenrock/core/quarantine/StruckPart.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/StruckPart.java
@@ -53,11 +53,6 @@
     return quarantinedBefore;
   }
 
-  /** Returns the number of episodes of all strikes. */
-  int episodes() {
-    return countEpisodes(strikeTimes());
-  }
-
   /** Returns the number of episodes of the strikes after a time. */
   int episodesAfter(long nanos) {
     return countEpisodes(strikeTimes().stream().filter(time -> time - nanos > 0).toList());
--- a/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.Test;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
+import org.pollenrock.core.quarantine.IgnoredAnnouncements;
+import org.pollenrock.core.quarantine.PartQuarantine;
 import org.pollenrock.core.weights.WeightsTargets;
 
 /**
@@ -17,12 +19,14 @@
  */
 class DispatcherTest {
   private final Fleet fleet = new Fleet();
+  private final PartQuarantine quarantine = new PartQuarantine(new IgnoredAnnouncements());
   private final Dispatcher dispatcher =
       new Dispatcher(
           fleet,
           new ServerSelector(
               SelectorSettings.defaults("near"), new PrefixDirectory(), new PrefixStoreView()),
           new WeightsTargets(0),
+          quarantine,
           new RetryAllowanceSettings(0.2, 10, 10 * Fixtures.SECOND),
           -20 * Fixtures.SECOND);
 
@@ -98,4 +102,41 @@
     assertThat(dispatcher.resubmit(request, Set.of(), false, 0))
         .isInstanceOf(DispatchResult.Sent.class);
   }
+
+  /** A part that crashes engines must not reach one by a new request or a resend. */
+  @Test
+  void requestsWithAQuarantinedPartAreRefusedWithoutRetryBudget() {
+    fleet.applyEntry(Fixtures.engine("a", "near", 1), 0);
+    DispatchRequest request = promptRequest("r", "bad", 0);
+    assertThat(dispatcher.submit(request, 0)).isInstanceOf(DispatchResult.Sent.class);
+    int resendsLeft = dispatcher.remainingResends(1);
+    quarantine.applyQuarantine(PartQuarantine.hash(Fixtures.MODEL, "bad"), 1);
+    DispatchResult refused = new DispatchResult.Refused(DispatchResult.Cause.QUARANTINED);
+    assertThat(dispatcher.submit(request, 1)).isEqualTo(refused);
+    assertThat(dispatcher.resubmit(request, Set.of(), true, 1)).isEqualTo(refused);
+    assertThat(dispatcher.remainingResends(1)).isEqualTo(resendsLeft);
+    assertThat(dispatcher.submit(promptRequest("r", "sound", 0), 1))
+        .isInstanceOf(DispatchResult.Sent.class);
+  }
+
+  /** A part that crashes engines must not reach one from the queue. */
+  @Test
+  void waitingRequestsWithAQuarantinedPartLeaveTheQueue() {
+    fleet.applyEntry(Fixtures.engine("a", "near", 1), 0);
+    while (dispatcher.submit(promptRequest("fill", "sound", 0), 0) instanceof DispatchResult.Sent) {
+      assertThat(dispatcher.waitingRequests()).isZero();
+    }
+    dispatcher.submit(promptRequest("bad", "bad", 0), 0);
+    int waiting = dispatcher.waitingRequests();
+    assertThat(dispatcher.removeQuarantined("llm", 1)).isEmpty();
+    quarantine.applyQuarantine(PartQuarantine.hash(Fixtures.MODEL, "bad"), 1);
+    assertThat(dispatcher.removeQuarantined("llm", 1))
+        .extracting(entry -> entry.request().id())
+        .containsExactly("bad");
+    assertThat(dispatcher.waitingRequests()).isEqualTo(waiting - 1);
+  }
+
+  private static DispatchRequest promptRequest(String id, String partId, long nowNanos) {
+    return Fixtures.request(id, Optional.of(Fixtures.prompt(partId, 100, 20)), 3, nowNanos);
+  }
 }
--- a/core/src/test/java/org/pollenrock/core/quarantine/PartQuarantineTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/PartQuarantineTest.java
@@ -103,6 +103,15 @@
     assertThat(quarantine.isQuarantined(BAD, 4 * SECOND)).isTrue();
   }
 
+  /** A rare part must not gather strikes of unrelated crashes over days. */
+  @Test
+  void ignoresOldStrikes() {
+    for (int i = 1; i <= 9; i++) {
+      fixture.crash(server("s" + i), i * PartQuarantine.STRIKE_VALID_NANOS / 2, BAD);
+    }
+    assertThat(fixture.quarantined).isEmpty();
+  }
+
   /** A power failure ends many servers at once and must not blame the parts in use everywhere. */
   @Test
   void countsTheCrashOfManyServersAtOnceAsOneEpisode() {
@@ -171,6 +180,14 @@
     assertThat(fixture.quarantined).containsExactly("bad", "bad");
   }
 
+  /** A response that ended before the crash says nothing about the parts that crashed it. */
+  @Test
+  void keepsStrikesAfterTheCompletion() {
+    crashThreeTimes();
+    quarantine.recordCompletion(BAD, 3 * SECOND - MILLI);
+    assertThat(quarantine.isQuarantined(BAD, 4 * SECOND)).isTrue();
+  }
+
   /** A request that was already running may crash its server after the quarantine began. */
   @Test
   void extendsTheQuarantineByAStrike() {
--- a/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
@@ -139,7 +139,12 @@
     connections.forEach(HttpConnection::close);
   }
 
-  private void connect(AcquireListener acquirer) {
+  /**
+   * Opens a connection even if an idle one could be used.
+   *
+   * @param acquirer receives the connection
+   */
+  void connect(AcquireListener acquirer) {
     HttpConnection connection = new HttpConnection(this);
     ChannelFuture connecting =
         new Bootstrap()
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -140,10 +140,10 @@
     sendTo(choice);
   }
 
-  /** Refuses the request because its maximum time in the queue is over. */
-  void expireInQueue() {
+  /** Refuses the request, which waited in the queue and was removed from it. */
+  void refuseFromQueue(DispatchResult.Cause cause) {
     queueEntry = null;
-    refuse(DispatchResult.Cause.WAITED);
+    refuse(cause);
   }
 
   @Override
@@ -169,9 +169,11 @@
   @Override
   public void streamEnded(ServerSend from) {
     if (relay.endsInsideEvent() || !relay.started()) {
+      from.recordIncomplete();
       sendFailed(from, SendFailure.BROKEN, "stream ended before an event was complete");
       return;
     }
+    from.recordComplete();
     relay.end();
     finish("streamed", HttpResponseStatus.OK.code(), null);
   }
@@ -180,6 +182,7 @@
   public void responseReceived(ServerSend from, PlainResponse serverResponse) {
     boolean failed = serverResponse.status().codeClass() == HttpStatusClass.SERVER_ERROR;
     if (!failed) {
+      from.recordComplete();
       relayResponse(serverResponse);
       return;
     }
@@ -315,7 +318,7 @@
     }
     if (queueEntry != null) {
       components.queuedExchanges().withdraw(queueEntry);
-      expireInQueue();
+      refuseFromQueue(DispatchResult.Cause.WAITED);
       return;
     }
     boolean sent = send != null && send.sent();
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -40,6 +40,7 @@
   private final WeightsTargets weightsTargets;
   private final PrefixDirectory directory = new PrefixDirectory();
   private final PrefixStoreView prefixStore = new PrefixStoreView();
+  private final QuarantineTask quarantineTask;
   private final ServerSelector selector;
   private final Dispatcher dispatcher;
   private final ServerConnectionPools connectionPools;
@@ -77,10 +78,16 @@
     this.log = log;
     this.metrics = metrics;
     weightsTargets = new WeightsTargets(settings.weightsBindingNanos());
+    quarantineTask = new QuarantineTask(log);
     selector = new ServerSelector(settings.selector(), directory, prefixStore);
     dispatcher =
         new Dispatcher(
-            fleet, selector, weightsTargets, settings.retryAllowance(), System.nanoTime());
+            fleet,
+            selector,
+            weightsTargets,
+            quarantineTask.quarantine(),
+            settings.retryAllowance(),
+            System.nanoTime());
     gossip =
         new PeerGossip(
             loop,
@@ -97,7 +104,16 @@
     loopMonitor = new LoopMonitor(loop, metrics, log);
     reachability =
         new ReachabilityMonitor(
-            fleet, configs, controlClient, gossip, log, metrics, settings.gossipAddress());
+            loop,
+            fleet,
+            configs,
+            controlClient,
+            connectionPools,
+            quarantineTask.quarantine(),
+            gossip,
+            log,
+            metrics,
+            settings.gossipAddress());
     GatewayComponents components =
         new GatewayComponents(
             loop,
@@ -340,6 +356,10 @@
         () -> WeightsRollout.countOutdated(fleet.all(), weightsTargets));
     metrics.registerGauge(
         "pollenrock_prefixes_known", "Prefixes whose servers are known", directory::size);
+    metrics.registerGauge(
+        "pollenrock_parts_quarantined",
+        "Parts of prompts whose requests are refused",
+        quarantineTask::quarantinedParts);
     metrics.registerGauge(
         "pollenrock_resends_left",
         "Further sends that the retry budgets of this instance leave",
@@ -352,6 +372,7 @@
       log.line("server_gone").with("server", serverId).with("cause", "not listed again").write();
     }
     reachability.sweep();
+    quarantineTask.sweep(now);
     queuedExchanges.sweep();
     sweepTasks.forEach(Runnable::run);
     if (++sweepCount % SWEEPS_PER_CONNECTION_SWEEP == 0) {
--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -94,6 +94,12 @@
     channel.config().setAutoRead(enabled);
   }
 
+  /** Puts a new connection into its pool before it has carried a request. */
+  void returnUnused() {
+    idleSinceNanos = System.nanoTime();
+    pool.returnIdle(this);
+  }
+
   /** Returns whether the connection is open and may carry another request. */
   boolean isUsable() {
     return channel.isActive() && !closing;
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/QuarantineTask.java
@@ -0,0 +1,86 @@
+package org.pollenrock.gateway;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.pollenrock.core.quarantine.PartQuarantine;
+
+/** Owns the quarantine of parts of prompts, and logs strikes and the parts that enter and leave. */
+final class QuarantineTask implements PartQuarantine.Listener {
+  private final PartQuarantine quarantine = new PartQuarantine(this);
+  private final EventLog log;
+
+  /** Ids of the quarantined parts whose quarantine was logged, by their hashes. */
+  private final Map<Long, String> loggedParts = new LinkedHashMap<>();
+
+  QuarantineTask(EventLog log) {
+    this.log = log;
+  }
+
+  /** Returns the quarantine. */
+  PartQuarantine quarantine() {
+    return quarantine;
+  }
+
+  /** Returns the number of quarantined parts at the last sweep. */
+  int quarantinedParts() {
+    return loggedParts.size();
+  }
+
+  @Override
+  public void struck(PartQuarantine.Strike strike) {
+    logPart("part_struck", EventLog.Importance.ROUTINE, strike.part());
+  }
+
+  @Override
+  public void cleared(long part, long nanos) {
+    log.line("part_cleared", EventLog.Importance.ROUTINE)
+        .with("part_hash", Long.toHexString(part))
+        .write();
+  }
+
+  @Override
+  public void quarantined(long part, String partId) {
+    logBegin(part);
+  }
+
+  /** Logs the parts whose quarantine was announced by others, and those whose quarantine ended. */
+  void sweep(long nowNanos) {
+    Set<Long> parts = Set.copyOf(quarantine.quarantinedParts(nowNanos));
+    parts.forEach(this::logBegin);
+    loggedParts
+        .entrySet()
+        .removeIf(
+            logged -> {
+              boolean ended = !parts.contains(logged.getKey());
+              if (ended) {
+                log.line("part_released")
+                    .with("part", logged.getValue())
+                    .with("part_hash", Long.toHexString(logged.getKey()))
+                    .write();
+              }
+              return ended;
+            });
+  }
+
+  private void logBegin(long part) {
+    if (!loggedParts.containsKey(part)) {
+      logPart("part_quarantined", EventLog.Importance.ESSENTIAL, part);
+      loggedParts.put(
+          part, quarantine.report(part).map(PartQuarantine.PartReport::partId).orElse(""));
+    }
+  }
+
+  private void logPart(String event, EventLog.Importance importance, long part) {
+    Optional<PartQuarantine.PartReport> report = quarantine.report(part);
+    List<String> servers = report.map(PartQuarantine.PartReport::servers).orElse(List.of());
+    log.line(event, importance)
+        .with("part", report.map(PartQuarantine.PartReport::partId).orElse(""))
+        .with("part_hash", Long.toHexString(part))
+        .with("servers", String.join(",", servers))
+        .with("server_count", servers.size())
+        .write();
+  }
+}
--- a/gateway/src/main/java/org/pollenrock/gateway/QueuedExchanges.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QueuedExchanges.java
@@ -26,10 +26,15 @@
     dispatcher.cancel(entry);
   }
 
-  /** Sends the waiting requests of a service that a server can take now. */
+  /**
+   * Sends the waiting requests of a service that a server can take now; refuses quarantined ones.
+   */
   void dispatchWaiting(String service) {
-    for (DispatchResult.Released released :
-        dispatcher.dispatchWaiting(service, System.nanoTime())) {
+    long now = System.nanoTime();
+    for (QueueEntry quarantined : dispatcher.removeQuarantined(service, now)) {
+      exchanges.remove(quarantined).refuseFromQueue(DispatchResult.Cause.QUARANTINED);
+    }
+    for (DispatchResult.Released released : dispatcher.dispatchWaiting(service, now)) {
       exchanges.remove(released.entry()).sendFromQueue(released.choice());
     }
   }
@@ -38,7 +43,7 @@
   void sweep() {
     dispatcher.servicesWithWaitingRequests().forEach(this::dispatchWaiting);
     for (QueueEntry expired : dispatcher.removeExpired(System.nanoTime())) {
-      exchanges.remove(expired).expireInQueue();
+      exchanges.remove(expired).refuseFromQueue(DispatchResult.Cause.WAITED);
     }
   }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
@@ -1,17 +1,27 @@
 package org.pollenrock.gateway;
 
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
+import org.pollenrock.core.quarantine.PartQuarantine;
 import org.pollenrock.core.route.ActiveConfig;
 import org.pollenrock.core.route.ServiceSpec;
 
 /**
  * Tracks which servers are missing, that is, don't respond, probes them until they respond again,
- * and announces both to the other instances.
+ * and announces both to the other instances. Tells the quarantine of parts of prompts which servers
+ * have ended after a send to them broke.
  *
  * <p>Probes spare callers' requests from being sent to a missing server. Any response to a probe
  * shows that the server is reachable. The health that the response reports is ignored, since
@@ -27,25 +37,61 @@
    */
   private static final long PROBE_DELAY_RANGE_NANOS = 200_000_000L;
 
+  /** Time for which a server has to keep the connection of a check open to count as alive. */
+  private static final long CHECK_DELAY_MILLIS = 100;
+
+  /** Maximum number of checks of a server after a broken send. */
+  private static final int MAX_CHECKS = 2;
+
+  /** Time after which a server that has not been found to have ended counts as alive. */
+  private static final long ALIVE_NANOS = 1_000_000_000L;
+
+  /** Maximum number of completions that wait until their server counts as alive. */
+  private static final int MAX_PENDING_COMPLETIONS = 1_024;
+
+  /**
+   * Response that the end of its connection has completed, unless the server crashed.
+   *
+   * @param backend the server
+   * @param prompt prompt of the request
+   * @param nanos time of the end
+   */
+  private record PendingCompletion(Backend backend, Prompt prompt, long nanos) {}
+
+  private final EventLoop loop;
   private final Fleet fleet;
   private final ActiveConfig configs;
   private final ControlClient control;
+  private final ServerConnectionPools connectionPools;
+  private final PartQuarantine quarantine;
   private final PeerGossip gossip;
   private final EventLog log;
   private final GatewayMetrics metrics;
   private final long probeDelayNanos;
 
+  /** Servers with a broken send, and until when they are watched for their end. */
+  private final Map<Backend, Long> watchedUntilNanos = new HashMap<>();
+
+  private final Set<Backend> checkedServers = new HashSet<>();
+  private final Deque<PendingCompletion> pendingCompletions = new ArrayDeque<>();
+
   ReachabilityMonitor(
+      EventLoop loop,
       Fleet fleet,
       ActiveConfig configs,
       ControlClient control,
+      ServerConnectionPools connectionPools,
+      PartQuarantine quarantine,
       PeerGossip gossip,
       EventLog log,
       GatewayMetrics metrics,
       InetSocketAddress gossipAddress) {
+    this.loop = loop;
     this.fleet = fleet;
     this.configs = configs;
     this.control = control;
+    this.connectionPools = connectionPools;
+    this.quarantine = quarantine;
     this.gossip = gossip;
     this.log = log;
     this.metrics = metrics;
@@ -65,6 +111,48 @@
           .write();
     }
     gossip.announceMissing(backend);
+    recordEnded(backend);
+  }
+
+  /**
+   * Records that the connection of a send to an engine was lost, and checks at once whether the
+   * engine has ended, before more requests with the same parts are sent elsewhere.
+   */
+  void recordBroken(Backend backend, Prompt prompt) {
+    if (prompt.sharedParts().isEmpty()) {
+      return;
+    }
+    long now = System.nanoTime();
+    quarantine.recordBroken(backend, prompt, now);
+    watchedUntilNanos.put(backend, now + PartQuarantine.CONFIRMATION_NANOS);
+    if (hasEnded(backend)) {
+      recordEnded(backend);
+    } else if (checkedServers.add(backend)) {
+      check(backend, 1);
+    }
+  }
+
+  /**
+   * Records that a request to an engine has completed.
+   *
+   * @param endedWithConnection whether the end of the connection ended the response, as a crash of
+   *     the engine does; the completion then counts once the engine is seen to live on
+   */
+  void recordCompletion(Backend backend, Prompt prompt, boolean endedWithConnection) {
+    long now = System.nanoTime();
+    if (!endedWithConnection) {
+      quarantine.recordCompletion(prompt, now);
+      return;
+    }
+    recordBroken(backend, prompt);
+    if (pendingCompletions.size() < MAX_PENDING_COMPLETIONS) {
+      pendingCompletions.add(new PendingCompletion(backend, prompt, now));
+    }
+  }
+
+  /** Records that a server has ended or is not reachable. */
+  void recordEnded(Backend backend) {
+    quarantine.recordServerEnded(backend, System.nanoTime());
   }
 
   /** Records that a server sent bytes. */
@@ -79,11 +167,75 @@
 
   /** Sends the probes that are due. */
   void sweep() {
+    sweepWatched(System.nanoTime());
     for (Backend backend : fleet.serversDueForProbe(System.nanoTime() - probeDelayNanos)) {
       healthPath(backend).ifPresent(path -> sendProbe(backend, path));
     }
   }
 
+  /**
+   * Reports the watched servers that another instance has found missing or that the list has
+   * removed or replaced, and records the completions whose servers live on.
+   */
+  private void sweepWatched(long now) {
+    for (Backend backend : watchedUntilNanos.keySet()) {
+      if (hasEnded(backend)) {
+        recordEnded(backend);
+      }
+    }
+    watchedUntilNanos.values().removeIf(until -> now - until > 0);
+    while (!pendingCompletions.isEmpty() && now - pendingCompletions.peek().nanos() > ALIVE_NANOS) {
+      PendingCompletion completion = pendingCompletions.remove();
+      if (!hasEnded(completion.backend())) {
+        quarantine.recordCompletion(completion.prompt(), completion.nanos());
+      }
+    }
+  }
+
+  private boolean hasEnded(Backend backend) {
+    return backend.isMissing()
+        || fleet.findByIdHash(backend.idHash()).filter(listed -> listed == backend).isEmpty();
+  }
+
+  /**
+   * Checks whether a server that broke a send still accepts connections and keeps them open. Unlike
+   * the response to a health call, this does not depend on the load of the server. The connection
+   * is kept for the next request.
+   */
+  private void check(Backend backend, int attempt) {
+    connectionPools
+        .poolFor(backend)
+        .connect(
+            new ConnectionPool.AcquireListener() {
+              @Override
+              public void connected(HttpConnection connection, boolean reused) {
+                if (hasEnded(backend)) {
+                  connection.close();
+                } else {
+                  connection.returnUnused();
+                }
+                loop.schedule(
+                    () -> finishCheck(backend, attempt, connection),
+                    CHECK_DELAY_MILLIS,
+                    TimeUnit.MILLISECONDS);
+              }
+
+              @Override
+              public void connectFailed(Throwable cause) {
+                checkedServers.remove(backend);
+                recordUnreachable(backend, cause.toString());
+              }
+            });
+  }
+
+  private void finishCheck(Backend backend, int attempt, HttpConnection connection) {
+    if (!connection.isUsable() && attempt < MAX_CHECKS) {
+      check(backend, attempt + 1);
+    } else {
+      checkedServers.remove(backend);
+    }
+  }
+
   private Optional<String> healthPath(Backend backend) {
     return configs
         .current()
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -11,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
@@ -87,6 +89,7 @@
   private HttpConnection connection;
   private Mode mode = Mode.AWAITING;
   private HttpResponse responseHead;
+  private boolean endsWithConnection;
   private ByteBuf plainBody;
   private boolean closed;
   private boolean sent;
@@ -219,13 +222,14 @@
         || success
             && (!metadata.signed()
                 || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
-      connection.abandon();
-      requestFailed(new IOException("response lacks request id or signature, or is compressed"));
+      failInvalid("response lacks request id or signature, or is compressed");
       return true;
     } else {
       recordWeightsVersion(metadata);
       mode = success && route.kind() == RouteKind.STREAM ? Mode.STREAM : Mode.PLAIN;
       responseHead = response;
+      endsWithConnection =
+          !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
     }
     if (mode == Mode.STREAM) {
       owner.streamStarted(this, response);
@@ -260,6 +264,7 @@
       case REFUSED -> handleRefusal();
       case MISPLACED -> {
         components.fleet().removeMisplaced(backend);
+        components.reachability().recordEnded(backend);
         fail(SendFailure.MISPLACED, "another server runs at the address");
       }
       case OTHER_WEIGHTS -> fail(SendFailure.OTHER_WEIGHTS, "server has another weights version");
@@ -296,11 +301,49 @@
       case OTHER_WEIGHTS -> fail(SendFailure.OTHER_WEIGHTS, "server has another weights version");
       default -> {
         recordOutcome(false);
+        if (isConnectionLoss(cause)) {
+          recordBroken();
+        }
         fail(SendFailure.BROKEN, cause.toString());
       }
     }
   }
 
+  /**
+   * Records that the response was complete, which clears its prompt of suspicion. If the end of the
+   * connection ended the response, the server may have crashed and has to be seen alive first.
+   */
+  void recordComplete() {
+    boolean success = responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
+    if (success && request.prompt().isPresent()) {
+      components
+          .reachability()
+          .recordCompletion(backend, request.prompt().get(), endsWithConnection);
+    }
+  }
+
+  /** Records that the response ended before it was complete. */
+  void recordIncomplete() {
+    if (endsWithConnection) {
+      recordBroken();
+    }
+  }
+
+  private void recordBroken() {
+    request.prompt().ifPresent(prompt -> components.reachability().recordBroken(backend, prompt));
+  }
+
+  /** Fails the send because the response is not one that may be passed on. */
+  private void failInvalid(String cause) {
+    connection.abandon();
+    recordOutcome(false);
+    fail(SendFailure.BROKEN, cause);
+  }
+
+  private static boolean isConnectionLoss(Throwable cause) {
+    return cause instanceof IOException || cause instanceof PrematureChannelClosureException;
+  }
+
   private void recordPromptRead(long now) {
     components
         .gossip()
@@ -379,9 +422,7 @@
       plainBody = bytes.alloc().buffer(bytes.readableBytes());
     }
     if (plainBody.readableBytes() + bytes.readableBytes() > MAX_PLAIN_BODY_BYTES) {
-      connection.abandon();
-      requestFailed(
-          new IOException("response body longer than " + MAX_PLAIN_BODY_BYTES + " bytes"));
+      failInvalid("response body longer than " + MAX_PLAIN_BODY_BYTES + " bytes");
       return;
     }
     plainBody.writeBytes(bytes);
