Date announced quarantines by the time from which they last

Instances are going to repeat quarantines to each other. With a quarantine that begins when it is announced, the instance whose quarantine ends first would learn it again from one that learned it later, and so on for ever. A late announcement would also quarantine a part again that has completed meanwhile.

applyQuarantine takes the time from which the quarantine lasts, and has no effect if the part was quarantined here at that time or has completed since. quarantinedSinceNanos and completionSince return what has to be announced.

PartQuarantineTest has a test for either case and passes.

--- a/core/src/main/java/org/pollenrock/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/PartQuarantine.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.dispatch.PromptPart;
 import org.pollenrock.core.fleet.Backend;
@@ -231,16 +232,20 @@
   }
 
   /**
-   * Applies a quarantine that another instance or the store has announced. A part that is
-   * quarantined already remains so until the time that it has.
+   * Applies a quarantine that another instance or the store has announced. It has no effect if the
+   * part was quarantined here at the given time already, so that repeated announcements don't
+   * prolong a quarantine, or if the part has completed since.
    *
    * @param part hash of the part
-   * @param nowNanos current time
+   * @param nanos time from which the quarantine lasts, see {@link #quarantinedSinceNanos}
    */
-  public void applyQuarantine(long part, long nowNanos) {
+  public void applyQuarantine(long part, long nanos) {
+    if (completionSince(part, nanos).isPresent()) {
+      return;
+    }
     StruckPart struck = struckParts.computeIfAbsent(part, key -> new StruckPart());
-    if (!struck.isQuarantined(nowNanos)) {
-      struck.quarantine(nowNanos);
+    if (!struck.isQuarantined(nanos)) {
+      struck.quarantine(nanos);
     }
   }
 
@@ -277,6 +282,31 @@
         .toList();
   }
 
+  /**
+   * Returns the last completion of a part, if it is known and was not before the given time.
+   *
+   * @param part hash of the part
+   * @param nanos the time
+   * @return the time of the completion
+   */
+  public OptionalLong completionSince(long part, long nanos) {
+    Long completedNanos = completions.get(part);
+    return completedNanos != null && completedNanos - nanos >= 0
+        ? OptionalLong.of(completedNanos)
+        : OptionalLong.empty();
+  }
+
+  /**
+   * Returns the time from which the quarantine of a part lasts, in general that of its last strike.
+   *
+   * @param part hash of the part
+   * @return the time; empty if the part was never quarantined
+   */
+  public OptionalLong quarantinedSinceNanos(long part) {
+    StruckPart struck = struckParts.get(part);
+    return struck == null ? OptionalLong.empty() : struck.lastingSinceNanos();
+  }
+
   /**
    * Returns what is known about a part with strikes.
    *
--- a/core/src/main/java/org/pollenrock/core/quarantine/StruckPart.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/StruckPart.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.OptionalLong;
 
 /** Strikes against one part since its last completion, and its quarantine. */
 final class StruckPart {
@@ -48,6 +49,13 @@
     return quarantinedBefore && nowNanos - quarantinedUntilNanos < 0;
   }
 
+  /** Returns the time from which the last quarantine lasts; empty if there was none. */
+  OptionalLong lastingSinceNanos() {
+    return quarantinedBefore
+        ? OptionalLong.of(quarantinedUntilNanos - PartQuarantine.QUARANTINE_NANOS)
+        : OptionalLong.empty();
+  }
+
   /** Returns whether the part was quarantined before, so that one further strike suffices. */
   boolean onProbation() {
     return quarantinedBefore;
--- a/core/src/test/java/org/pollenrock/core/quarantine/PartQuarantineTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/PartQuarantineTest.java
@@ -250,6 +250,30 @@
     assertThat(quarantine.quarantinedParts(3 * SECOND)).isEmpty();
   }
 
+  /** Instances that repeat what others told them must not keep a quarantine alive for ever. */
+  @Test
+  void announcementAfterTheEndDoesNotRenewTheQuarantine() {
+    quarantine.applyQuarantine(hash("bad"), SECOND);
+    long endNanos = SECOND + PartQuarantine.QUARANTINE_NANOS;
+    // Another instance learned it later, so that it lasts longer there.
+    quarantine.applyQuarantine(hash("bad"), SECOND + MILLI);
+    assertThat(quarantine.isQuarantined(BAD, endNanos)).isFalse();
+    quarantine.applyQuarantine(hash("bad"), endNanos + MILLI);
+    assertThat(quarantine.isQuarantined(BAD, endNanos + MILLI)).as("a new one").isTrue();
+    assertThat(quarantine.quarantinedSinceNanos(hash("bad"))).hasValue(endNanos + MILLI);
+  }
+
+  /** A late announcement must not quarantine again a part that has been found sound since. */
+  @Test
+  void completionOutweighsAnOlderQuarantine() {
+    quarantine.applyClearing(hash("sound"), 2 * SECOND, 3 * SECOND);
+    quarantine.applyQuarantine(hash("sound"), SECOND);
+    assertThat(quarantine.isQuarantined(SOUND, 3 * SECOND)).isFalse();
+    assertThat(quarantine.completionSince(hash("sound"), SECOND)).hasValue(2 * SECOND);
+    quarantine.applyQuarantine(hash("sound"), 3 * SECOND);
+    assertThat(quarantine.isQuarantined(SOUND, 3 * SECOND)).isTrue();
+  }
+
   /** Callers that invent parts must not fill the memory. */
   @Test
   void boundsTheTrackedParts() {
