Tell other instances which parts of prompts crash servers

FleetNews carries strikes, clearings and quarantined parts, with ages, since the clocks of instances differ. QuarantineGossip sends strikes and clearings to all instances after 10 ms, and again 250 and 750 ms later. Rounds to all are at least 100 ms, or 1 ms for each receiver, apart. Quarantined parts go with other gossip, and to three instances a second in an order of the sender's own; an instance that learns one tells three others at once. An instance that announces a quarantine although the part has completed since is told of the completion. Clearings are spread over 1 ms for each instance, and one that hears of a clearing drops its own.

--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import org.pollenrock.core.dispatch.ServerSelector;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
+import org.pollenrock.core.quarantine.PartQuarantine;
 import org.pollenrock.core.route.ActiveConfig;
 import org.pollenrock.core.weights.WeightsRollout;
 import org.pollenrock.core.weights.WeightsTargets;
@@ -96,7 +97,9 @@
             fleet,
             directory,
             prefixStore,
+            quarantineTask.quarantine(),
             log);
+    quarantineTask.addListener(gossip.quarantineGossip());
     connectionPools = new ServerConnectionPools(loop, new ServerConnectionObserver(metrics, log));
     queuedExchanges = new QueuedExchanges(dispatcher);
     bodyMemory = new BodyMemory(settings.maxHeldBodyBytes());
@@ -277,6 +280,15 @@
     return directory;
   }
 
+  /**
+   * Returns the quarantine of parts of prompts that crash servers.
+   *
+   * @return the quarantine
+   */
+  public PartQuarantine quarantine() {
+    return quarantineTask.quarantine();
+  }
+
   /**
    * Returns the dispatcher, which admits requests and assigns them to servers.
    *
--- a/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
@@ -22,6 +22,7 @@
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.model.InstanceId;
+import org.pollenrock.core.quarantine.PartQuarantine;
 import org.pollenrock.protocol.generated.EngineLoading;
 import org.pollenrock.protocol.generated.EngineWeights;
 import org.pollenrock.protocol.generated.FleetNews;
@@ -77,6 +78,7 @@
   private final PrefixStoreView prefixStore;
   private final EventLog log;
   private final LivePeers livePeers;
+  private final QuarantineGossip quarantineGossip;
   private List<InetSocketAddress> peers = List.of();
   private List<InetSocketAddress> fullGossipPeers = List.of();
   private List<InetSocketAddress> prefixGossipPeers = List.of();
@@ -98,6 +100,7 @@
       Fleet fleet,
       PrefixDirectory directory,
       PrefixStoreView prefixStore,
+      PartQuarantine quarantine,
       EventLog log) {
     this.loop = loop;
     this.address = address;
@@ -107,6 +110,17 @@
     this.prefixStore = prefixStore;
     this.log = log;
     livePeers = new LivePeers(address, dataCentre);
+    quarantineGossip =
+        new QuarantineGossip(loop, quarantine, address.hashCode(), System::nanoTime, this::send);
+  }
+
+  /**
+   * Returns the gossip about quarantined parts of prompts.
+   *
+   * @return the gossip
+   */
+  public QuarantineGossip quarantineGossip() {
+    return quarantineGossip;
   }
 
   /** Binds the gossip address and starts to receive messages. */
@@ -119,6 +133,7 @@
             .bind(address)
             .sync()
             .channel();
+    quarantineGossip.start();
   }
 
   /** Closes the socket. */
@@ -135,6 +150,7 @@
     List<Peer> others = new ArrayList<>(instances);
     others.removeIf(peer -> peer.address().equals(address));
     peers = addresses(others);
+    quarantineGossip.updatePeers(peers);
     if (others.size() > MAX_FULL_GOSSIP_PEERS) {
       others.removeIf(peer -> !peer.dataCentre().equals(dataCentre));
     }
@@ -325,6 +341,7 @@
       followedAnnouncedToAllNanos = now;
       followedServers.forEach(server -> message.addFollowed(server.idHash()));
     }
+    quarantineGossip.addQuarantinedParts(message, now);
     send(message, prefixGossipPeers);
   }
 
@@ -340,6 +357,7 @@
       followedAnnouncedNanos = now;
       followedServers.forEach(server -> message.addFollowed(server.idHash()));
     }
+    quarantineGossip.addQuarantinedParts(message, now);
     send(message, fullGossipPeers);
     scheduleFlush();
   }
@@ -418,7 +436,9 @@
         return;
       }
       try {
-        apply(FleetNews.parseFrom(ByteBufUtil.getBytes(packet.content())), sender);
+        FleetNews message = FleetNews.parseFrom(ByteBufUtil.getBytes(packet.content()));
+        apply(message, sender);
+        quarantineGossip.apply(message, packet.sender(), System.nanoTime());
       } catch (InvalidProtocolBufferException e) {
         log.line("news_unreadable")
             .with("peer", packet.sender().toString())
--- a/gateway/src/main/java/org/pollenrock/gateway/QuarantineTask.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QuarantineTask.java
@@ -1,5 +1,6 @@
 package org.pollenrock.gateway;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +12,7 @@
 final class QuarantineTask implements PartQuarantine.Listener {
   private final PartQuarantine quarantine = new PartQuarantine(this);
   private final EventLog log;
+  private final List<PartQuarantine.Listener> listeners = new ArrayList<>();
 
   /** Ids of the quarantined parts whose quarantine was logged, by their hashes. */
   private final Map<Long, String> loggedParts = new LinkedHashMap<>();
@@ -24,6 +26,11 @@
     return quarantine;
   }
 
+  /** Adds a receiver of the announcements of the quarantine. */
+  void addListener(PartQuarantine.Listener listener) {
+    listeners.add(listener);
+  }
+
   /** Returns the number of quarantined parts at the last sweep. */
   int quarantinedParts() {
     return loggedParts.size();
@@ -32,6 +39,7 @@
   @Override
   public void struck(PartQuarantine.Strike strike) {
     logPart("part_struck", EventLog.Importance.ROUTINE, strike.part());
+    listeners.forEach(listener -> listener.struck(strike));
   }
 
   @Override
@@ -39,11 +47,13 @@
     log.line("part_cleared", EventLog.Importance.ROUTINE)
         .with("part_hash", Long.toHexString(part))
         .write();
+    listeners.forEach(listener -> listener.cleared(part, nanos));
   }
 
   @Override
   public void quarantined(long part, String partId) {
     logBegin(part);
+    listeners.forEach(listener -> listener.quarantined(part, partId));
   }
 
   /** Logs the parts whose quarantine was announced by others, and those whose quarantine ended. */
--- a/gateway/src/test/java/org/pollenrock/gateway/CacheGossipTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/CacheGossipTest.java
@@ -40,6 +40,7 @@
     private final Backend engine;
 
     private Instance(EventLoop loop, InetSocketAddress address) {
+      EventLog log = new EventLog(new ByteArrayOutputStream());
       fleet.applyEntry(ENGINE, System.nanoTime());
       engine = fleet.all().iterator().next();
       gossip =
@@ -50,7 +51,8 @@
               fleet,
               directory,
               new PrefixStoreView(),
-              new EventLog(new ByteArrayOutputStream()));
+              new QuarantineTask(log).quarantine(),
+              log);
     }
   }
 
