Satisfy the linter in the quarantine's tests and the gateway

The whole check stopped at Checkstyle: the fields of a test fixture were visible, and the constructor of Gateway had 75 lines where 70 are allowed. The fixture has accessors now, and the reachability monitor is created in a method of its own. Behaviour and assertions are unchanged.

--- a/core/src/test/java/org/pollenrock/core/quarantine/PartQuarantinePropertyTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/PartQuarantinePropertyTest.java
@@ -43,22 +43,22 @@
       Prompt running = SOUND.get(random.nextInt(SOUND.size()));
       if (random.nextInt(4) == 0) {
         fixture.crash(server, nowNanos, running);
-      } else if (!fixture.quarantine.isQuarantined(bad, nowNanos)) {
+      } else if (!fixture.quarantine().isQuarantined(bad, nowNanos)) {
         badCrashes++;
         fixture.crash(server, nowNanos, running, bad);
       }
       for (Prompt sound : SOUND) {
         if (random.nextInt(10) < 8) {
-          fixture.quarantine.recordCompletion(sound, nowNanos + 2 * MILLI);
+          fixture.quarantine().recordCompletion(sound, nowNanos + 2 * MILLI);
         }
       }
       assertThat(badCrashes).isLessThanOrEqualTo(PartQuarantine.EPISODES);
     }
-    assertThat(fixture.quarantine.isQuarantined(prompt("bad"), nowNanos)).isTrue();
+    assertThat(fixture.quarantine().isQuarantined(prompt("bad"), nowNanos)).isTrue();
     // The part e occurs in no sound request.
-    assertThat(fixture.quarantined).contains("bad").isSubsetOf("bad", "e");
+    assertThat(fixture.quarantined()).contains("bad").isSubsetOf("bad", "e");
     for (Prompt sound : SOUND) {
-      assertThat(fixture.quarantine.isQuarantined(sound, nowNanos)).isFalse();
+      assertThat(fixture.quarantine().isQuarantined(sound, nowNanos)).isFalse();
     }
   }
 
@@ -87,10 +87,10 @@
       if (random.nextBoolean()) {
         fixture.crash(server("s" + step), step * SECOND, prompt);
       } else {
-        fixture.quarantine.recordCompletion(prompt, step * SECOND);
+        fixture.quarantine().recordCompletion(prompt, step * SECOND);
       }
     }
-    assertThat(fixture.quarantine.trackedEntries())
+    assertThat(fixture.quarantine().trackedEntries())
         .isLessThanOrEqualTo(
             PartQuarantine.MAX_PARTS
                 + PartQuarantine.MAX_COMPLETED_PARTS
@@ -100,9 +100,9 @@
   private static boolean isQuarantinedBy(long part, List<Long> strikeTimes) {
     QuarantineFixture fixture = new QuarantineFixture();
     for (int i = 0; i < strikeTimes.size(); i++) {
-      fixture.quarantine.applyStrike(part, i, strikeTimes.get(i), SECOND);
+      fixture.quarantine().applyStrike(part, i, strikeTimes.get(i), SECOND);
     }
-    return !fixture.quarantine.quarantinedParts(SECOND).isEmpty();
+    return !fixture.quarantine().quarantinedParts(SECOND).isEmpty();
   }
 
   /** Counts the episodes by their definition: each lasts as long as from its first strike on. */
--- a/core/src/test/java/org/pollenrock/core/quarantine/PartQuarantineTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/PartQuarantineTest.java
@@ -20,7 +20,7 @@
   private static final Prompt SOUND = prompt("system", "sound");
 
   private final QuarantineFixture fixture = new QuarantineFixture();
-  private final PartQuarantine quarantine = fixture.quarantine;
+  private final PartQuarantine quarantine = fixture.quarantine();
 
   private void crashThreeTimes() {
     for (int second = 1; second <= 3; second++) {
@@ -40,7 +40,7 @@
     assertThat(quarantine.isQuarantined(BAD, 3 * SECOND + MILLI)).isTrue();
     assertThat(quarantine.isQuarantined(prompt("other", "bad"), 3 * SECOND + MILLI)).isTrue();
     assertThat(quarantine.quarantinedParts(3 * SECOND + MILLI)).containsExactly(hash("bad"));
-    assertThat(fixture.quarantined).containsExactly("bad");
+    assertThat(fixture.quarantined()).containsExactly("bad");
     assertThat(quarantine.report(hash("bad")).orElseThrow().servers())
         .containsExactly("s1", "s2", "s3");
   }
@@ -59,7 +59,7 @@
     for (int second = 1; second <= 4; second++) {
       fixture.crash(server("s" + second), second * SECOND, prompt());
     }
-    assertThat(fixture.strikes).isEmpty();
+    assertThat(fixture.strikes()).isEmpty();
   }
 
   /** Lost and garbled responses, and single connection resets, are no crashes. */
@@ -68,9 +68,9 @@
     for (int second = 1; second <= 9; second++) {
       quarantine.recordBroken(server("s" + second), BAD, second * SECOND);
     }
-    assertThat(fixture.strikes).isEmpty();
+    assertThat(fixture.strikes()).isEmpty();
     quarantine.recordServerEnded(server("s1"), 9 * SECOND);
-    assertThat(fixture.strikes).as("the break lies too far back").isEmpty();
+    assertThat(fixture.strikes()).as("the break lies too far back").isEmpty();
   }
 
   /** The end of a server may be noticed before the break of the send. */
@@ -78,10 +78,10 @@
   void countsABreakAfterTheDetectedEnd() {
     quarantine.recordServerEnded(server("s1"), SECOND);
     quarantine.recordBroken(server("s1"), BAD, SECOND + MILLI);
-    assertThat(fixture.strikes).hasSize(2);
+    assertThat(fixture.strikes()).hasSize(2);
     quarantine.recordBroken(
         server("s1"), prompt("late"), SECOND + PartQuarantine.CONFIRMATION_NANOS + 1);
-    assertThat(fixture.strikes).hasSize(2);
+    assertThat(fixture.strikes()).hasSize(2);
   }
 
   /** Several requests that break at one crash, or repeated evidence, must not count twice. */
@@ -90,8 +90,8 @@
     for (int i = 0; i < 5; i++) {
       fixture.crash(server("s1"), SECOND + i * 400 * MILLI, BAD, BAD);
     }
-    assertThat(fixture.strikes).hasSize(2);
-    assertThat(fixture.quarantined).isEmpty();
+    assertThat(fixture.strikes()).hasSize(2);
+    assertThat(fixture.quarantined()).isEmpty();
   }
 
   /** A server that restarts under its old identity is another life. */
@@ -109,7 +109,7 @@
     for (int i = 1; i <= 9; i++) {
       fixture.crash(server("s" + i), i * PartQuarantine.STRIKE_VALID_NANOS / 2, BAD);
     }
-    assertThat(fixture.quarantined).isEmpty();
+    assertThat(fixture.quarantined()).isEmpty();
   }
 
   /** A power failure ends many servers at once and must not blame the parts in use everywhere. */
@@ -118,7 +118,7 @@
     for (int i = 0; i < 50; i++) {
       fixture.crash(server("s" + i), SECOND + i * 4 * MILLI, SOUND);
     }
-    assertThat(fixture.quarantined).isEmpty();
+    assertThat(fixture.quarantined()).isEmpty();
   }
 
   /** Repeated power failures hit the parts in use everywhere again and again. */
@@ -131,7 +131,7 @@
       }
       quarantine.recordCompletion(SOUND, nanos + SECOND / 2);
     }
-    assertThat(fixture.quarantined).isEmpty();
+    assertThat(fixture.quarantined()).isEmpty();
   }
 
   /** The only engine may crash again before anything completes, for a reason of its own. */
@@ -141,7 +141,7 @@
     for (int start = 1; start <= 20; start++) {
       fixture.crash(server("s1", start), start * SECOND, SOUND);
     }
-    assertThat(fixture.quarantined).isEmpty();
+    assertThat(fixture.quarantined()).isEmpty();
   }
 
   /** New weights can make a part that was sound crash the engines that run it. */
@@ -153,9 +153,9 @@
       fixture.crash(server("s" + second), second * SECOND, BAD);
       quarantine.recordCompletion(SOUND, second * SECOND + SECOND / 2);
     }
-    assertThat(fixture.quarantined).isEmpty();
+    assertThat(fixture.quarantined()).isEmpty();
     fixture.crash(server("last"), 10 * SECOND, BAD);
-    assertThat(fixture.quarantined).containsExactly("bad");
+    assertThat(fixture.quarantined()).containsExactly("bad");
   }
 
   /** A completion proves the part sound, also if it was quarantined by mistake. */
@@ -164,7 +164,7 @@
     crashThreeTimes();
     quarantine.recordCompletion(BAD, 4 * SECOND);
     assertThat(quarantine.isQuarantined(BAD, 4 * SECOND)).isFalse();
-    assertThat(fixture.cleared).contains(hash("bad"));
+    assertThat(fixture.cleared()).contains(hash("bad"));
     assertThat(quarantine.report(hash("bad"))).isEmpty();
   }
 
@@ -177,7 +177,7 @@
     assertThat(quarantine.isQuarantined(BAD, endNanos)).isFalse();
     fixture.crash(server("s4"), endNanos + SECOND, BAD);
     assertThat(quarantine.isQuarantined(BAD, endNanos + 2 * SECOND)).isTrue();
-    assertThat(fixture.quarantined).containsExactly("bad", "bad");
+    assertThat(fixture.quarantined()).containsExactly("bad", "bad");
   }
 
   /** A response that ended before the crash says nothing about the parts that crashed it. */
@@ -195,7 +195,7 @@
     fixture.crash(server("s4"), 5 * SECOND, BAD);
     assertThat(quarantine.isQuarantined(BAD, 4 * SECOND + PartQuarantine.QUARANTINE_NANOS))
         .isTrue();
-    assertThat(fixture.quarantined).containsExactly("bad");
+    assertThat(fixture.quarantined()).containsExactly("bad");
   }
 
   /** Crashes are spread over the instances, none of which may see three of them. */
@@ -204,10 +204,10 @@
     fixture.crash(server("s1"), SECOND, BAD);
     quarantine.applyStrike(hash("bad"), 2, 2 * SECOND, 2 * SECOND + MILLI);
     quarantine.applyStrike(hash("bad"), 2, 2 * SECOND, 3 * SECOND);
-    assertThat(fixture.quarantined).isEmpty();
+    assertThat(fixture.quarantined()).isEmpty();
     quarantine.applyStrike(hash("bad"), 3, 3 * SECOND, 3 * SECOND + MILLI);
-    assertThat(fixture.quarantined).containsExactly("bad");
-    assertThat(fixture.strikes).extracting(PartQuarantine.Strike::nanos).containsOnly(SECOND);
+    assertThat(fixture.quarantined()).containsExactly("bad");
+    assertThat(fixture.strikes()).extracting(PartQuarantine.Strike::nanos).containsOnly(SECOND);
   }
 
   /** Announced strikes may arrive late and in another order. */
@@ -227,15 +227,15 @@
   void vouchesForAPartBeforeItIsQuarantined() {
     quarantine.recordCompletion(SOUND, 1);
     quarantine.applyStrike(hash("sound"), 1, SECOND, SECOND);
-    assertThat(fixture.cleared).isEmpty();
+    assertThat(fixture.cleared()).isEmpty();
     quarantine.applyStrike(hash("sound"), 2, 2 * SECOND, 2 * SECOND);
-    assertThat(fixture.cleared).containsExactly(hash("sound"));
+    assertThat(fixture.cleared()).containsExactly(hash("sound"));
     QuarantineFixture other = new QuarantineFixture();
-    other.quarantine.applyStrike(hash("sound"), 1, SECOND, SECOND);
-    other.quarantine.applyStrike(hash("sound"), 2, 2 * SECOND, 2 * SECOND);
-    other.quarantine.applyClearing(hash("sound"), 1, 2 * SECOND);
-    other.quarantine.applyStrike(hash("sound"), 3, 3 * SECOND, 3 * SECOND);
-    assertThat(other.quarantined).isEmpty();
+    other.quarantine().applyStrike(hash("sound"), 1, SECOND, SECOND);
+    other.quarantine().applyStrike(hash("sound"), 2, 2 * SECOND, 2 * SECOND);
+    other.quarantine().applyClearing(hash("sound"), 1, 2 * SECOND);
+    other.quarantine().applyStrike(hash("sound"), 3, 3 * SECOND, 3 * SECOND);
+    assertThat(other.quarantined()).isEmpty();
   }
 
   /** An instance that starts during an incident learns the quarantine from others. */
@@ -243,7 +243,7 @@
   void appliesAQuarantineWithoutAnnouncingItAgain() {
     quarantine.applyQuarantine(hash("bad"), SECOND);
     assertThat(quarantine.isQuarantined(BAD, 2 * SECOND)).isTrue();
-    assertThat(fixture.quarantined).isEmpty();
+    assertThat(fixture.quarantined()).isEmpty();
     quarantine.applyQuarantine(hash("bad"), 2 * SECOND);
     assertThat(quarantine.isQuarantined(BAD, SECOND + PartQuarantine.QUARANTINE_NANOS)).isFalse();
     quarantine.recordCompletion(BAD, 3 * SECOND);
@@ -271,7 +271,7 @@
         Backend server = server("s" + second);
         shifted.crash(server, origin + second * SECOND, BAD);
       }
-      assertThat(shifted.quarantine.isQuarantined(BAD, origin + 3 * SECOND)).isTrue();
+      assertThat(shifted.quarantine().isQuarantined(BAD, origin + 3 * SECOND)).isTrue();
     }
   }
 }
--- a/core/src/test/java/org/pollenrock/core/quarantine/QuarantineFixture.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/QuarantineFixture.java
@@ -14,15 +14,34 @@
   static final long SECOND = 1_000_000_000L;
   private static final String MODEL = "m";
 
-  final PartQuarantine quarantine = new PartQuarantine(this);
-  final List<PartQuarantine.Strike> strikes = new ArrayList<>();
-  final List<Long> cleared = new ArrayList<>();
-  final List<String> quarantined = new ArrayList<>();
+  private final PartQuarantine quarantine = new PartQuarantine(this);
+  private final List<PartQuarantine.Strike> strikes = new ArrayList<>();
+  private final List<Long> cleared = new ArrayList<>();
+  private final List<String> quarantined = new ArrayList<>();
 
   static long hash(String partId) {
     return PartQuarantine.hash(MODEL, partId);
   }
 
+  PartQuarantine quarantine() {
+    return quarantine;
+  }
+
+  /** Returns the announced strikes. */
+  List<PartQuarantine.Strike> strikes() {
+    return strikes;
+  }
+
+  /** Returns the parts that were announced as cleared. */
+  List<Long> cleared() {
+    return cleared;
+  }
+
+  /** Returns the ids of the parts that were announced as quarantined. */
+  List<String> quarantined() {
+    return quarantined;
+  }
+
   /** Returns a prompt with the given shared parts and a part of its own. */
   static Prompt prompt(String... sharedPartIds) {
     List<PromptPart> parts = new ArrayList<>();
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -102,18 +102,7 @@
     bodyMemory = new BodyMemory(settings.maxHeldBodyBytes());
     controlClient = new ControlClient(loop, log);
     loopMonitor = new LoopMonitor(loop, metrics, log);
-    reachability =
-        new ReachabilityMonitor(
-            loop,
-            fleet,
-            configs,
-            controlClient,
-            connectionPools,
-            quarantineTask.quarantine(),
-            gossip,
-            log,
-            metrics,
-            settings.gossipAddress());
+    reachability = createReachabilityMonitor(settings.gossipAddress());
     GatewayComponents components =
         new GatewayComponents(
             loop,
@@ -334,6 +323,20 @@
     return callerListener.address();
   }
 
+  private ReachabilityMonitor createReachabilityMonitor(InetSocketAddress gossipAddress) {
+    return new ReachabilityMonitor(
+        loop,
+        fleet,
+        configs,
+        controlClient,
+        connectionPools,
+        quarantineTask.quarantine(),
+        gossip,
+        log,
+        metrics,
+        gossipAddress);
+  }
+
   private void registerGauges() {
     metrics.registerGauge("pollenrock_waiting", "Requests that wait", dispatcher::waitingRequests);
     metrics.registerGauge("pollenrock_held_bytes", "Bytes of bodies held", bodyMemory::heldBytes);
