--- a/standin/src/main/java/org/pollenrock/standin/platform/KeyedStoreStandin.java
+++ b/standin/src/main/java/org/pollenrock/standin/platform/KeyedStoreStandin.java
@@ -47,7 +47,10 @@
   private final EventLoopGroup group;
   private final StandinHttpServer server;
   private final Map<String, Topic> topics = new HashMap<>();
+  private final List<Runnable> heldAnswers = new ArrayList<>();
+  private final List<StandinRequest> heldCalls = new ArrayList<>();
   private boolean down;
+  private boolean hanging;
   private int lostAnswers;
   private long calls;
 
@@ -99,6 +102,34 @@
     down = refuse;
   }
 
+  /**
+   * Makes the store hold all answers, or give those that it holds and serve again.
+   *
+   * @param hang whether to hold them
+   */
+  public synchronized void hang(boolean hang) {
+    hanging = hang;
+    if (!hang) {
+      List<Runnable> answers = List.copyOf(heldAnswers);
+      heldAnswers.clear();
+      heldCalls.clear();
+      answers.forEach(Runnable::run);
+    }
+  }
+
+  /**
+   * Reads that arrived while the store holds all answers.
+   *
+   * @param topic the topic
+   * @return the number
+   */
+  public synchronized long heldReads(String topic) {
+    return heldCalls.stream()
+        .filter(request -> request.path().equals("/-/log-read"))
+        .filter(request -> request.query().getOrDefault("topic", List.of()).contains(topic))
+        .count();
+  }
+
   /**
    * Loses the answers of the next appends, which are carried out.
    *
@@ -167,6 +198,15 @@
 
   private synchronized void handle(StandinRequest request, StandinExchange exchange) {
     calls++;
+    answer(request, exchange);
+  }
+
+  private void answer(StandinRequest request, StandinExchange exchange) {
+    if (hanging) {
+      heldCalls.add(request);
+      heldAnswers.add(() -> answer(request, exchange));
+      return;
+    }
     if (down) {
       exchange.respondJson(UNAVAILABLE, "{}");
       return;
@@ -209,9 +249,10 @@
     Runnable answer =
         () -> {
           synchronized (this) {
-            if (!answered[0]) {
-              answered[0] = true;
-              answerPoll(topic, from, exchange);
+            if (hanging) {
+              heldAnswers.add(() -> respondOnce(answered, topic, from, exchange));
+            } else {
+              respondOnce(answered, topic, from, exchange);
             }
           }
         };
@@ -219,6 +260,14 @@
     group.schedule(answer, request.number("wait_ms", 0), TimeUnit.MILLISECONDS);
   }
 
+  private static void respondOnce(
+      boolean[] answered, Topic topic, long from, StandinExchange exchange) {
+    if (!answered[0]) {
+      answered[0] = true;
+      answerPoll(topic, from, exchange);
+    }
+  }
+
   private static void answerPoll(Topic topic, long from, StandinExchange exchange) {
     if (from < topic.first) {
       exchange.respondJson(GONE, "{\"first\":" + topic.first + "}");
