Decide on a silent server after one more round of input

What callers would see: on an instance whose event loop needs 0.2 s or more for each round, requests wait for a silent server until their deadlines.

Cause: the check for silent servers waited while input might be pending, which was judged by the age of the last check of the loop. On a slow loop that is always too old.

Change: a server that seems silent is judged again after the next round of input, which includes whatever arrived during a pause. OutageDetectionTest.responseThatArrivesDuringAPauseIsPassedOnIfTimersRunBeforeInput still passes.

--- a/gateway/src/main/java/org/pollenrock/gateway/LoopMonitor.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/LoopMonitor.java
@@ -28,12 +28,6 @@
   /** Time for which the loop counts as late after a late check. */
   private static final long LATE_MEMORY_NANOS = 1_000_000_000L;
 
-  /**
-   * Time without processed input from which input may be pending; less than the shortest silence
-   * that fails a send.
-   */
-  private static final long PENDING_INPUT_NANOS = 400_000_000L;
-
   /** Delay of a check from which the process counts as paused. */
   private static final long PAUSED_NANOS = 1_000_000_000L;
 
@@ -73,7 +67,7 @@
   void runAfterInput(Runnable action) {
     long now = System.nanoTime();
     if (now - checkDueNanos > LATE_NANOS || now - lateUntilNanos < 0) {
-      loop.schedule(action, ROUND_MILLIS, TimeUnit.MILLISECONDS);
+      runAfterNextRound(action);
     } else {
       action.run();
     }
@@ -98,14 +92,9 @@
     }
   }
 
-  /**
-   * Returns whether input that arrived during a pause may still wait to be processed. Timers that
-   * expired during the pause run before it.
-   *
-   * @return whether the loop was paused and has not processed all input since
-   */
-  boolean isInputPending() {
-    return elapsedNanos() - inputProcessedNanos > PENDING_INPUT_NANOS;
+  /** Runs an action after the input that may wait now was processed. */
+  void runAfterNextRound(Runnable action) {
+    loop.schedule(action, ROUND_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   @Override
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -443,13 +443,18 @@
     if (closed) {
       return;
     }
-    long now = System.nanoTime();
-    long latencyLimitMillis =
-        backend.isMissing() ? 0 : MAX_SILENT_TARGET_LATENCIES * request.targetLatencyMillis();
-    long maxSilenceNanos = Math.max(SILENCE_CHECK_MILLIS, latencyLimitMillis) * 1_000_000;
-    if (backend.silentNanos(now) < maxSilenceNanos
-        || !owner.canResend()
-        || components.loopMonitor().isInputPending()) {
+    if (isServerSilent()) {
+      components.loopMonitor().runAfterNextRound(this::failIfSilent);
+    } else {
+      scheduleSilenceCheck();
+    }
+  }
+
+  private void failIfSilent() {
+    if (closed) {
+      return;
+    }
+    if (!isServerSilent()) {
       scheduleSilenceCheck();
       return;
     }
@@ -459,6 +464,14 @@
     fail(SendFailure.BROKEN, "silent");
   }
 
+  private boolean isServerSilent() {
+    long now = System.nanoTime();
+    long latencyLimitMillis =
+        backend.isMissing() ? 0 : MAX_SILENT_TARGET_LATENCIES * request.targetLatencyMillis();
+    long maxSilenceNanos = Math.max(SILENCE_CHECK_MILLIS, latencyLimitMillis) * 1_000_000;
+    return backend.silentNanos(now) >= maxSilenceNanos && owner.canResend();
+  }
+
   private void recordOutcome(boolean success) {
     backend.recordOutcome(success, System.nanoTime());
     components.gossip().announceOutcome(backend, success);
