Know an instance that starts from its first gossip message on

What others saw: the gossip of an instance that has just started was dropped, and none sent to it, until each of the others had read the members, which they do every 12 s. Crashes that it saw, or that they saw, counted only at one side for as long.

An instance sends an empty message to members that it has just learned.

--- a/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.pollenrock.core.dispatch.PrefixDirectory;
 import org.pollenrock.core.dispatch.PrefixStoreView;
 import org.pollenrock.core.fleet.Backend;
@@ -78,6 +79,7 @@
   private final PrefixStoreView prefixStore;
   private final EventLog log;
   private final LivePeers livePeers;
+  private Consumer<InetAddress> unknownSenders = sender -> {};
   private final QuarantineGossip quarantineGossip;
   private List<InetSocketAddress> peers = List.of();
   private List<InetSocketAddress> fullGossipPeers = List.of();
@@ -149,6 +151,8 @@
   void updatePeers(List<Peer> instances) {
     List<Peer> others = new ArrayList<>(instances);
     others.removeIf(peer -> peer.address().equals(address));
+    List<InetSocketAddress> added = addresses(others);
+    added.removeAll(peers);
     peers = addresses(others);
     quarantineGossip.updatePeers(peers);
     if (others.size() > MAX_FULL_GOSSIP_PEERS) {
@@ -157,6 +161,17 @@
     fullGossipPeers = addresses(others);
     prefixGossipPeers = peers.stream().filter(peer -> !fullGossipPeers.contains(peer)).toList();
     livePeers.replace(instances, System.nanoTime());
+    // An instance learns from the first message of another one that it has to look for it.
+    send(FleetNews.newBuilder(), added);
+  }
+
+  /**
+   * Sets what is called with the sender of a message that is none of the known instances.
+   *
+   * @param listener receives the address of the sender
+   */
+  public void onUnknownSender(Consumer<InetAddress> listener) {
+    unknownSenders = listener;
   }
 
   /** Returns whether this instance exchanges full gossip, including work, with all others. */
@@ -298,7 +313,7 @@
   }
 
   private static List<InetSocketAddress> addresses(List<Peer> peers) {
-    return peers.stream().map(Peer::address).toList();
+    return new ArrayList<>(peers.stream().map(Peer::address).toList());
   }
 
   private void scheduleFlush() {
@@ -433,6 +448,7 @@
     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
       InetAddress sender = packet.sender().getAddress();
       if (!livePeers.recordDatagram(sender, System.nanoTime())) {
+        unknownSenders.accept(sender);
         return;
       }
       try {
