--- a/core/src/test/java/org/pollenrock/core/weights/OrderLeaseTest.java
+++ b/core/src/test/java/org/pollenrock/core/weights/OrderLeaseTest.java
@@ -55,6 +55,18 @@
     assertThat(lease.fencingNumber(now)).isPresent();
   }
 
+  /** The response to a claim from before a standstill of the clock must not allow orders. */
+  @Test
+  void claimSentBeforeAStandstillOfTheClockAllowsNoOrders() {
+    OrderLease lease = new OrderLease("a", 0, 1, SETTINGS);
+    FakeClaimLog log = new FakeClaimLog();
+    runStep(lease, log, true, 0);
+    LeaseStep.AppendClaim append = (LeaseStep.AppendClaim) lease.nextStep(true, 1);
+    lease.requireRenewal();
+    lease.recordClaimAccepted(append.claim(), append.logEnd(), 2);
+    assertThat(lease.fencingNumber(3)).isEmpty();
+  }
+
   @Test
   void noOrdersAreAllowedUntilTheRequiredRenewal() {
     OrderLease lease = new OrderLease("a", 0, 1, SETTINGS);
