--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -140,10 +140,10 @@
     sendTo(choice);
   }
 
-  /** Refuses the request because its maximum time in the queue is over. */
-  void expireInQueue() {
+  /** Refuses the request, which waited in the queue and was removed from it. */
+  void refuseFromQueue(DispatchResult.Cause cause) {
     queueEntry = null;
-    refuse(DispatchResult.Cause.WAITED);
+    refuse(cause);
   }
 
   @Override
@@ -169,9 +169,11 @@
   @Override
   public void streamEnded(ServerSend from) {
     if (relay.endsInsideEvent() || !relay.started()) {
+      from.recordIncomplete();
       sendFailed(from, SendFailure.BROKEN, "stream ended before an event was complete");
       return;
     }
+    from.recordComplete();
     relay.end();
     finish("streamed", HttpResponseStatus.OK.code(), null);
   }
@@ -180,6 +182,7 @@
   public void responseReceived(ServerSend from, PlainResponse serverResponse) {
     boolean failed = serverResponse.status().codeClass() == HttpStatusClass.SERVER_ERROR;
     if (!failed) {
+      from.recordComplete();
       relayResponse(serverResponse);
       return;
     }
@@ -315,7 +318,7 @@
     }
     if (queueEntry != null) {
       components.queuedExchanges().withdraw(queueEntry);
-      expireInQueue();
+      refuseFromQueue(DispatchResult.Cause.WAITED);
       return;
     }
     boolean sent = send != null && send.sent();
@@ -434,6 +437,7 @@
         .with("server_silent_ms", backend.silentNanos(now) / 1_000_000)
         .with("events", relay.eventCount())
         .with("next", step.name())
+        .with("parts", metadata.sharedPartIds().orElse(null))
         .write();
   }
 
@@ -462,21 +466,15 @@
         .with("weights", servedWeightsVersion())
         .with("cache_scope", request == null ? null : request.cacheScope())
         .with("prompt_tokens", request == null ? 0 : request.promptTokens())
-        .with("shared_tokens", sharedTokens())
+        .with("shared_tokens", metadata.sharedTokens())
         .with("waited_ms", waitedNanos / 1_000_000)
         .with("events", relay.eventCount())
         .with("first_byte_ms", firstByteNanos / 1_000_000)
         .with("total_ms", totalNanos / 1_000_000)
-        .with("unreadable_headers", unreadableHeaders())
+        .with("unreadable_headers", metadata.unreadableHeaderNames().orElse(null))
         .write();
   }
 
-  private String unreadableHeaders() {
-    return metadata.unreadableHeaders().isEmpty()
-        ? null
-        : String.join(",", metadata.unreadableHeaders());
-  }
-
   private String lastServerId() {
     return choice == null ? null : choice.backend().entry().id();
   }
@@ -491,8 +489,4 @@
   private String fetchedFrom() {
     return choice == null ? null : choice.fetchFrom().orElse(null);
   }
-
-  private long sharedTokens() {
-    return metadata.prompt().map(Prompt::sharedTokens).orElse(0);
-  }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import org.pollenrock.core.dispatch.ServerSelector;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
+import org.pollenrock.core.quarantine.PartQuarantine;
 import org.pollenrock.core.route.ActiveConfig;
 import org.pollenrock.core.weights.WeightsRollout;
 import org.pollenrock.core.weights.WeightsTargets;
@@ -41,6 +42,7 @@
   private final WeightsTargets weightsTargets;
   private final PrefixDirectory directory = new PrefixDirectory();
   private final PrefixStoreView prefixStore = new PrefixStoreView();
+  private final QuarantineTask quarantineTask;
   private final ServerSelector selector;
   private final Dispatcher dispatcher;
   private final ServerConnectionPools connectionPools;
@@ -78,10 +80,16 @@
     this.log = log;
     this.metrics = metrics;
     weightsTargets = new WeightsTargets(settings.weightsBindingNanos());
+    quarantineTask = new QuarantineTask(log);
     selector = new ServerSelector(settings.selector(), directory, prefixStore);
     dispatcher =
         new Dispatcher(
-            fleet, selector, weightsTargets, settings.retryAllowance(), System.nanoTime());
+            fleet,
+            selector,
+            weightsTargets,
+            quarantineTask.quarantine(),
+            settings.retryAllowance(),
+            System.nanoTime());
     gossip =
         new PeerGossip(
             loop,
@@ -90,15 +98,15 @@
             fleet,
             directory,
             prefixStore,
+            quarantineTask.quarantine(),
             log);
+    quarantineTask.addListener(gossip.quarantineGossip());
     connectionPools = new ServerConnectionPools(loop, new ServerConnectionObserver(metrics, log));
     queuedExchanges = new QueuedExchanges(dispatcher);
     bodyMemory = new BodyMemory(settings.maxHeldBodyBytes());
     controlClient = new ControlClient(loop, log);
     loopMonitor = new LoopMonitor(loop, metrics, log);
-    reachability =
-        new ReachabilityMonitor(
-            fleet, configs, controlClient, gossip, log, metrics, settings.gossipAddress());
+    reachability = createReachabilityMonitor(settings.gossipAddress());
     GatewayComponents components =
         new GatewayComponents(
             loop,
@@ -263,6 +271,15 @@
     return directory;
   }
 
+  /**
+   * Returns the quarantine of parts of prompts that crash servers.
+   *
+   * @return the quarantine
+   */
+  public PartQuarantine quarantine() {
+    return quarantineTask.quarantine();
+  }
+
   /**
    * Returns the dispatcher, which admits requests and assigns them to servers.
    *
@@ -333,6 +350,20 @@
     return callerListener.address();
   }
 
+  private ReachabilityMonitor createReachabilityMonitor(InetSocketAddress gossipAddress) {
+    return new ReachabilityMonitor(
+        loop,
+        fleet,
+        configs,
+        controlClient,
+        connectionPools,
+        quarantineTask.quarantine(),
+        gossip,
+        log,
+        metrics,
+        gossipAddress);
+  }
+
   private void registerGauges() {
     metrics.registerGauge("pollenrock_waiting", "Requests that wait", dispatcher::waitingRequests);
     metrics.registerGauge("pollenrock_held_bytes", "Bytes of bodies held", bodyMemory::heldBytes);
@@ -355,6 +386,10 @@
         () -> WeightsRollout.countOutdated(fleet.all(), weightsTargets));
     metrics.registerGauge(
         "pollenrock_prefixes_known", "Prefixes whose servers are known", directory::size);
+    metrics.registerGauge(
+        "pollenrock_parts_quarantined",
+        "Parts of prompts whose requests are refused",
+        quarantineTask::quarantinedParts);
     metrics.registerGauge(
         "pollenrock_resends_left",
         "Further sends that the retry budgets of this instance leave",
@@ -367,6 +402,7 @@
       log.line("server_gone").with("server", serverId).with("cause", "not listed again").write();
     }
     reachability.sweep();
+    quarantineTask.sweep(now);
     queuedExchanges.sweep();
     sweepTasks.forEach(Runnable::run);
     if (++sweepCount % SWEEPS_PER_CONNECTION_SWEEP == 0) {
--- a/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
@@ -22,6 +22,7 @@
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.model.InstanceId;
+import org.pollenrock.core.quarantine.PartQuarantine;
 import org.pollenrock.protocol.generated.EngineLoading;
 import org.pollenrock.protocol.generated.EngineWeights;
 import org.pollenrock.protocol.generated.FleetNews;
@@ -66,19 +67,9 @@
   /** Interval at which the servers whose cache events this instance follows are announced. */
   private static final long FOLLOWED_INTERVAL_NANOS = 1_000_000_000L;
 
-  /** Time without a datagram of a peer after which it no longer takes part in shared work. */
-  private static final long PEER_SILENCE_NANOS = 4_000_000_000L;
-
   /** Maximum number of batched entries, so that a datagram fits into a packet of usual size. */
   private static final int MAX_BATCH_ENTRIES = 60;
 
-  /** Another instance and the time of its last datagram. */
-  private record LivePeer(String dataCentre, long heardNanos) {
-    private boolean isLive(long nowNanos) {
-      return nowNanos - heardNanos <= PEER_SILENCE_NANOS;
-    }
-  }
-
   private final EventLoop loop;
   private final InetSocketAddress address;
   private final String dataCentre;
@@ -86,10 +77,11 @@
   private final PrefixDirectory directory;
   private final PrefixStoreView prefixStore;
   private final EventLog log;
+  private final LivePeers livePeers;
+  private final QuarantineGossip quarantineGossip;
   private List<InetSocketAddress> peers = List.of();
   private List<InetSocketAddress> fullGossipPeers = List.of();
   private List<InetSocketAddress> prefixGossipPeers = List.of();
-  private final Map<InetAddress, LivePeer> livePeers = new HashMap<>();
   private Channel channel;
   private final Map<Backend, OutcomeCounts> outcomeCounts = new HashMap<>();
   private final WorkGossip workGossip = new WorkGossip();
@@ -108,6 +100,7 @@
       Fleet fleet,
       PrefixDirectory directory,
       PrefixStoreView prefixStore,
+      PartQuarantine quarantine,
       EventLog log) {
     this.loop = loop;
     this.address = address;
@@ -116,6 +109,18 @@
     this.directory = directory;
     this.prefixStore = prefixStore;
     this.log = log;
+    livePeers = new LivePeers(address, dataCentre);
+    quarantineGossip =
+        new QuarantineGossip(loop, quarantine, address.hashCode(), System::nanoTime, this::send);
+  }
+
+  /**
+   * Returns the gossip about quarantined parts of prompts.
+   *
+   * @return the gossip
+   */
+  public QuarantineGossip quarantineGossip() {
+    return quarantineGossip;
   }
 
   /** Binds the gossip address and starts to receive messages. */
@@ -128,6 +133,7 @@
             .bind(address)
             .sync()
             .channel();
+    quarantineGossip.start();
   }
 
   /** Closes the socket. */
@@ -144,23 +150,13 @@
     List<Peer> others = new ArrayList<>(instances);
     others.removeIf(peer -> peer.address().equals(address));
     peers = addresses(others);
+    quarantineGossip.updatePeers(peers);
     if (others.size() > MAX_FULL_GOSSIP_PEERS) {
       others.removeIf(peer -> !peer.dataCentre().equals(dataCentre));
     }
     fullGossipPeers = addresses(others);
     prefixGossipPeers = peers.stream().filter(peer -> !fullGossipPeers.contains(peer)).toList();
-    Map<InetAddress, LivePeer> known = Map.copyOf(livePeers);
-    livePeers.clear();
-    long now = System.nanoTime();
-    for (Peer peer : instances) {
-      if (!peer.address().equals(address)) {
-        InetAddress peerAddress = peer.address().getAddress();
-        LivePeer previous = known.get(peerAddress);
-        livePeers.put(
-            peerAddress,
-            new LivePeer(peer.dataCentre(), previous == null ? now : previous.heardNanos()));
-      }
-    }
+    livePeers.replace(instances, System.nanoTime());
   }
 
   /** Returns whether this instance exchanges full gossip, including work, with all others. */
@@ -223,16 +219,7 @@
    * @return identities of the instances
    */
   public List<InstanceId> liveInstances() {
-    long now = System.nanoTime();
-    List<InstanceId> live = new ArrayList<>();
-    live.add(ownId());
-    livePeers.forEach(
-        (peer, state) -> {
-          if (state.isLive(now)) {
-            live.add(instanceId(peer));
-          }
-        });
-    return live;
+    return livePeers.liveInstances(System.nanoTime());
   }
 
   /**
@@ -243,18 +230,7 @@
    * @return identities of the instances
    */
   public List<InstanceId> liveInstances(String preferredDataCentre) {
-    long now = System.nanoTime();
-    List<InstanceId> preferred = new ArrayList<>();
-    if (preferredDataCentre.equals(dataCentre)) {
-      preferred.add(ownId());
-    }
-    livePeers.forEach(
-        (peer, state) -> {
-          if (state.isLive(now) && state.dataCentre().equals(preferredDataCentre)) {
-            preferred.add(instanceId(peer));
-          }
-        });
-    return preferred.isEmpty() ? liveInstances() : preferred;
+    return livePeers.liveInstances(preferredDataCentre, System.nanoTime());
   }
 
   /**
@@ -263,11 +239,7 @@
    * @return the identity
    */
   public InstanceId ownId() {
-    return instanceId(address.getAddress());
-  }
-
-  private static InstanceId instanceId(InetAddress peer) {
-    return new InstanceId(peer.getHostAddress());
+    return livePeers.ownId();
   }
 
   /** Announces that the prefix store has a prefix. */
@@ -369,6 +341,7 @@
       followedAnnouncedToAllNanos = now;
       followedServers.forEach(server -> message.addFollowed(server.idHash()));
     }
+    quarantineGossip.addQuarantinedParts(message, now);
     send(message, prefixGossipPeers);
   }
 
@@ -384,6 +357,7 @@
       followedAnnouncedNanos = now;
       followedServers.forEach(server -> message.addFollowed(server.idHash()));
     }
+    quarantineGossip.addQuarantinedParts(message, now);
     send(message, fullGossipPeers);
     scheduleFlush();
   }
@@ -458,13 +432,13 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
       InetAddress sender = packet.sender().getAddress();
-      LivePeer peer = livePeers.get(sender);
-      if (peer == null) {
+      if (!livePeers.recordDatagram(sender, System.nanoTime())) {
         return;
       }
-      livePeers.put(sender, new LivePeer(peer.dataCentre(), System.nanoTime()));
       try {
-        apply(FleetNews.parseFrom(ByteBufUtil.getBytes(packet.content())), sender);
+        FleetNews message = FleetNews.parseFrom(ByteBufUtil.getBytes(packet.content()));
+        apply(message, sender);
+        quarantineGossip.apply(message, packet.sender(), System.nanoTime());
       } catch (InvalidProtocolBufferException e) {
         log.line("news_unreadable")
             .with("peer", packet.sender().toString())
