Send SIGHUP in the soak only to processes whose program runs

Cause: a SIGHUP that arrives before the runtime reaches main ends the process, which it can't prevent. The soak waited 1 s from the start. Traced by hand: a process that gets the signal 0.05 and 0.1 s after its start ends with status 129, after 0.2 and 0.4 s it stays; with six starts at once beside builds (load 15) the first log line came after 2.6 to 3.0 s.

Change: the soak sends the signal once the process has logged a line, on an idle machine earlier than before. The violation names the exit status.

--- a/soak/src/main/java/org/pollenrock/soak/GatewayProcess.java
+++ b/soak/src/main/java/org/pollenrock/soak/GatewayProcess.java
@@ -17,8 +17,11 @@
   /** Time from a stop to the kill, in seconds, as the settings tell the gateway. */
   static final int GRACE_SECONDS = 5;
 
-  /** Time for which the signal ends a process because its runtime has not reached its program. */
-  private static final long RUNTIME_START_NANOS = 1_000_000_000L;
+  /** Maximum time until a process has started its program, after which it is signalled anyway. */
+  private static final long RUNTIME_START_NANOS = 20_000_000_000L;
+
+  /** Interval at which a starting process is looked at, in milliseconds. */
+  private static final long START_CHECK_MILLIS = 20;
 
   private static final String MAIN = "org.pollenrock.platform.PlatformMain";
 
@@ -31,6 +34,7 @@
   private Process process;
   private int starts;
   private long startedNanos;
+  private long logSizeAtStart;
   private volatile long disturbedNanos;
   private volatile boolean stopping;
 
@@ -86,9 +90,9 @@
               System.getProperty("java.class.path"),
               MAIN);
       builder.environment().put("POLLENROCK_NODE_FILE", settings.toString());
-      Path log = directory.resolve(name + ".log");
-      builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
-      builder.redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()));
+      builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
+      builder.redirectError(ProcessBuilder.Redirect.appendTo(log().toFile()));
+      logSizeAtStart = Files.exists(log()) ? Files.size(log()) : 0;
       process = builder.start();
       startedNanos = System.nanoTime();
       stopping = false;
@@ -103,10 +107,16 @@
     new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
   }
 
-  /** Tells the process that its settings changed, once it is past the start of its runtime. */
+  /**
+   * Tells the process that its settings changed, once its program runs, which its first log line
+   * shows. Before that, the signal ends the process.
+   */
   void reload() throws IOException, InterruptedException {
-    long age = System.nanoTime() - startedNanos;
-    TimeUnit.NANOSECONDS.sleep(Math.max(0, RUNTIME_START_NANOS - age));
+    while (Files.size(log()) == logSizeAtStart
+        && process.isAlive()
+        && System.nanoTime() - startedNanos < RUNTIME_START_NANOS) {
+      TimeUnit.MILLISECONDS.sleep(START_CHECK_MILLIS);
+    }
     signal("HUP");
   }
 
@@ -129,6 +139,11 @@
     return ended;
   }
 
+  /** Exit status of the process, which has ended. */
+  synchronized int exitStatus() {
+    return process.exitValue();
+  }
+
   /** Whether the process ended although nobody asked it to. */
   synchronized boolean endedByItself() {
     return !stopping && !process.isAlive();
@@ -150,6 +165,10 @@
     callerLink.stop();
   }
 
+  private Path log() {
+    return directory.resolve(name + ".log");
+  }
+
   private String address(int role) {
     return "127.0." + role + "." + number + ":" + port;
   }
--- a/soak/src/main/java/org/pollenrock/soak/SoakRun.java
+++ b/soak/src/main/java/org/pollenrock/soak/SoakRun.java
@@ -139,7 +139,8 @@
   private void look() throws InterruptedException {
     for (GatewayProcess gateway : gateways) {
       if (gateway.endedByItself()) {
-        record.violation("no-exit", gateway.name() + " ended by itself");
+        record.violation(
+            "no-exit", gateway.name() + " ended by itself with status " + gateway.exitStatus());
         gateway.start();
       }
       String incarnation = gateway.name();
