--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -3,17 +3,12 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.PrematureChannelClosureException;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
@@ -175,7 +170,7 @@
     if (route.isRepeatable()) {
       scheduleSilenceCheck();
     }
-    opened.send(buildRequest(), this);
+    opened.send(ForwardedRequest.of(head, body, context, components.serverProtocol()), this);
   }
 
   @Override
@@ -400,23 +395,6 @@
                     .ifPresent(version -> backend.recordWeightsVersion(prompt.model(), version)));
   }
 
-  private FullHttpRequest buildRequest() {
-    HttpHeaders headers = head.headers().copy();
-    HopByHopHeaders.remove(headers);
-    components.serverProtocol().prepare(headers, context);
-    headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-    if (body.isReadable() || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-    }
-    return new DefaultFullHttpRequest(
-        HttpVersion.HTTP_1_1,
-        head.method(),
-        head.uri(),
-        body.retainedDuplicate(),
-        headers,
-        EmptyHttpHeaders.INSTANCE);
-  }
-
   private void appendPlainBody(ByteBuf bytes) {
     if (plainBody == null) {
       plainBody = bytes.alloc().buffer(bytes.readableBytes());
