Do not take the removal of a server from the list for a crash

What callers would see: requests with a part of their prompts refused for 10 minutes although every request with it had succeeded, after three servers had left one after the other.

Cause: a server that was no longer listed counted as ended. Some servers are unlisted while they still complete their requests; if such a response ends with its connection, it gave strikes to its parts, and its completion was dropped.

Change: only an unreachable server, or another start under the same identity, shows that a server has ended.

PromptPartCrashTest.partOnEnginesThatLeaveIsNotRefused fails without the change (503 for the fourth request) and passes with it.

--- a/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
@@ -175,7 +175,7 @@
 
   /**
    * Reports the watched servers that another instance has found missing or that the list has
-   * removed or replaced, and records the completions whose servers live on.
+   * replaced, and records the completions whose servers live on.
    */
   private void sweepWatched(long now) {
     for (Backend backend : watchedUntilNanos.keySet()) {
@@ -192,9 +192,20 @@
     }
   }
 
+  /**
+   * Returns whether there is evidence that a server has ended. Its removal from the list is none: a
+   * server that leaves may be unlisted while it completes its requests.
+   */
   private boolean hasEnded(Backend backend) {
     return backend.isMissing()
-        || fleet.findByIdHash(backend.idHash()).filter(listed -> listed == backend).isEmpty();
+        || fleet
+            .findByIdHash(backend.idHash())
+            .filter(listed -> listed.entry().startMillis() != backend.entry().startMillis())
+            .isPresent();
+  }
+
+  private boolean isListed(Backend backend) {
+    return fleet.findByIdHash(backend.idHash()).filter(listed -> listed == backend).isPresent();
   }
 
   /**
@@ -209,10 +220,10 @@
             new ConnectionPool.AcquireListener() {
               @Override
               public void connected(HttpConnection connection, boolean reused) {
-                if (hasEnded(backend)) {
-                  connection.close();
-                } else {
+                if (isListed(backend)) {
                   connection.returnUnused();
+                } else {
+                  connection.close();
                 }
                 loop.schedule(
                     () -> finishCheck(backend, attempt, connection),
