Copy an unfinished event once, not for each piece of input

What callers saw: a server that sends a large event in small pieces, or a line without end, kept the event loop copying, so that all other requests of the instance waited.

Cause: EventSplitter joined the unfinished event with each piece of input into a new buffer, copied the rest again, and searched it from its start: work in the square of the size, up to the limit of 1 MiB.

Change: the pieces are appended to one buffer, which grows by doubling, and only new bytes are searched for the end of a line.

Evidence: EventSplitterTest.largeEventIsNotCopiedForEachPiece pushes an event of 512 KiB in pieces of 1 KiB and requires that buffers of less than eight times its size are allocated (4,194,304 bytes).

--- a/gateway/src/main/java/org/pollenrock/gateway/EventSplitter.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/EventSplitter.java
@@ -22,6 +22,10 @@
 
   private final ByteBufAllocator allocator;
   private ByteBuf partialEvent = Unpooled.EMPTY_BUFFER;
+
+  /** Number of bytes of the incomplete event that form whole lines. */
+  private int scannedBytes;
+
   private long lastNumber;
   private boolean hasNumber;
   private long passedEvents;
@@ -39,18 +43,25 @@
    * @return the events that are complete now and not repeated; the caller has to release them
    */
   Optional<ByteBuf> push(ByteBuf bytes) {
-    ByteBuf buffered = join(bytes);
+    if (!partialEvent.isReadable()) {
+      partialEvent.release();
+      partialEvent = allocator.buffer(bytes.readableBytes());
+    }
+    int searchStart = partialEvent.writerIndex();
+    partialEvent.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+    ByteBuf buffered = partialEvent;
     ByteBuf events = null;
     int eventStart = buffered.readerIndex();
-    int lineStart = eventStart;
+    int lineStart = eventStart + scannedBytes;
     while (true) {
-      int lineEnd = buffered.indexOf(lineStart, buffered.writerIndex(), (byte) '\n');
+      int lineEnd = buffered.indexOf(searchStart, buffered.writerIndex(), (byte) '\n');
       if (lineEnd < 0) {
         break;
       }
       boolean blank =
           lineEnd == lineStart || lineEnd == lineStart + 1 && buffered.getByte(lineStart) == '\r';
       lineStart = lineEnd + 1;
+      searchStart = lineStart;
       if (blank) {
         ByteBuf event = buffered.slice(eventStart, lineStart - eventStart);
         if (acceptIfNew(event)) {
@@ -60,9 +71,10 @@
         eventStart = lineStart;
       }
     }
-    buffered.readerIndex(eventStart);
-    partialEvent = buffered.isReadable() ? buffered.copy() : Unpooled.EMPTY_BUFFER;
-    buffered.release();
+    scannedBytes = lineStart - eventStart;
+    if (eventStart > buffered.readerIndex()) {
+      keepFrom(eventStart);
+    }
     return Optional.ofNullable(events);
   }
 
@@ -95,16 +107,18 @@
   void release() {
     partialEvent.release();
     partialEvent = Unpooled.EMPTY_BUFFER;
+    scannedBytes = 0;
   }
 
-  private ByteBuf join(ByteBuf bytes) {
-    if (!partialEvent.isReadable()) {
-      return bytes.copy();
-    }
-    ByteBuf buffered = allocator.buffer(partialEvent.readableBytes() + bytes.readableBytes());
-    buffered.writeBytes(partialEvent).writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
-    partialEvent.release();
-    return buffered;
+  /** Keeps only the buffered bytes from an index on, in a buffer of their size. */
+  private void keepFrom(int index) {
+    ByteBuf buffered = partialEvent;
+    buffered.readerIndex(index);
+    partialEvent =
+        buffered.isReadable()
+            ? allocator.buffer(buffered.readableBytes()).writeBytes(buffered)
+            : Unpooled.EMPTY_BUFFER;
+    buffered.release();
   }
 
   private boolean acceptIfNew(ByteBuf event) {
--- a/gateway/src/test/java/org/pollenrock/gateway/EventSplitterTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/EventSplitterTest.java
@@ -1,10 +1,13 @@
 package org.pollenrock.gateway;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
+import io.netty.buffer.AbstractByteBufAllocator;
+import io.netty.buffer.UnpooledHeapByteBuf;
 import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
@@ -90,4 +93,49 @@
     assertThat(splitter.lastEventNumber()).hasValue(events);
     assertThat(splitter.hasPartialEvent()).isFalse();
   }
+
+  // Guards against copying a large unfinished event again for each piece of input.
+  @Test
+  void largeEventIsNotCopiedForEachPiece() {
+    CountingAllocator allocator = new CountingAllocator();
+    EventSplitter splitter = new EventSplitter(allocator, OptionalLong.empty());
+    int eventBytes = EventSplitter.MAX_EVENT_BYTES / 2;
+    ByteBuf piece = allocator.heapBuffer(1_024).writeBytes("a".repeat(1_024).getBytes(US_ASCII));
+    for (int pushed = 0; pushed < eventBytes; pushed += piece.readableBytes()) {
+      assertThat(splitter.push(piece)).isEmpty();
+    }
+    piece.release();
+    assertThat(pushText(splitter, "\n\n")).hasSize(eventBytes + 2);
+    assertThat(allocator.allocatedBytes).isLessThan(8L * eventBytes);
+  }
+
+  /** Allocator that counts the bytes of all buffers, including those that a buffer grows by. */
+  private static final class CountingAllocator extends AbstractByteBufAllocator {
+    private long allocatedBytes;
+
+    private CountingAllocator() {
+      super(false);
+    }
+
+    @Override
+    public boolean isDirectBufferPooled() {
+      return false;
+    }
+
+    @Override
+    protected ByteBuf newDirectBuffer(int initialCapacity, int maxCapacity) {
+      throw new UnsupportedOperationException("heap buffers only");
+    }
+
+    @Override
+    protected ByteBuf newHeapBuffer(int initialCapacity, int maxCapacity) {
+      return new UnpooledHeapByteBuf(this, initialCapacity, maxCapacity) {
+        @Override
+        protected byte[] allocateArray(int capacity) {
+          allocatedBytes += capacity;
+          return super.allocateArray(capacity);
+        }
+      };
+    }
+  }
 }
