Limit what is received before the head of a response

What callers saw: a request to a server that sent informational responses, or a response to another request, without end waited until its deadline, and its instance read for nothing in the meantime.

Cause: HttpConnection skipped such responses without a limit. They do not count as input for the silence check, but that check does not apply to requests that must not be repeated.

Change: a handler before the decoder counts the bytes received for a request until a head is accepted. Above 8 MiB, the largest body that is buffered, the connection is closed and the send fails as broken, with the outcome recorded as failing. The cause is not a lost connection, so that no prompt is suspected.

--- a/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
@@ -158,6 +158,7 @@
                   protected void initChannel(Channel channel) {
                     channel
                         .pipeline()
+                        .addLast(connection.byteCounter())
                         .addLast(new HttpClientCodec(DECODER, false, false))
                         .addLast(connection);
                   }
--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -3,7 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -41,7 +44,14 @@
     void requestFailed(Throwable cause);
   }
 
+  /**
+   * Maximum number of bytes that are received for a request before the head of its response is
+   * accepted: informational responses, and responses to other requests.
+   */
+  private static final int MAX_SKIPPED_BYTES = 8 << 20;
+
   private final ConnectionPool pool;
+  private long skippedBytes;
   private Channel channel;
   private Listener listener;
   private boolean inResponse;
@@ -66,6 +76,7 @@
   /** Sends a request and releases its body. */
   void send(FullHttpRequest request, Listener newListener) {
     listener = newListener;
+    skippedBytes = 0;
     inResponse = false;
     skippingResponse = false;
     requestWritten = false;
@@ -82,6 +93,26 @@
             });
   }
 
+  /**
+   * Returns a handler that counts the bytes received before they are decoded. It belongs before the
+   * decoder, because the decoder keeps nothing of the responses and bytes that it skips.
+   */
+  ChannelInboundHandler byteCounter() {
+    return new ChannelInboundHandlerAdapter() {
+      @Override
+      public void channelRead(ChannelHandlerContext context, Object message) {
+        int length = message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+        context.fireChannelRead(message);
+        if (listener != null && !inResponse && !responseComplete) {
+          skippedBytes += length;
+          if (skippedBytes > MAX_SKIPPED_BYTES) {
+            fail(new TooLongFrameException("no response in " + MAX_SKIPPED_BYTES + " bytes"));
+          }
+        }
+      }
+    };
+  }
+
   /** Gives up the request and closes the connection, without notifying the listener. */
   void abandon() {
     listener = null;
--- a/gateway/src/test/java/org/pollenrock/gateway/EventSplitterTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/EventSplitterTest.java
@@ -3,10 +3,10 @@
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.buffer.AbstractByteBufAllocator;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
-import io.netty.buffer.AbstractByteBufAllocator;
 import io.netty.buffer.UnpooledHeapByteBuf;
 import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
