Do not wait for the end of a refusal that has none

What callers saw: a request that its server had refused waited until its deadline while the server went on to send the body of the refusal, although it had certainly not run and another server could have taken it.

Cause: ServerSend handles a refusal, and the rejections of another server or of another weights version, when the response has ended, and read their bodies without a limit. These bytes also counted as input for the silence check.

Change: above 64 KiB of such a body the connection is closed and the outcome of the server is recorded as failing. The request stays refused, as its head said, and goes on to another server.

--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.PrematureChannelClosureException;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -38,6 +39,9 @@
   /** Maximum size of a response body that is buffered until it is complete. */
   private static final int MAX_PLAIN_BODY_BYTES = 8 << 20;
 
+  /** Maximum size of the body of a refusal; nothing in it is used. */
+  private static final int MAX_REFUSAL_BODY_BYTES = 64 << 10;
+
   /** How the send handles the response; determined by its head. */
   private enum Mode {
     /** The head has not arrived yet. */
@@ -73,6 +77,7 @@
   private boolean sent;
   private long sentNanos;
   private boolean responseStarted;
+  private long refusalBytes;
   private ScheduledFuture<?> silenceTimer;
 
   ServerSend(
@@ -230,6 +235,8 @@
       owner.streamBytesReceived(this, bytes);
     } else if (mode == Mode.PLAIN) {
       appendPlainBody(bytes);
+    } else if (!closed) {
+      skipRefusalBody(bytes);
     }
   }
 
@@ -406,6 +413,15 @@
     plainBody.writeBytes(bytes);
   }
 
+  private void skipRefusalBody(ByteBuf bytes) {
+    refusalBytes += bytes.readableBytes();
+    if (refusalBytes > MAX_REFUSAL_BODY_BYTES) {
+      connection.abandon();
+      recordOutcome(false);
+      requestFailed(new TooLongFrameException("refusal of over " + MAX_REFUSAL_BODY_BYTES));
+    }
+  }
+
   private void scheduleSilenceCheck() {
     silenceTimer =
         components.loop().schedule(this::checkSilence, SILENCE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
