--- a/core/src/main/java/org/pollenrock/core/quarantine/StruckPart.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/StruckPart.java
@@ -71,7 +71,7 @@
     return strikeTimes().stream().filter(time -> time - nanos > 0).findFirst().orElse(nanos);
   }
 
-  /** Returns whether a strike, or the beginning of the quarantine, came after a time. */
+  /** Returns whether a strike, or the start of the quarantine, came after a time. */
   boolean hasStrikeAfter(long nanos) {
     return quarantinedBefore && quarantinedSinceNanos - nanos > 0
         || strikeTimes().stream().anyMatch(time -> time - nanos > 0);
