Log when a server begins or ceases to name a request rate

The header is now decoded and its beginning and end are logged (server_rate) and counted (pollenrock_servers_rate_limited). Nothing is decided by it yet.

--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/ratelimit/package-info.java
@@ -0,0 +1,2 @@
+/** Request rates that backend servers name, which all instances together must not exceed. */
+package org.pollenrock.core.ratelimit;
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.quarantine.PartQuarantine;
+import org.pollenrock.core.ratelimit.ServerRateLimits;
 import org.pollenrock.core.route.ActiveConfig;
 import org.pollenrock.core.weights.WeightsRollout;
 import org.pollenrock.core.weights.WeightsTargets;
@@ -43,6 +44,7 @@
   private final PrefixDirectory directory = new PrefixDirectory();
   private final PrefixStoreView prefixStore = new PrefixStoreView();
   private final QuarantineTask quarantineTask;
+  private final ServerRateLimits rateLimits = new ServerRateLimits();
   private final ServerSelector selector;
   private final Dispatcher dispatcher;
   private final ServerConnectionPools connectionPools;
@@ -124,6 +126,7 @@
             queuedExchanges,
             gossip,
             reachability,
+            new RateLimitTask(rateLimits, log),
             loopMonitor,
             () -> refusingRequests);
     callerListener =
@@ -380,6 +383,10 @@
         "pollenrock_servers_missing",
         "Backend servers that don't answer",
         () -> fleet.all().stream().filter(Backend::isMissing).count());
+    metrics.registerGauge(
+        "pollenrock_servers_rate_limited",
+        "Backend servers that name a limit of requests",
+        rateLimits::limitedServerCount);
     metrics.registerGauge(
         "pollenrock_engines_behind",
         "Engines whose weights are older than the named ones",
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
@@ -26,6 +26,7 @@
  * @param queuedExchanges exchanges that wait for a server
  * @param gossip gossip with the other instances
  * @param reachability detects which servers are missing
+ * @param rateLimits request rates that servers have named
  * @param loopMonitor delays work while the event loop is late
  * @param refusingRequests whether new requests are refused
  */
@@ -45,5 +46,6 @@
     QueuedExchanges queuedExchanges,
     PeerGossip gossip,
     ReachabilityMonitor reachability,
+    RateLimitTask rateLimits,
     LoopMonitor loopMonitor,
     BooleanSupplier refusingRequests) {}
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerResponseMetadata.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerResponseMetadata.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.pollenrock.core.fleet.LoadReport;
+import org.pollenrock.core.ratelimit.RateNotice;
 
 /**
  * Metadata of a server's response that its headers carry.
@@ -17,6 +18,7 @@
  *     does
  * @param load load that the server reports
  * @param weightsVersion version of the weights that produced the response
+ * @param rateNotice rate of requests that the server accepts
  * @param unreadableHeaders names of headers whose values could not be parsed; these headers are
  *     treated as absent
  */
@@ -28,6 +30,7 @@
     boolean signed,
     Optional<LoadReport> load,
     OptionalLong weightsVersion,
+    RateNotice rateNotice,
     List<String> unreadableHeaders) {
   /** Creates the metadata with an immutable copy of the header names. */
   public ServerResponseMetadata {
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -191,6 +191,7 @@
           .write();
     }
     metadata.load().ifPresent(load -> backend.recordLoad(load, now));
+    components.rateLimits().recordNotice(backend, metadata.rateNotice());
     boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
     if (metadata.misdirected()) {
       handleMisdirected(metadata);
