Take no slack of the retry budgets while the other instances are unknown

An instance that had not read which instances there are, or was not registered itself, divided the slack of each retry budget by one (or by a number that leaves it out), so that the sum was too high by the number of such instances; trial requests to failing servers were sent as many times too often. It assumes 400 instances now until it finds itself among the registered ones.

DispatcherTest.resendsStopWhenTheBudgetIsUsedUp sets the number of instances that it has assumed; its bounds are the same.

--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
+import org.pollenrock.core.membership.UnknownInstances;
 import org.pollenrock.core.quarantine.PartQuarantine;
 import org.pollenrock.core.ratelimit.ServerRateLimits;
 import org.pollenrock.core.weights.WeightsTargets;
@@ -25,10 +26,10 @@
   private final long processStartNanos;
   private final Map<String, DispatchQueue> queues = new HashMap<>();
   private final Map<String, RetryAllowance> retryAllowances = new HashMap<>();
-  private int instanceCount = 1;
+  private int instanceCount;
 
   /**
-   * Creates a dispatcher.
+   * Creates a dispatcher, which assumes many instances until their number is set.
    *
    * @param fleet the known servers
    * @param selector chooses a server for each request
@@ -53,6 +54,7 @@
     this.rateLimits = rateLimits;
     this.allowanceSettings = allowanceSettings;
     this.processStartNanos = processStartNanos;
+    setInstanceCount(UnknownInstances.ASSUMED_COUNT);
   }
 
   /**
@@ -189,7 +191,8 @@
 
   /**
    * Sets the number of instances that share the retry budgets and the trial requests to failing
-   * servers.
+   * servers. An instance that may not know all others passes {@link
+   * UnknownInstances#ASSUMED_COUNT}.
    *
    * @param count number of instances; at least 1
    */
--- a/core/src/main/java/org/pollenrock/core/ratelimit/RateShares.java
+++ b/core/src/main/java/org/pollenrock/core/ratelimit/RateShares.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
+import org.pollenrock.core.membership.UnknownInstances;
 import org.pollenrock.core.membership.WatchAssignment;
 import org.pollenrock.core.model.InstanceId;
 import org.pollenrock.core.placement.RendezvousHash;
@@ -30,9 +31,6 @@
   /** Time in which every instance that reaches the store reads a changed list of instances. */
   public static final long SETTLING_NANOS = 15_000_000_000L;
 
-  /** Number of instances assumed as long as not all of them are known. */
-  static final int ASSUMED_INSTANCES = 400;
-
   /**
    * List of instances that was in force for some time.
    *
@@ -124,7 +122,7 @@
     int count = 0;
     for (Membership membership : memberships) {
       if (incomplete || !membership.instances().contains(ownId)) {
-        return Math.max(ASSUMED_INSTANCES, memberships.getLast().instances().size());
+        return Math.max(UnknownInstances.ASSUMED_COUNT, memberships.getLast().instances().size());
       }
       count = Math.max(count, membership.instances().size());
     }
--- a/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
@@ -97,6 +97,7 @@
 
   @Test
   void resendsStopWhenTheBudgetIsUsedUp() {
+    dispatcher.setInstanceCount(1);
     fleet.applyEntry(Fixtures.plainServer("a", "near", 500), 0);
     DispatchRequest request = request("r", 5, 0);
     int resends = 0;
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import org.pollenrock.core.dispatch.ServerSelector;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
+import org.pollenrock.core.membership.UnknownInstances;
 import org.pollenrock.core.quarantine.PartQuarantine;
 import org.pollenrock.core.route.ActiveConfig;
 import org.pollenrock.core.weights.WeightsRollout;
@@ -301,7 +302,9 @@
    * @param instances all instances, including this one
    */
   public void updatePeers(List<Peer> instances) {
-    dispatcher.setInstanceCount(instances.size());
+    // The others do not count an instance that is not registered.
+    boolean registered = instances.stream().anyMatch(peer -> peer.id().equals(gossip.ownId()));
+    dispatcher.setInstanceCount(registered ? instances.size() : UnknownInstances.ASSUMED_COUNT);
     rateLimits.updateInstances(instances);
     gossip.updatePeers(instances);
     selector.setAllPeersReporting(gossip.exchangesWithAllPeers());
