--- a/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
+++ b/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
@@ -55,6 +55,8 @@
     COMPLETE,
     /** They register during the first seconds of the limits. */
     LATE,
+    /** They register as late, and no datagram arrives. */
+    LATE_WITHOUT_GOSSIP,
     /** No instance learns of another one, nor that it is registered itself. */
     NONE
   }
@@ -262,7 +264,9 @@
     }
 
     private void deliver(Instance other, List<RateAnnouncement> announcements) {
-      if (random.nextDouble() < LOSS || other.cut) {
+      if (scenario.knowledge() == Knowledge.LATE_WITHOUT_GOSSIP
+          || random.nextDouble() < LOSS
+          || other.cut) {
         return;
       }
       int ofLife = other.life;
