--- a/standin/src/main/java/org/pollenrock/standin/platform/KeyedStoreStandin.java
+++ b/standin/src/main/java/org/pollenrock/standin/platform/KeyedStoreStandin.java
@@ -21,7 +21,8 @@
 /**
  * Store of topics that keep the newest record of each key, with long polls and conditional appends.
  *
- * <p>It can be down, forget its history, and lose the answers of appends that it carried out.
+ * <p>It can be down, forget its history, lose the answers of appends that it carried out, and come
+ * back from an older copy.
  */
 public final class KeyedStoreStandin {
   private static final int OK = 200;
@@ -39,10 +40,29 @@
     private long end() {
       return first + records.size();
     }
+
+    private Topic copy() {
+      Topic copy = new Topic();
+      copy.replaceWith(this);
+      return copy;
+    }
+
+    private void replaceWith(Topic other) {
+      records.clear();
+      records.addAll(other.records);
+      newest.clear();
+      newest.putAll(other.newest);
+      first = other.first;
+    }
   }
 
   private record Newest(byte[] value, long offset) {}
 
+  /** Copy of all topics at some time. */
+  public static final class Copy {
+    private final Map<String, Topic> topics = new HashMap<>();
+  }
+
   private final ObjectMapper mapper = new ObjectMapper();
   private final EventLoopGroup group;
   private final StandinHttpServer server;
@@ -53,6 +73,7 @@
   private boolean hanging;
   private int lostAnswers;
   private long calls;
+  private long era = 1;
 
   /**
    * Makes a store; it listens once started.
@@ -165,6 +186,28 @@
     forgotten.records.clear();
   }
 
+  /**
+   * Copies all topics, to come back from the copy later.
+   *
+   * @return the copy
+   */
+  public synchronized Copy copy() {
+    Copy copy = new Copy();
+    topics.forEach((name, topic) -> copy.topics.put(name, topic.copy()));
+    return copy;
+  }
+
+  /**
+   * Comes back from an older copy: what was written since is lost, and its offsets are given out
+   * again. Polls that wait go on waiting.
+   *
+   * @param copy the copy
+   */
+  public synchronized void restore(Copy copy) {
+    era++;
+    topics.forEach((name, topic) -> topic.replaceWith(copy.topics.getOrDefault(name, new Topic())));
+  }
+
   /**
    * Newest value of a key.
    *
@@ -208,7 +251,7 @@
       return;
     }
     if (down) {
-      exchange.respondJson(UNAVAILABLE, "{}");
+      respondJson(exchange, UNAVAILABLE, "{}");
       return;
     }
     Topic topic = topic(request.query().getOrDefault("topic", List.of("")).getFirst());
@@ -216,7 +259,7 @@
       case "/-/log-newest" -> newest(topic, exchange);
       case "/-/log-read" -> read(topic, request, exchange);
       case "/-/log-append" -> append(topic, request, exchange);
-      default -> exchange.respondJson(NOT_FOUND, "{}");
+      default -> respondJson(exchange, NOT_FOUND, "{}");
     }
   }
 
@@ -232,13 +275,13 @@
                 .put("offset", newest.offset()));
     json.put("more_pages", false);
     json.put("end", topic.end());
-    exchange.respondJson(OK, json.toString());
+    respondJson(exchange, OK, json.toString());
   }
 
   private void read(Topic topic, StandinRequest request, StandinExchange exchange) {
     long from = request.number("from", 0);
-    if (from < topic.first) {
-      exchange.respondJson(GONE, "{\"first\":" + topic.first + "}");
+    if (from < topic.first || from > topic.end()) {
+      respondJson(exchange, GONE, "{\"first\":" + topic.first + "}");
       return;
     }
     if (from < topic.end()) {
@@ -260,23 +303,22 @@
     group.schedule(answer, request.number("wait_ms", 0), TimeUnit.MILLISECONDS);
   }
 
-  private static void respondOnce(
-      boolean[] answered, Topic topic, long from, StandinExchange exchange) {
+  private void respondOnce(boolean[] answered, Topic topic, long from, StandinExchange exchange) {
     if (!answered[0]) {
       answered[0] = true;
       answerPoll(topic, from, exchange);
     }
   }
 
-  private static void answerPoll(Topic topic, long from, StandinExchange exchange) {
-    if (from < topic.first) {
-      exchange.respondJson(GONE, "{\"first\":" + topic.first + "}");
+  private void answerPoll(Topic topic, long from, StandinExchange exchange) {
+    if (from < topic.first || from > topic.end()) {
+      respondJson(exchange, GONE, "{\"first\":" + topic.first + "}");
     } else {
       respond(topic, from, exchange);
     }
   }
 
-  private static void respond(Topic topic, long from, StandinExchange exchange) {
+  private void respond(Topic topic, long from, StandinExchange exchange) {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     out.writeBytes(ByteBuffer.allocate(16).putLong(topic.end()).putLong(topic.first).array());
     for (long offset = from; offset < topic.end(); offset++) {
@@ -284,12 +326,12 @@
       out.writeBytes(ByteBuffer.allocate(4).putInt(record.length).array());
       out.writeBytes(record);
     }
-    exchange.respond(OK, Map.of(), "application/octet-stream", out.toByteArray());
+    respond(exchange, OK, "application/octet-stream", out.toByteArray());
   }
 
   private void append(Topic topic, StandinRequest request, StandinExchange exchange) {
     if (request.number("as_of", topic.end()) != topic.end()) {
-      exchange.respondJson(CONDITION_FAILED, "{\"end\":" + topic.end() + "}");
+      respondJson(exchange, CONDITION_FAILED, "{\"end\":" + topic.end() + "}");
       return;
     }
     long offset = topic.end();
@@ -304,7 +346,7 @@
       exchange.abort();
       return;
     }
-    exchange.respondJson(OK, "{\"offset\":" + offset + ",\"end\":" + topic.end() + "}");
+    respondJson(exchange, OK, "{\"offset\":" + offset + ",\"end\":" + topic.end() + "}");
   }
 
   private void append(Topic topic, byte[] record) {
@@ -323,6 +365,14 @@
     polls.forEach(Runnable::run);
   }
 
+  private void respondJson(StandinExchange exchange, int status, String json) {
+    respond(exchange, status, "application/json", json.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private void respond(StandinExchange exchange, int status, String contentType, byte[] body) {
+    exchange.respond(status, Map.of("Store-Era", Long.toString(era)), contentType, body);
+  }
+
   private Topic topic(String name) {
     return topics.computeIfAbsent(name, added -> new Topic());
   }
