Keep servers that a returned copy of the store lacks for the grace period

After an outage shorter than 1.8 s the list did not count as unavailable, so that servers which had registered in the lost time were removed at once and their requests refused until they had registered again. Every return starts the grace period now.

--- a/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
@@ -122,6 +122,17 @@
     }
   }
 
+  /**
+   * Records that the list has lost recent entries, which their servers write again. This starts a
+   * grace period.
+   *
+   * @param nowNanos current time
+   */
+  public void markListRestored(long nowNanos) {
+    listUnavailable = false;
+    listAvailableSinceNanos = nowNanos;
+  }
+
   /**
    * Removes the servers with a deferred removal whose entries did not reappear before the end of
    * the grace period.
