--- a/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
+++ b/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
@@ -55,6 +55,8 @@
     COMPLETE,
     /** They register during the first seconds of the limits. */
     LATE,
+    /** They register as late, and can't read the store again. */
+    LATE_READ_ONCE,
     /** They register as late, and no datagram arrives. */
     LATE_WITHOUT_GOSSIP,
     /** No instance learns of another one, nor that it is registered itself. */
@@ -310,7 +312,9 @@
             .filter(other -> other != this && added.contains(other.id))
             .forEach(other -> deliver(other, List.of()));
       }
-      schedule(READ_INTERVAL_NANOS, () -> readInstances(ofLife));
+      if (scenario.knowledge() != Knowledge.LATE_READ_ONCE) {
+        schedule(READ_INTERVAL_NANOS, () -> readInstances(ofLife));
+      }
     }
 
     private void arrive(Backend backend) {
