Keep fencing numbers from falling when the store comes back from an older copy

Cause: the number was the offset of the claim, and offsets are given out again; the newest claim of the copy also named a holder that had been replaced, or none, and a claim on an end from before the return was accepted.

The number has the era of the store above the offset. A claim of an earlier era shows no holder, so that whoever claims waits for the handover time, and answers to calls from before the return count as lost.

--- a/core/src/main/java/org/pollenrock/core/weights/OrderClaim.java
+++ b/core/src/main/java/org/pollenrock/core/weights/OrderClaim.java
@@ -7,5 +7,6 @@
  * @param nonce number that differs for every claim, so that a claimant recognizes its own claims
  * @param handoverComplete whether the handover time since the last possible order of the previous
  *     holder had passed, so that the instance may send orders at once after a restart
+ * @param era era of the log in which the claim was made; 0 if the log names none
  */
-public record OrderClaim(String holder, long nonce, boolean handoverComplete) {}
+public record OrderClaim(String holder, long nonce, boolean handoverComplete, long era) {}
--- a/core/src/main/java/org/pollenrock/core/weights/OrderLease.java
+++ b/core/src/main/java/org/pollenrock/core/weights/OrderLease.java
@@ -2,18 +2,23 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.pollenrock.core.store.StorePosition;
 
 /**
  * Lease that gives one instance at a time the right to send load orders. It is held by claims on a
  * log.
  *
  * <p>A claim is appended only if the end of the log has not moved since the claimant read it, so
- * only one of several claimants succeeds. The offset of the claim plus one is the fencing number.
+ * only one of several claimants succeeds. The position of the claim makes the fencing number.
  * Claims are renewed only while there are orders to send. Another instance claims when it has seen
  * no renewal of the newest claim for the takeover time. It sends its first order after the handover
  * time, which starts when the validity of the last holder's claim ends. The candidates read the
  * last claim of a rollout, so that both times have passed if its holder is gone when the next one
  * starts.
+ *
+ * <p>When the log has come back from an older copy, the newest claim may be lost, and with it the
+ * knowledge who holds the lease. The log raises its era then. A claim of an earlier era shows no
+ * holder: the lease is claimed anew, and orders are sent only after the handover time.
  */
 public final class OrderLease {
   private static final LeaseStep IDLE = new LeaseStep.Idle();
@@ -24,6 +29,9 @@
    */
   private static final int STANDBY_READ_FACTOR = 10;
 
+  /** Highest era in which a log without claims can't have lost any. */
+  private static final long FIRST_ERA = 1;
+
   private final String ownName;
   private final long claimDelayNanos;
   private final OrderLeaseSettings settings;
@@ -41,6 +49,8 @@
   private long nonce;
   private long claimSentNanos;
   private boolean claimOutdated;
+  private long era;
+  private boolean eraKnown;
   private OptionalLong fencingNumber = OptionalLong.empty();
   private long validUntilNanos;
   private long ordersAllowedFromNanos;
@@ -130,6 +140,24 @@
     return candidate ? settings.renewNanos() : STANDBY_READ_FACTOR * settings.renewNanos();
   }
 
+  /**
+   * Records the era of the log. Has to be called before the result of the call that has shown it;
+   * results of calls that were sent in an earlier era have to be recorded as failures.
+   *
+   * @param newEra the era; ignored unless it is higher than the known one
+   */
+  public void recordEra(long newEra) {
+    if (eraKnown && newEra <= era) {
+      return;
+    }
+    if (eraKnown) {
+      newestClaimKnown = false;
+      fencingNumber = OptionalLong.empty();
+    }
+    era = newEra;
+    eraKnown = true;
+  }
+
   /**
    * Records the result of reading the newest claim.
    *
@@ -151,7 +179,8 @@
       newestClaimSeenNanos = nowNanos;
       newestClaimOffset = claimOffset;
       newestClaim = claim;
-      if (isLatestClaimant() && !claim.get().handoverComplete()) {
+      boolean holderUnknown = claim.map(newest -> newest.era() < era).orElse(era > FIRST_ERA);
+      if (holderUnknown || isLatestClaimant() && !claim.get().handoverComplete()) {
         delayOrdersForHandover();
       }
     }
@@ -169,12 +198,16 @@
    * @param nowNanos current time
    */
   public void recordClaimAccepted(OrderClaim claim, long offset, long nowNanos) {
+    if (claim.era() != era) {
+      recordClaimFailure();
+      return;
+    }
     callPending = false;
     newestClaim = Optional.of(claim);
     newestClaimOffset = offset;
     newestClaimSeenNanos = nowNanos;
     knownLogEnd = offset + 1;
-    fencingNumber = OptionalLong.of(offset + 1);
+    fencingNumber = OptionalLong.of(new StorePosition(era, offset).fencingNumber());
     validUntilNanos = claimOutdated ? claimSentNanos : claimSentNanos + settings.validNanos();
   }
 
@@ -236,7 +269,7 @@
     claimOutdated = false;
     boolean handoverComplete = nowNanos - ordersAllowedFromNanos >= 0;
     return new LeaseStep.AppendClaim(
-        knownLogEnd, new OrderClaim(ownName, nonce++, handoverComplete));
+        knownLogEnd, new OrderClaim(ownName, nonce++, handoverComplete, era));
   }
 
   /**
--- a/gateway/src/main/java/org/pollenrock/gateway/OrderClaimLog.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/OrderClaimLog.java
@@ -13,13 +13,15 @@
    * @param claim the newest claim, if the log has one
    * @param offset offset of the newest claim
    * @param end offset of the end of the log
+   * @param era era of the log, which rises when it comes back from an older copy
    */
-  record NewestClaim(Optional<OrderClaim> claim, long offset, long end) {}
+  record NewestClaim(Optional<OrderClaim> claim, long offset, long end, long era) {}
 
   /**
    * Reads the newest claim.
    *
-   * @param result receives the newest claim; empty when the log could not be read
+   * @param result receives the newest claim; empty when the log could not be read, or has come back
+   *     from an older copy meanwhile
    */
   void read(Consumer<Optional<NewestClaim>> result);
 
@@ -28,8 +30,8 @@
    *
    * @param end expected offset of the end of the log
    * @param claim the claim
-   * @param result receives the offset of the claim; empty when the claim was refused or the outcome
-   *     is unknown
+   * @param result receives the offset of the claim; empty when the claim was refused, the outcome
+   *     is unknown, or the log has another era than the claim
    */
   void append(long end, OrderClaim claim, Consumer<OptionalLong> result);
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/OrderTask.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/OrderTask.java
@@ -102,6 +102,16 @@
     }
   }
 
+  /**
+   * Records that the log of claims has come back from an older copy.
+   *
+   * @param era the new era of the log
+   */
+  public void recordLogRestored(long era) {
+    lease.recordEra(era);
+    advance();
+  }
+
   private boolean isCandidate() {
     return WatchAssignment.rank(LEASE_SUBJECT, gateway.gossip().liveInstances(), CANDIDATES)
         .contains(gateway.gossip().ownId());
@@ -112,6 +122,7 @@
       lease.recordReadFailure();
       return;
     }
+    lease.recordEra(newest.get().era());
     lease.recordNewestClaim(
         newest.get().claim(), newest.get().offset(), newest.get().end(), System.nanoTime());
     advance();
