Keep drains, removals and restarts of servers that a returned copy of the list is older than

A returned copy of the list may be from before a server reported that it drains, was removed, or restarted under its identifier. The instance read it as a whole and sent requests to such servers again, until they had written again (DRAIN). During the grace period after a return, entries that tell less than is known are ignored; what a server writes after it counts.

--- a/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -23,13 +24,29 @@
    */
   public static final long RELIST_GRACE_NANOS = 2_000_000_000L;
 
+  /** Maximum number of removed incarnations that are remembered. */
+  private static final int MAX_REMOVED = 4_096;
+
   private final Map<String, Backend> byId = new HashMap<>();
   private final Map<Long, Backend> byIdHash = new HashMap<>();
   private final Map<String, List<Backend>> usableByService = new HashMap<>();
   private final Map<String, Long> pendingRemovals = new HashMap<>();
+
+  /**
+   * Starts of the incarnations that the list has removed, by identifier; the oldest leave first.
+   */
+  private final Map<String, Long> removedStarts =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > MAX_REMOVED;
+        }
+      };
+
   private boolean listRead;
   private boolean listUnavailable;
   private long listAvailableSinceNanos = Long.MIN_VALUE;
+  private long listRestoredNanos = Long.MIN_VALUE;
 
   /** Creates an empty fleet. */
   public Fleet() {}
@@ -43,8 +60,11 @@
    * @return whether a server was added or replaced, or its readiness changed
    */
   public boolean applyEntry(ListedBackend entry, long nowNanos) {
-    pendingRemovals.remove(entry.id());
     Backend known = byId.get(entry.id());
+    if (isOutdated(entry, known, nowNanos)) {
+      return false;
+    }
+    pendingRemovals.remove(entry.id());
     if (known == null || !isSameIncarnation(known.entry(), entry)) {
       Backend added = new Backend(entry, nowNanos);
       byId.put(entry.id(), added);
@@ -76,7 +96,7 @@
       pendingRemovals.putIfAbsent(id, nowNanos);
       return false;
     }
-    remove(id);
+    removeUnlisted(id);
     return true;
   }
 
@@ -123,14 +143,17 @@
   }
 
   /**
-   * Records that the list has lost recent entries, which their servers write again. This starts a
-   * grace period.
+   * Records that the list has come back from an older copy. It lacks recent entries, which their
+   * servers write again, and has entries that were changed or removed since. This starts a grace
+   * period, in which no server is removed, and no server that drains, was removed or has restarted
+   * goes back to what it was.
    *
    * @param nowNanos current time
    */
   public void markListRestored(long nowNanos) {
     listUnavailable = false;
     listAvailableSinceNanos = nowNanos;
+    listRestoredNanos = nowNanos;
   }
 
   /**
@@ -145,7 +168,7 @@
       return List.of();
     }
     List<String> removed = List.copyOf(pendingRemovals.keySet());
-    removed.forEach(this::remove);
+    removed.forEach(this::removeUnlisted);
     return removed;
   }
 
@@ -205,12 +228,34 @@
     return byId.values().stream().filter(backend -> backend.isProbeDue(nowNanos)).toList();
   }
 
+  /** Returns whether an entry is one of an older copy of the list and tells less than is known. */
+  private boolean isOutdated(ListedBackend entry, Backend known, long nowNanos) {
+    boolean restored =
+        listRestoredNanos != Long.MIN_VALUE && nowNanos - listRestoredNanos < RELIST_GRACE_NANOS;
+    if (!restored) {
+      return false;
+    }
+    if (known == null) {
+      return removedStarts.getOrDefault(entry.id(), Long.MIN_VALUE) == entry.startMillis();
+    }
+    return entry.startMillis() < known.entry().startMillis()
+        || isSameIncarnation(known.entry(), entry) && !known.entry().ready() && entry.ready();
+  }
+
   private boolean isInGracePeriod(long nowNanos) {
     return listUnavailable
         || listAvailableSinceNanos != Long.MIN_VALUE
             && nowNanos - listAvailableSinceNanos < RELIST_GRACE_NANOS;
   }
 
+  private void removeUnlisted(String id) {
+    Backend removed = byId.get(id);
+    if (removed != null) {
+      removedStarts.put(id, removed.entry().startMillis());
+    }
+    remove(id);
+  }
+
   private void remove(String id) {
     pendingRemovals.remove(id);
     Backend removed = byId.remove(id);
--- a/core/src/test/java/org/pollenrock/core/fleet/FleetTest.java
+++ b/core/src/test/java/org/pollenrock/core/fleet/FleetTest.java
@@ -81,6 +81,41 @@
     assertThat(fleet.findByIdHash(after.idHash())).containsSame(after);
   }
 
+  /** A returned copy of the list may be from before a server reported that it drains. */
+  @Test
+  void drainingServerStaysOutOfUseWhenAnOlderListReturns() {
+    fleet.applyEntry(entry("a", 1, true), 0);
+    fleet.applyEntry(entry("a", 1, false), 1);
+    fleet.markListRestored(2);
+    fleet.applyFullList(List.of(entry("a", 1, true)), 3);
+    assertThat(fleet.usableServers("service")).isEmpty();
+    fleet.applyEntry(entry("a", 1, true), 2 + Fleet.RELIST_GRACE_NANOS);
+    assertThat(fleet.usableServers("service")).hasSize(1);
+  }
+
+  /** A returned copy of the list may be from before a server was removed. */
+  @Test
+  void removedServerStaysOutOfUseWhenAnOlderListReturns() {
+    fleet.applyEntry(entry("a", 1, true), 0);
+    fleet.applyRemoval("a", 1);
+    fleet.markListRestored(2);
+    fleet.applyFullList(List.of(entry("a", 1, true)), 3);
+    assertThat(fleet.all()).isEmpty();
+    fleet.applyEntry(entry("a", 2, true), 4);
+    assertThat(fleet.usableServers("service")).hasSize(1);
+  }
+
+  /** A returned copy of the list may be from before a server restarted. */
+  @Test
+  void restartedServerIsNotReplacedWhenAnOlderListReturns() {
+    fleet.applyEntry(entry("a", 1, true), 0);
+    fleet.applyEntry(entry("a", 2, true), 1);
+    Backend restarted = fleet.usableServers("service").get(0);
+    fleet.markListRestored(2);
+    fleet.applyFullList(List.of(entry("a", 1, true)), 3);
+    assertThat(fleet.usableServers("service")).containsExactly(restarted);
+  }
+
   @Test
   void weightsVersionNeverDecreasesWithinAnIncarnation() {
     fleet.applyEntry(entry("a", 1, true), 0);
