--- a/soak/src/main/java/org/pollenrock/soak/SoakCommand.java
+++ b/soak/src/main/java/org/pollenrock/soak/SoakCommand.java
@@ -31,6 +31,9 @@
   @Option(names = "--gateways", description = "Processes (default: ${DEFAULT-VALUE}).")
   private int gateways = 3;
 
+  @Option(names = "--returns", description = "Lets the store come back from older copies.")
+  private boolean returns;
+
   @Option(names = "--logs", description = "Folder for the logs of the processes.")
   private Path logs = Path.of("soak", "target", "soak");
 
@@ -52,7 +55,7 @@
     boolean broken = false;
     for (long next = seed; next < seed + seeds; next++) {
       Path directory = Files.createDirectories(logs.resolve("seed-" + next));
-      SoakReport report = new SoakRun(next, seconds, gateways, directory).play();
+      SoakReport report = new SoakRun(next, seconds, gateways, returns, directory).play();
       out.print(report.text());
       out.flush();
       broken |= !report.violations().isEmpty();
--- a/soak/src/main/java/org/pollenrock/soak/SoakRun.java
+++ b/soak/src/main/java/org/pollenrock/soak/SoakRun.java
@@ -43,6 +43,7 @@
 
   private final long seed;
   private final int seconds;
+  private final boolean returns;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private final KeyedStoreStandin store = new KeyedStoreStandin(group);
@@ -55,9 +56,10 @@
   private long version = 1;
   private long weights = 1;
 
-  SoakRun(long seed, int seconds, int gatewayCount, Path directory) {
+  SoakRun(long seed, int seconds, int gatewayCount, boolean returns, Path directory) {
     this.seed = seed;
     this.seconds = seconds;
+    this.returns = returns;
     for (int i = 1; i <= gatewayCount; i++) {
       gateways.add(new GatewayProcess(i, directory, group, store));
     }
@@ -95,6 +97,12 @@
         SplittableRandom own = random.split();
         threads.add(Thread.ofPlatform().daemon().start(() -> faults(own, end)));
       }
+      if (returns) {
+        StoreReturns storeReturns =
+            new StoreReturns(store, servers, this::changeAll, this::writeAgain, this::tell);
+        SplittableRandom own = random.split();
+        threads.add(Thread.ofPlatform().daemon().start(() -> storeReturns.play(own, end)));
+      }
       while (System.nanoTime() - end < 0) {
         TimeUnit.MILLISECONDS.sleep(CHECK_MILLIS);
         look();
@@ -284,6 +292,18 @@
     SoakPlan.nameWeights(store, ++weights);
   }
 
+  private void changeAll() {
+    configure();
+    nameWeights();
+  }
+
+  private synchronized void writeAgain() {
+    SoakPlan.configure(store, version);
+    if (weights > 1) {
+      SoakPlan.nameWeights(store, weights);
+    }
+  }
+
   /** Switches a fault on and off again. */
   private static void during(long millis, Consumer<Boolean> fault) throws InterruptedException {
     fault.accept(true);
--- a/soak/src/main/java/org/pollenrock/soak/SoakServer.java
+++ b/soak/src/main/java/org/pollenrock/soak/SoakServer.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.pollenrock.standin.http.StandinExchange;
 import org.pollenrock.standin.http.StandinHttpServer;
@@ -40,6 +42,12 @@
   private final LinkRelay link;
   private int incarnation;
   private volatile String id;
+
+  /** State in the entry of the incarnation; empty if it has none. */
+  private volatile String entryState = "";
+
+  private final Set<String> endedIds = ConcurrentHashMap.newKeySet();
+  private volatile boolean crashed;
   private volatile long version = 1;
   private volatile long orders;
   private volatile boolean loading;
@@ -77,12 +85,14 @@
     id = name + "-" + incarnation;
     orders = 0;
     loading = false;
+    crashed = false;
     server.start();
     register("ready");
   }
 
   /** Ends the incarnation without a word; its entry stays until {@link #unlist}. */
   void crash() {
+    crashed = true;
     server.stop();
   }
 
@@ -93,9 +103,26 @@
 
   /** Removes the entry of the incarnation. */
   void unlist() {
+    entryState = "";
+    endedIds.add(id);
     store.put(TOPIC, id, "");
   }
 
+  /** Writes the entry of the incarnation again, as a server does after its store has lost it. */
+  void writeAgain() {
+    String state = entryState;
+    if (!state.isEmpty() && !crashed) {
+      register(state);
+    }
+  }
+
+  /** Removes entries of earlier incarnations that the store has got back. */
+  void unlistEnded() {
+    endedIds.stream()
+        .filter(ended -> store.newest(TOPIC, ended) != null)
+        .forEach(ended -> store.put(TOPIC, ended, ""));
+  }
+
   void stop() {
     server.stop();
     link.stop();
@@ -114,6 +141,7 @@
   }
 
   private void register(String state) {
+    entryState = state;
     String models =
         engine()
             ? ",\"models\":[{\"name\":\"%s\",\"version\":%d,\"adapters\":[]}]"
--- a/soak/src/test/java/org/pollenrock/soak/SoakRunTest.java
+++ b/soak/src/test/java/org/pollenrock/soak/SoakRunTest.java
@@ -15,7 +15,14 @@
   @ParameterizedTest
   @CsvSource({"101, 8, 2", "102, 8, 2"})
   void promisesHold(long seed, int seconds, int gateways) throws Exception {
-    play(seed, seconds, gateways);
+    play(seed, seconds, gateways, false);
+  }
+
+  /** The store comes back from older copies beside all other faults. */
+  @ParameterizedTest
+  @CsvSource({"201, 10, 2"})
+  void promisesHoldWhenTheStoreReturnsOlder(long seed, int seconds, int gateways) throws Exception {
+    play(seed, seconds, gateways, true);
   }
 
   /**
@@ -25,12 +32,12 @@
   @ParameterizedTest
   @CsvSource({"42, 10, 3", "45, 10, 3"})
   void seedsThatFailedOnceHold(long seed, int seconds, int gateways) throws Exception {
-    play(seed, seconds, gateways);
+    play(seed, seconds, gateways, false);
   }
 
-  private void play(long seed, int seconds, int gateways) throws Exception {
+  private void play(long seed, int seconds, int gateways, boolean returns) throws Exception {
     System.out.println("soak seed " + seed);
-    SoakReport report = new SoakRun(seed, seconds, gateways, directory).play();
+    SoakReport report = new SoakRun(seed, seconds, gateways, returns, directory).play();
     assertThat(report.violations()).as(report.text()).isEmpty();
     assertThat(report.completed()).isPositive();
   }
