--- a/soak/src/main/java/org/pollenrock/soak/SoakRun.java
+++ b/soak/src/main/java/org/pollenrock/soak/SoakRun.java
@@ -234,6 +234,7 @@
         gateway.disturbed();
       }
       case CALLER_LINK_SILENT -> {
+        gateway.disturbed();
         gateway.callerLink().silenceConnections();
         TimeUnit.MILLISECONDS.sleep(millis);
         // Requests that are sent on them later would never arrive anywhere.
