--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -169,6 +169,9 @@
     }
     List<Backend> servers = fleet.usableServers(service);
     List<Backend> withinRate = rateLimits.withinRate(servers, nowNanos);
+    if (withinRate.size() == servers.size()) {
+      return List.of();
+    }
     List<QueueEntry> limited =
         queue.entriesInOrder().stream()
             .filter(entry -> isRateLimited(entry.request(), servers, withinRate))
