Do nothing for the quarantine while nothing is quarantined

Both return at once now while no part has a strike, or the datagram names none. The cost was not measured.

--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -143,7 +143,7 @@
    */
   public List<QueueEntry> removeQuarantined(String service, long nowNanos) {
     DispatchQueue queue = queues.get(service);
-    if (queue == null || queue.size() == 0) {
+    if (queue == null || queue.size() == 0 || quarantine.hasNoStrikes()) {
       return List.of();
     }
     List<QueueEntry> quarantined =
--- a/core/src/main/java/org/pollenrock/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/PartQuarantine.java
@@ -269,6 +269,15 @@
     return false;
   }
 
+  /**
+   * Returns whether no part has a strike, so that none can be quarantined.
+   *
+   * @return whether there are no strikes
+   */
+  public boolean hasNoStrikes() {
+    return struckParts.isEmpty();
+  }
+
   /**
    * Returns the quarantined parts.
    *
--- a/gateway/src/main/java/org/pollenrock/gateway/QuarantineGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QuarantineGossip.java
@@ -209,6 +209,10 @@
    * has completed since is told of the completion.
    */
   void apply(FleetNews message, InetSocketAddress from, long nowNanos) {
+    if (message.getClearingsCount() + message.getStrikesCount() + message.getQuarantinedCount()
+        == 0) {
+      return;
+    }
     Set<Long> known = Set.copyOf(quarantine.quarantinedParts(nowNanos));
     FleetNews.Builder reply = FleetNews.newBuilder();
     applying = true;
