--- a/core/src/main/java/org/pollenrock/core/ratelimit/ServerRateLimits.java
+++ b/core/src/main/java/org/pollenrock/core/ratelimit/ServerRateLimits.java
@@ -64,7 +64,7 @@
 
   private final RateShares shares;
   private final Listener listener;
-  private final Map<Incarnation, ServerRate> rates = new HashMap<>();
+  private final Map<Incarnation, ServerRateState> rates = new HashMap<>();
 
   /**
    * Creates the limits of servers that have named none.
@@ -143,7 +143,7 @@
     if (rates.isEmpty()) {
       return true;
     }
-    ServerRate rate = rates.get(Incarnation.of(server));
+    ServerRateState rate = rates.get(Incarnation.of(server));
     return rate == null || rate.maySend(nowNanos);
   }
 
@@ -168,7 +168,7 @@
    */
   public void recordSend(Backend server, long nowNanos) {
     if (!rates.isEmpty()) {
-      ServerRate rate = rates.get(Incarnation.of(server));
+      ServerRateState rate = rates.get(Incarnation.of(server));
       if (rate != null) {
         rate.recordSend(nowNanos);
       }
@@ -219,7 +219,7 @@
             entry ->
                 entry.getValue().isOver(nowNanos)
                     || !listedIncarnations.contains(entry.getKey())
-                        && entry.getValue().newsAgeNanos(nowNanos) >= UNLISTED_RETENTION_NANOS);
+                        && entry.getValue().learnedAgeNanos(nowNanos) >= UNLISTED_RETENTION_NANOS);
   }
 
   /**
@@ -228,7 +228,7 @@
    * @return the number
    */
   public int limitedServerCount() {
-    return (int) rates.values().stream().filter(ServerRate::isLimited).count();
+    return (int) rates.values().stream().filter(ServerRateState::isLimited).count();
   }
 
   /**
@@ -248,8 +248,8 @@
     return rates.size() < MAX_SERVERS || rates.containsKey(incarnation);
   }
 
-  private ServerRate rateOf(Incarnation incarnation, long nowNanos) {
+  private ServerRateState rateOf(Incarnation incarnation, long nowNanos) {
     return rates.computeIfAbsent(
-        incarnation, added -> new ServerRate(shares, added.server(), nowNanos));
+        incarnation, added -> new ServerRateState(shares, added.server(), nowNanos));
   }
 }
--- a/core/src/main/java/org/pollenrock/core/ratelimit/ServerRate.java
+++ b/core/src/main/java/org/pollenrock/core/ratelimit/ServerRateState.java
@@ -3,7 +3,7 @@
 import java.util.OptionalDouble;
 
 /** The rate of one incarnation of a server, and what this instance may still send to it. */
-final class ServerRate {
+final class ServerRateState {
   /** Time whose requests a holder may save up, in nanoseconds; at least one request. */
   private static final long BURST_NANOS = 250_000_000L;
 
@@ -39,7 +39,7 @@
   private long noticeNanos;
 
   /** Time at which this instance last learned of the limit, or sent a trial request. */
-  private long newsNanos;
+  private long learnedNanos;
 
   private double savedRequests;
   private long savedNanos;
@@ -50,7 +50,7 @@
   private boolean unannounced;
 
   private int repeatCount;
-  private long sharedNanos;
+  private long announcedNanos;
 
   /**
    * Creates the rate of a server.
@@ -59,12 +59,12 @@
    * @param server hash of the server's identity
    * @param nowNanos current time
    */
-  ServerRate(RateShares shares, long server, long nowNanos) {
+  ServerRateState(RateShares shares, long server, long nowNanos) {
     this.shares = shares;
     this.server = server;
     noticeNanos = nowNanos - Long.MAX_VALUE / 2;
-    newsNanos = nowNanos;
-    sharedNanos = nowNanos;
+    learnedNanos = nowNanos;
+    announcedNanos = nowNanos;
   }
 
   /**
@@ -84,7 +84,7 @@
     unannounced = newRate.isPresent() || changed || unannounced;
     if (changed) {
       repeatCount = 0;
-      sharedNanos = nowNanos - refreshNanos(nowNanos);
+      announcedNanos = nowNanos - refreshNanos(nowNanos);
     }
     return changed;
   }
@@ -105,7 +105,7 @@
     apply(newRate, atNanos, nowNanos);
     unannounced = false;
     repeatCount = REPEAT_NANOS.length + END_REFRESHES;
-    sharedNanos = nowNanos;
+    announcedNanos = nowNanos;
     return changed;
   }
 
@@ -122,7 +122,7 @@
     }
     rate = newRate;
     noticeNanos = atNanos;
-    newsNanos = nowNanos;
+    learnedNanos = nowNanos;
   }
 
   /**
@@ -155,7 +155,7 @@
     if (savedRequests >= 1) {
       savedRequests--;
     } else if (rate.isPresent()) {
-      newsNanos = nowNanos;
+      learnedNanos = nowNanos;
     }
   }
 
@@ -167,10 +167,10 @@
    * @return whether to announce it
    */
   boolean takeAnnouncement(long nowNanos) {
-    if (!unannounced || nowNanos - sharedNanos < announceDelayNanos(nowNanos)) {
+    if (!unannounced || nowNanos - announcedNanos < announceDelayNanos(nowNanos)) {
       return false;
     }
-    sharedNanos = nowNanos;
+    announcedNanos = nowNanos;
     repeatCount++;
     boolean repeatedOften =
         rate.isPresent()
@@ -193,7 +193,7 @@
    * @return whether the server can be forgotten
    */
   boolean isOver(long nowNanos) {
-    return rate.isEmpty() && !unannounced && newsAgeNanos(nowNanos) >= END_RETENTION_NANOS;
+    return rate.isEmpty() && !unannounced && learnedAgeNanos(nowNanos) >= END_RETENTION_NANOS;
   }
 
   /**
@@ -203,8 +203,8 @@
    * @param nowNanos current time
    * @return the time in nanoseconds
    */
-  long newsAgeNanos(long nowNanos) {
-    return nowNanos - newsNanos;
+  long learnedAgeNanos(long nowNanos) {
+    return nowNanos - learnedNanos;
   }
 
   /**
@@ -244,7 +244,7 @@
     int instances = shares.instanceCount(nowNanos);
     long spreadNanos =
         Long.remainderUnsigned(shares.spread(server), TRIAL_SPREAD_NANOS_PER_INSTANCE * instances);
-    return nowNanos - newsNanos >= TRIAL_REFRESHES * refreshNanos(nowNanos) + spreadNanos;
+    return nowNanos - learnedNanos >= TRIAL_REFRESHES * refreshNanos(nowNanos) + spreadNanos;
   }
 
   private long refreshNanos(long nowNanos) {
