--- a/gateway/src/test/java/org/pollenrock/gateway/CacheGossipTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/CacheGossipTest.java
@@ -21,10 +21,12 @@
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.fleet.ListedBackend;
 import org.pollenrock.core.model.InstanceId;
+import org.pollenrock.core.ratelimit.RateNotice;
 
 /**
  * Guards against instances that expect a prefix in a cache whose eviction another instance has
- * seen, and against engines that no instance or every instance follows.
+ * seen, against engines that no instance or every instance follows, and against rates of servers
+ * that other instances don't learn of.
  */
 class CacheGossipTest {
   private static final long TIMEOUT_SECONDS = 30;
@@ -37,12 +39,15 @@
     private final Fleet fleet = new Fleet();
     private final PrefixDirectory directory = new PrefixDirectory();
     private final PeerGossip gossip;
+    private final RateLimitTask rateLimits;
     private final Backend engine;
 
     private Instance(EventLoop loop, InetSocketAddress address) {
       EventLog log = new EventLog(new ByteArrayOutputStream());
       fleet.applyEntry(ENGINE, System.nanoTime());
       engine = fleet.all().iterator().next();
+      rateLimits =
+          new RateLimitTask(Peer.id(address.getAddress()), fleet, new NoServerProtocol(), log);
       gossip =
           new PeerGossip(
               loop,
@@ -52,7 +57,7 @@
               directory,
               new PrefixStoreView(),
               new QuarantineTask(log).quarantine(),
-              new RateLimitTask(Peer.id(address.getAddress()), fleet, new NoServerProtocol(), log),
+              rateLimits,
               log);
     }
   }
@@ -106,6 +111,29 @@
     }
   }
 
+  /** An instance that has not heard of a rate would send to the server as before. */
+  @Test
+  void otherInstanceLearnsOfARateAndOfItsEnd() throws Exception {
+    announce(new RateNotice.Limited(2.4));
+    await(() -> other.rateLimits.limits().limitedServerCount() == 1);
+    assertThat(onLoop(() -> other.rateLimits.limits().maySend(other.engine, System.nanoTime())))
+        .isFalse();
+    // The end outweighs a limit only if it is newer by the time that a datagram may take.
+    await(
+        () -> {
+          announce(new RateNotice.Unlimited());
+          return other.rateLimits.limits().limitedServerCount() == 0;
+        });
+  }
+
+  private void announce(RateNotice notice) {
+    loop.execute(
+        () -> {
+          follower.rateLimits.recordNotice(follower.engine, notice, System.nanoTime());
+          follower.gossip.announceRates(System.nanoTime());
+        });
+  }
+
   private boolean otherHoldsPart() {
     return other.directory.holders(PART, System.nanoTime()).contains(other.engine);
   }
