--- a/review/standin/Case.java
+++ b/review/standin/Case.java
@@ -2,6 +2,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.Stream;
 
 /** A case of the review: exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run. */
 abstract class Case {
@@ -36,10 +37,20 @@
       status = 2;
     }
     watchdog.interrupt();
+    deleteDirectory(example.directory);
     // The shutdown hooks end all processes that were started.
     System.exit(status);
   }
 
+  private static void deleteDirectory(Path directory) throws IOException {
+    try (Stream<Path> files = Files.list(directory)) {
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
+    }
+    Files.delete(directory);
+  }
+
   private static void exitAfterTimeout(Case example) throws InterruptedException {
     Thread.sleep(TIMEOUT_MILLIS);
     example.record.line("couldn't run: not done in time");
--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -9,19 +9,18 @@
 final class Client implements AutoCloseable {
   private final Record record;
   private final Socket socket = new Socket();
+  private Map<String, String> furtherHeaders = Map.of();
 
-  /** Opens a connection; a receive buffer of 0 bytes leaves its size to the system. */
-  Client(Gateway gateway, Record record, int receiveBufferBytes) throws IOException {
+  /** Opens a connection. */
+  Client(Gateway gateway, Record record) throws IOException {
     this.record = record;
-    if (receiveBufferBytes > 0) {
-      socket.setReceiveBufferSize(receiveBufferBytes);
-    }
     socket.setTcpNoDelay(true);
     socket.connect(new InetSocketAddress(gateway.ip(), gateway.port()), 1_000);
   }
 
-  Socket socket() {
-    return socket;
+  /** Sets headers that each request has in addition. */
+  void setFurtherHeaders(Map<String, String> headers) {
+    furtherHeaders = headers;
   }
 
   /** Sends a request and reads its answer; null if the connection ended without one. */
@@ -50,7 +49,7 @@
     return answer;
   }
 
-  void send(
+  private void send(
       String method, String host, String path, String attempt, long deadlineMillis, byte[] body)
       throws IOException {
     Map<String, String> headers = new LinkedHashMap<>();
@@ -58,6 +57,7 @@
     headers.put("Attempt-Id", attempt);
     headers.put("Deadline-Ms", Long.toString(deadlineMillis));
     headers.put("Credential", Config.KEY);
+    headers.putAll(furtherHeaders);
     record.line("sent %s: %s %s", attempt, method, path);
     socket.getOutputStream().write(Http.message(method + " " + path + " HTTP/1.1", headers, body));
   }
--- a/review/standin/Config.java
+++ b/review/standin/Config.java
@@ -20,6 +20,12 @@
         .replace("\"resumable\":false", "\"resumable\":true,\"gap_aim_ms\":200");
   }
 
+  /** Returns a route for streams of engines, whose requests describe their prompts. */
+  static String promptRoute(String name, String prefix, String service, long timeoutMillis) {
+    return streamRoute(name, prefix, service, timeoutMillis)
+        .replace("\"sticky\":false", "\"sticky\":true");
+  }
+
   /** Returns a configuration with routes and services. */
   static String config(int version, String routes, String... services) {
     StringBuilder list = new StringBuilder();
--- a/review/standin/Gateway.java
+++ b/review/standin/Gateway.java
@@ -101,21 +101,12 @@
     return process.waitFor(millis, TimeUnit.MILLISECONDS);
   }
 
-  boolean isAlive() {
-    return process.isAlive();
-  }
-
   void kill() {
     if (process != null) {
       process.destroyForcibly();
     }
   }
 
-  /** Returns the log of the process. */
-  Path log() {
-    return directory.resolve(name + ".log");
-  }
-
   private static List<String> command() throws IOException {
     for (String line : Files.readAllLines(Path.of("deploy/system.toml"))) {
       if (line.startsWith("run = ")) {
--- a/review/standin/LeftDuringSilence.java
+++ b/review/standin/LeftDuringSilence.java
@@ -92,7 +92,7 @@
   }
 
   private void sendRequests(Gateway gateway, int number) throws IOException {
-    try (Client client = new Client(gateway, record, 0)) {
+    try (Client client = new Client(gateway, record)) {
       for (int i = 0; !stopped; i++) {
         String attempt = "m" + (number % 3 + 1) + "-" + number + "-" + i;
         client.call("GET", Config.HOST, "/read/1", attempt, DEADLINE_MILLIS, new byte[0]);
--- a/review/standin/PreemptedStream.java
+++ b/review/standin/PreemptedStream.java
@@ -128,7 +128,7 @@
   /** Reads a stream; returns whether it was cut off around the planned stop. */
   private boolean isCut(Gateway gateway, String attempt) {
     String state;
-    try (Client client = new Client(gateway, record, 0)) {
+    try (Client client = new Client(gateway, record)) {
       Http.Message answer =
           client.call("POST", Config.HOST, "/brief/1", attempt, DEADLINE_MILLIS, new byte[100]);
       if (answer != null && (answer.status() != 200 || answer.complete())) {
--- a/review/standin/RefusalCopy.java
+++ b/review/standin/RefusalCopy.java
@@ -72,7 +72,7 @@
             1, Config.route("r1", "/post/", "non_idempotent", "app", DEADLINE_MILLIS), "app"));
     new SheddingServer("i-app-1");
     Gateway gateway = startGateways(1).get(0);
-    try (Client client = new Client(gateway, record, 0)) {
+    try (Client client = new Client(gateway, record)) {
       for (int i = 0; i < REQUESTS; i++) {
         client.call("POST", Config.HOST, "/post/1", "p" + i, DEADLINE_MILLIS, Client.text("pay"));
       }
--- a/review/standin/Server.java
+++ b/review/standin/Server.java
@@ -6,6 +6,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
 /** Stand-in of a server: registers in the store and runs requests as a sound server does. */
@@ -37,9 +39,12 @@
   final long bornMillis = System.currentTimeMillis();
   private final ServerSocket socket;
   private int sequence;
-  private volatile String state = "ready";
   private volatile boolean beating = true;
   private volatile long lastBeatMillis;
+  private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+
+  /** Whether it has crashed; its runs end then. */
+  volatile boolean crashed;
 
   Server(String id, String service, Store store, Record record) throws IOException {
     this.id = id;
@@ -66,17 +71,6 @@
     return "127.0.0.1:" + socket.getLocalPort();
   }
 
-  /** Returns the time of the last heartbeat in Unix milliseconds. */
-  long lastBeatMillis() {
-    return lastBeatMillis;
-  }
-
-  /** Reports the state at once, again with each heartbeat from now on, and goes on to serve. */
-  void report(String newState) {
-    state = newState;
-    beat();
-  }
-
   /** Stops the heartbeats. Its entry remains until it is removed. */
   synchronized void stopBeating() {
     beating = false;
@@ -85,16 +79,16 @@
   private synchronized void beat() {
     lastBeatMillis = System.currentTimeMillis();
     if (beating) {
-      store.put("keyed.servers", id, entry(state));
+      store.put("keyed.servers", id, entry());
     }
   }
 
   /** Returns a complete entry of this server. */
-  synchronized String entry(String reportedState) {
+  private String entry() {
     sequence++;
     return ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":%d,"
-            + "\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":%d,\"born\":%d}")
-        .formatted(service, address(), slots(), reportedState, sequence, bornMillis);
+            + "\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":%d,\"born\":%d%s}")
+        .formatted(service, address(), slots(), sequence, bornMillis, furtherFields());
   }
 
   /** Returns how many requests it runs at once. */
@@ -102,10 +96,29 @@
     return 6;
   }
 
+  /** Ends at once: resets its connections and sends nothing more to the store. */
+  void crash() throws IOException {
+    stopBeating();
+    crashed = true;
+    socket.close();
+    for (Socket caller : connections) {
+      if (!caller.isClosed()) {
+        caller.setSoLinger(true, 0);
+        caller.close();
+      }
+    }
+  }
+
+  /** Returns further fields of its entry. */
+  String furtherFields() {
+    return "";
+  }
+
   private void accept() throws IOException {
     while (true) {
       Socket caller = socket.accept();
       caller.setTcpNoDelay(true);
+      connections.add(caller);
       Connection connection = new Connection(caller);
       Threads.start(() -> serve(connection));
     }
@@ -165,7 +178,7 @@
     connection.out.write(Http.message("HTTP/1.1 200 OK", headers, body));
   }
 
-  /** Supplies a value after a test has decided it. */
+  /** Waits until a supplier returns a value; returns null if it doesn't in time. */
   static <T> T await(Supplier<T> value, long millis) {
     long until = System.nanoTime() + millis * 1_000_000;
     T current = value.get();
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -47,12 +47,6 @@
     append(topic(topic), record);
   }
 
-  /** Returns the newest value of a key; empty if there is none. */
-  synchronized String newest(String topic, String key) {
-    Newest found = topic(topic).newest.get(key);
-    return found == null ? "" : new String(found.value(), StandardCharsets.UTF_8);
-  }
-
   private void append(Topic topic, byte[] record) {
     int keyLength = Byte.toUnsignedInt(record[0]);
     String key = new String(record, 1, keyLength, StandardCharsets.UTF_8);
--- a/review/standin/UnusableEntry.java
+++ b/review/standin/UnusableEntry.java
@@ -65,7 +65,7 @@
   }
 
   private void sendRequests(Gateway gateway, int number) throws IOException {
-    try (Client client = new Client(gateway, record, 0)) {
+    try (Client client = new Client(gateway, record)) {
       for (int i = 0; !stopped; i++) {
         String attempt = "q" + number + "-" + i;
         client.call("GET", Config.HOST, "/read/1", attempt, DEADLINE_MILLIS, new byte[0]);
