Review: give each run a loopback network of its own

The template fixes the operators' port, so that two scripts at once could not run. The streams of case 4 take longer, since one of eight runs of the shorter ones completed a stream before the first crash and the rule held.

--- a/review/standin/Gateway.java
+++ b/review/standin/Gateway.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -16,6 +17,10 @@
   /** Time from SIGTERM to SIGKILL, as in the site files, in seconds. */
   static final int GRACE_SECONDS = 8;
 
+  /** Loopback network of this run, since the template gives the operators' port a fixed number. */
+  private static final String NETWORK =
+      "127.%d.%d.".formatted(new Random().nextInt(10, 250), new Random().nextInt(1, 250));
+
   private final String name;
   private final String ip;
   private final int port;
@@ -25,7 +30,7 @@
 
   Gateway(int number, Path directory, String storeAddress) throws IOException {
     this.name = "front-z1-" + number;
-    this.ip = "127.0.1." + number;
+    this.ip = NETWORK + number;
     this.port = freePort(ip);
     this.directory = directory;
     fields =
--- a/review/standin/RefusedAfterRecovery.java
+++ b/review/standin/RefusedAfterRecovery.java
@@ -11,10 +11,10 @@
  */
 final class RefusedAfterRecovery extends Case {
   private static final int CLIENTS = 6;
-  private static final int EVENTS = 12;
+  private static final int EVENTS = 25;
   private static final long EVENT_MILLIS = 100;
   private static final long DEADLINE_MILLIS = 15_000;
-  private static final long CALM_MILLIS = 5_000;
+  private static final long CALM_MILLIS = 6_000;
 
   /** Time from the kill of all gateways to their start. */
   private static final long DOWN_MILLIS = 1_400;
@@ -51,7 +51,7 @@
     run(new RefusedAfterRecovery(), arguments);
   }
 
-  /** Engine that takes 1.2 s for each stream. */
+  /** Engine that takes 2.5 s for each stream. */
   private final class Engine extends Server {
     Engine(String id) throws IOException {
       super(id, "llm", RefusedAfterRecovery.this.store, RefusedAfterRecovery.this.record);
