Close connections whose last response could be copied unnoticed

Cause: the identifier of a response names the request and not the send. A late copy of a refusal on a kept connection was taken as the refusal of the next send of its request or, if it bore no identifier, of any request. Change: ConnectionReuse in core decides whether a connection may carry another request; HttpConnection closes it otherwise, for all senders.

--- a/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
@@ -165,8 +165,9 @@
     }
 
     @Override
-    public void responseEnded() {
+    public boolean responseEnded() {
       finish(new CallResult.Answered(head.status().code(), head.headers(), body.toByteArray()));
+      return true;
     }
 
     @Override
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -200,6 +200,11 @@
         && (!relay.started() || relay.lastEventNumber().isPresent());
   }
 
+  @Override
+  public boolean isConcluded() {
+    return finished;
+  }
+
   @Override
   public void sendFailed(ServerSend from, SendFailure failure, String cause) {
     send = null;
--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -37,8 +37,13 @@
     /** Called when bytes of the body have arrived; they are valid only during the call. */
     void contentReceived(ByteBuf bytes);
 
-    /** Called when the response is complete. */
-    void responseEnded();
+    /**
+     * Called when the response is complete.
+     *
+     * @return whether the connection may carry another request; false if a late copy of the
+     *     response could be mistaken for the response to that request
+     */
+    boolean responseEnded();
 
     /** Called when the request has failed, so that no complete response will arrive. */
     void requestFailed(Throwable cause);
@@ -235,7 +240,9 @@
     if (lastContent && listener != null) {
       responseComplete = true;
       inResponse = false;
-      listener.responseEnded();
+      if (!listener.responseEnded()) {
+        closing = true;
+      }
     }
   }
 
--- a/gateway/src/main/java/org/pollenrock/gateway/SendOwner.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/SendOwner.java
@@ -21,6 +21,9 @@
   /** Returns whether the request could be sent to another server if this send failed. */
   boolean canResend();
 
+  /** Returns whether the request has its final result, so that it is not sent again. */
+  boolean isConcluded();
+
   /** Called when the send has failed, so that no complete response will arrive. */
   void sendFailed(ServerSend send, SendFailure failure, String cause);
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -12,6 +12,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import org.pollenrock.core.dispatch.ConnectionReuse;
 import org.pollenrock.core.dispatch.DispatchRequest;
 import org.pollenrock.core.dispatch.PrefixStoreView;
 import org.pollenrock.core.dispatch.Selection;
@@ -73,6 +74,10 @@
   private long sentNanos;
   private boolean responseStarted;
   private long refusalBytes;
+
+  /** Whether the response names the request. */
+  private boolean identified;
+
   private ScheduledFuture<?> silenceTimer;
 
   ServerSend(
@@ -181,6 +186,7 @@
           .write();
       return false;
     }
+    identified = !metadata.requestId().isEmpty();
     if (!metadata.unreadableHeaders().isEmpty()) {
       components
           .log()
@@ -239,10 +245,14 @@
   }
 
   @Override
-  public void responseEnded() {
-    if (closed) {
-      return;
+  public boolean responseEnded() {
+    if (!closed) {
+      concludeResponse();
     }
+    return ConnectionReuse.isAllowed(identified, owner.isConcluded());
+  }
+
+  private void concludeResponse() {
     switch (mode) {
       case REFUSED -> handleRefusal();
       case MISPLACED -> {
