Send orders to engines on connections of their own

What callers would see: an engine keeps older weights, since the copy of an earlier report is taken as the confirmation of an order (VERSION). Evidence: EngineOrderTest, before: HOLDS where ACCEPTED was answered. Change: ControlClient.callOnNewConnection, used for orders.

--- a/core/src/test/java/org/pollenrock/core/dispatch/ConnectionReuseTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/ConnectionReuseTest.java
@@ -4,7 +4,9 @@
 
 import org.junit.jupiter.api.Test;
 
-/** Guards against connections that carry a request after a response whose copy can't be told apart. */
+/**
+ * Guards against connections that carry a request after a response whose copy can't be told apart.
+ */
 class ConnectionReuseTest {
   @Test
   void connectionIsReusedAfterAnIdentifiedFinalResponse() {
--- a/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
@@ -74,7 +74,9 @@
    * @param result receives the outcome, exactly once
    */
   public void call(InetSocketAddress address, Call call, Consumer<CallResult> result) {
-    new PendingCall(address, call, result).start();
+    PendingCall pending = new PendingCall(address, call, result, true);
+    pending.startTimeout();
+    pool(address).acquire(false, pending);
   }
 
   /**
@@ -88,6 +90,22 @@
     call(ServerConnectionPools.address(server), call, result);
   }
 
+  /**
+   * Makes a call to a backend server on a new connection, which carries nothing else. For calls
+   * whose effect is read from the status of the response: the responses to calls name no call, so
+   * that a late copy of an earlier one could not be told apart. Must be called on the event loop.
+   *
+   * @param server the server
+   * @param call the call
+   * @param result receives the outcome, exactly once
+   */
+  public void callOnNewConnection(Backend server, Call call, Consumer<CallResult> result) {
+    InetSocketAddress address = ServerConnectionPools.address(server);
+    PendingCall pending = new PendingCall(address, call, result, false);
+    pending.startTimeout();
+    pool(address).connect(pending);
+  }
+
   /** Closes idle connections that their servers are likely to close soon. */
   public void sweep() {
     pools.values().forEach(ConnectionPool::sweep);
@@ -103,22 +121,27 @@
       implements ConnectionPool.AcquireListener, HttpConnection.Listener {
     private final InetSocketAddress address;
     private final Call call;
+    private final boolean connectionReused;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Consumer<CallResult> result;
     private ScheduledFuture<?> timeoutTimer;
     private HttpConnection connection;
     private HttpResponse head;
 
-    private PendingCall(InetSocketAddress address, Call call, Consumer<CallResult> result) {
+    private PendingCall(
+        InetSocketAddress address,
+        Call call,
+        Consumer<CallResult> result,
+        boolean connectionReused) {
       this.address = address;
       this.call = call;
       this.result = result;
+      this.connectionReused = connectionReused;
     }
 
-    private void start() {
+    private void startTimeout() {
       timeoutTimer =
           loop.schedule(this::handleTimeout, call.timeoutMillis(), TimeUnit.MILLISECONDS);
-      pool(address).acquire(false, this);
     }
 
     @Override
@@ -167,7 +190,7 @@
     @Override
     public boolean responseEnded() {
       finish(new CallResult.Answered(head.status().code(), head.headers(), body.toByteArray()));
-      return true;
+      return connectionReused;
     }
 
     @Override
