Check the lease again before an order is written

An order is decided on while the lease is valid and, with a connection of its own, may reach the engine up to 0.6 s later. Change: the lease is asked again once the connection is open, and the order is not written if it has ended.

--- a/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.pollenrock.core.error.Step;
 import org.pollenrock.core.fleet.Backend;
@@ -74,7 +75,7 @@
    * @param result receives the outcome, exactly once
    */
   public void call(InetSocketAddress address, Call call, Consumer<CallResult> result) {
-    PendingCall pending = new PendingCall(address, call, result, true);
+    PendingCall pending = new PendingCall(address, call, result, true, () -> true);
     pending.startTimeout();
     pool(address).acquire(false, pending);
   }
@@ -97,11 +98,14 @@
    *
    * @param server the server
    * @param call the call
+   * @param maySend asked once the connection is open; if it returns false, nothing is sent and the
+   *     call fails
    * @param result receives the outcome, exactly once
    */
-  public void callOnNewConnection(Backend server, Call call, Consumer<CallResult> result) {
+  public void callOnNewConnection(
+      Backend server, Call call, BooleanSupplier maySend, Consumer<CallResult> result) {
     InetSocketAddress address = ServerConnectionPools.address(server);
-    PendingCall pending = new PendingCall(address, call, result, false);
+    PendingCall pending = new PendingCall(address, call, result, false, maySend);
     pending.startTimeout();
     pool(address).connect(pending);
   }
@@ -122,6 +126,7 @@
     private final InetSocketAddress address;
     private final Call call;
     private final boolean connectionReused;
+    private final BooleanSupplier maySend;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Consumer<CallResult> result;
     private ScheduledFuture<?> timeoutTimer;
@@ -132,11 +137,13 @@
         InetSocketAddress address,
         Call call,
         Consumer<CallResult> result,
-        boolean connectionReused) {
+        boolean connectionReused,
+        BooleanSupplier maySend) {
       this.address = address;
       this.call = call;
       this.result = result;
       this.connectionReused = connectionReused;
+      this.maySend = maySend;
     }
 
     private void startTimeout() {
@@ -150,6 +157,11 @@
         opened.close();
         return;
       }
+      if (!maySend.getAsBoolean()) {
+        opened.close();
+        finish(failure(Step.SEND, "no longer allowed", false));
+        return;
+      }
       connection = opened;
       ByteBuf content = Unpooled.wrappedBuffer(call.body());
       FullHttpRequest request =
--- a/gateway/src/main/java/org/pollenrock/gateway/EngineControl.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/EngineControl.java
@@ -1,6 +1,7 @@
 package org.pollenrock.gateway;
 
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.weights.EngineReport;
@@ -21,7 +22,9 @@
    * Sends an order to load weights to an engine.
    *
    * @param order the order
+   * @param maySend asked right before the order is written; if it returns false, the order is not
+   *     sent
    * @param result receives the answer of the engine
    */
-  void sendOrder(LoadOrder order, Consumer<OrderAnswer> result);
+  void sendOrder(LoadOrder order, BooleanSupplier maySend, Consumer<OrderAnswer> result);
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/OrderTask.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/OrderTask.java
@@ -152,11 +152,19 @@
             .write();
         order.backend().recordLoading(System.nanoTime());
         gateway.gossip().announceLoading(order.backend());
-        engines.sendOrder(order, answer -> handleOrderAnswer(order, answer));
+        engines.sendOrder(
+            order, () -> isStillHolder(order), answer -> handleOrderAnswer(order, answer));
       }
     }
   }
 
+  /** Returns whether the lease under which an order was decided on is still valid. */
+  private boolean isStillHolder(LoadOrder order) {
+    gateway.detectSuspension();
+    OptionalLong fencingNumber = lease.fencingNumber(System.nanoTime());
+    return fencingNumber.isPresent() && fencingNumber.getAsLong() == order.fencingNumber();
+  }
+
   private void handleReport(Backend backend, Optional<EngineReport> report) {
     long now = System.nanoTime();
     if (report.isPresent()) {
