Give up a silent send only for a claimed server

Cause: a silent send was ended when attempts were left. Whether the retry budget and another server allow a resend was asked only afterwards. Change: Dispatcher.claimReplacement takes server and budget in one step; a send without such a claim goes on.

--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
@@ -92,6 +93,35 @@
     return dispatch(request, triedServers, nowNanos);
   }
 
+  /**
+   * Claims another server for a request whose present server is silent but may yet respond. Charges
+   * the retry budget, and the request counts towards the load of the claimed server.
+   *
+   * @param request the request
+   * @param triedServers identities of the present server and of those on which the request failed
+   * @param nowNanos current time
+   * @return the server, to which the caller of this method must send the request; empty if none can
+   *     take the request now or the retry budget is used up
+   */
+  public Optional<Selection.Chosen> claimReplacement(
+      DispatchRequest request, Set<String> triedServers, long nowNanos) {
+    RetryAllowance allowance = retryAllowance(request.service());
+    if (isQuarantined(request, nowNanos) || allowance.remainingResends(nowNanos) == 0) {
+      return Optional.empty();
+    }
+    List<Backend> untried =
+        rateLimits.withinRate(fleet.usableServers(request.service()), nowNanos).stream()
+            .filter(server -> !triedServers.contains(server.entry().id()))
+            .filter(server -> !server.isMissing())
+            .toList();
+    if (selectServer(request, untried, triedServers, nowNanos) instanceof Selection.Chosen chosen
+        && allowance.tryResend(nowNanos)) {
+      recordSend(chosen, nowNanos);
+      return Optional.of(chosen);
+    }
+    return Optional.empty();
+  }
+
   /**
    * Removes the waiting requests of a service for which a server is free from the queue and assigns
    * them to servers.
--- a/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
@@ -142,6 +142,60 @@
     assertThat(dispatcher.waitingRequests()).isEqualTo(waiting - 1);
   }
 
+  /** A send must not be given up for a server that can't take the request. */
+  @Test
+  void claimWithoutAServerLeavesTheRetryBudget() {
+    dispatcher.setInstanceCount(1);
+    DispatchRequest request = request("r", 5, 0);
+    dispatcher.submit(request, 0);
+    fleet.applyEntry(Fixtures.plainServer("present", "near", 4), 0);
+    fleet.applyEntry(Fixtures.plainServer("missing", "near", 4), 0);
+    fleet.applyEntry(Fixtures.plainServer("refusing", "near", 4), 0);
+    for (Backend server : fleet.all()) {
+      if (server.entry().id().equals("missing")) {
+        server.recordUnreachable(0);
+      } else if (server.entry().id().equals("refusing")) {
+        server.recordRefusal(0);
+      }
+    }
+    int resendsLeft = dispatcher.remainingResends(1);
+    assertThat(dispatcher.claimReplacement(request, Set.of("present"), 1)).isEmpty();
+    assertThat(dispatcher.remainingResends(1)).isEqualTo(resendsLeft);
+    assertThat(dispatcher.waitingRequests()).isZero();
+  }
+
+  /** A send must not be given up without a part of the budget that all instances share. */
+  @Test
+  void claimsStayWithinTheRetryBudgetOfAllInstances() {
+    for (int instances : new int[] {1, 4, 38, 396}) {
+      dispatcher.setInstanceCount(instances);
+      fleet.applyEntry(Fixtures.plainServer("other", "near", 500), 0);
+      long now = instances * 20 * Fixtures.SECOND;
+      int claims = 0;
+      while (dispatcher.claimReplacement(request("r", 5, now), Set.of(), now).isPresent()) {
+        claims++;
+      }
+      assertThat(claims * instances).isLessThanOrEqualTo(10);
+      Backend other = fleet.all().iterator().next();
+      int inFlight = other.inFlightCount();
+      assertThat(dispatcher.claimReplacement(request("r", 5, now), Set.of(), now)).isEmpty();
+      assertThat(other.inFlightCount()).isEqualTo(inFlight);
+    }
+  }
+
+  @Test
+  void claimTakesAnotherServer() {
+    dispatcher.setInstanceCount(1);
+    fleet.applyEntry(Fixtures.plainServer("present", "near", 4), 0);
+    fleet.applyEntry(Fixtures.plainServer("other", "near", 4), 0);
+    assertThat(dispatcher.claimReplacement(request("r", 5, 0), Set.of("present"), 0))
+        .hasValueSatisfying(
+            chosen -> {
+              assertThat(chosen.backend().entry().id()).isEqualTo("other");
+              assertThat(chosen.backend().inFlightCount()).isEqualTo(1);
+            });
+  }
+
   private static DispatchRequest promptRequest(String id, String partId, long nowNanos) {
     return Fixtures.request(id, Optional.of(Fixtures.prompt(partId, 100, 20)), 3, nowNanos);
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -194,10 +194,22 @@
   }
 
   @Override
-  public boolean canResend() {
-    return route.isRepeatable()
-        && runs + 1 < route.maxAttempts()
-        && (!relay.started() || relay.lastEventNumber().isPresent());
+  public Optional<Selection.Chosen> claimReplacement(ServerSend from) {
+    NextStep step = FailurePolicy.nextStep(SendFailure.BROKEN, sendState(runs + 1, true));
+    if (!isResend(step) || !hasTimeToResend()) {
+      return Optional.empty();
+    }
+    Set<String> excludedServerIds = new LinkedHashSet<>(triedServerIds);
+    excludedServerIds.add(from.backend().entry().id());
+    return components.dispatcher().claimReplacement(request, excludedServerIds, System.nanoTime());
+  }
+
+  @Override
+  public void replaceSend(ServerSend from, Selection.Chosen replacement, String cause) {
+    recordFailure(from, SendFailure.BROKEN);
+    NextStep step = FailurePolicy.nextStep(SendFailure.BROKEN, sendState(runs, mayHaveRun));
+    logSendFailure(from, SendFailure.BROKEN, cause, step);
+    sendTo(replacement);
   }
 
   @Override
@@ -207,34 +219,16 @@
 
   @Override
   public void sendFailed(ServerSend from, SendFailure failure, String cause) {
-    send = null;
-    if (failure != SendFailure.OTHER_WEIGHTS) {
-      triedServerIds.add(from.backend().entry().id());
-    }
-    if (failure.certainlyNotRun()) {
-      refusalCount++;
-    } else {
-      runs++;
-      mayHaveRun = true;
-    }
-    components.metrics().recordSendFailure(route.kind(), failure);
-    SendState state =
-        new SendState(
-            route.isRepeatable(),
-            mayHaveRun,
-            runs,
-            route.maxAttempts(),
-            refusalCount,
-            relay.started(),
-            route.resumable() && relay.lastEventNumber().isPresent());
+    recordFailure(from, failure);
+    SendState state = sendState(runs, mayHaveRun);
     NextStep step = FailurePolicy.nextStep(failure, state);
     logSendFailure(from, failure, cause, step);
     if (callerDisconnected) {
       finish("caller_left", 0, cause);
       return;
     }
-    boolean shouldResend = step == NextStep.RESEND || step == NextStep.RESUME;
-    if (shouldResend && request.deadlineNanos() - System.nanoTime() > MIN_RESEND_NANOS) {
+    boolean shouldResend = isResend(step);
+    if (shouldResend && hasTimeToResend()) {
       boolean counted = failure != SendFailure.NOT_SENT;
       DispatchResult next =
           components.dispatcher().resubmit(request, triedServerIds, counted, System.nanoTime());
@@ -249,6 +243,39 @@
     conclude(finalStep, DispatchResult.Cause.SERVERS_REFUSED, cause);
   }
 
+  private void recordFailure(ServerSend from, SendFailure failure) {
+    send = null;
+    if (failure != SendFailure.OTHER_WEIGHTS) {
+      triedServerIds.add(from.backend().entry().id());
+    }
+    if (failure.certainlyNotRun()) {
+      refusalCount++;
+    } else {
+      runs++;
+      mayHaveRun = true;
+    }
+    components.metrics().recordSendFailure(route.kind(), failure);
+  }
+
+  private SendState sendState(int runsSoFar, boolean mayHaveRunSoFar) {
+    return new SendState(
+        route.isRepeatable(),
+        mayHaveRunSoFar,
+        runsSoFar,
+        route.maxAttempts(),
+        refusalCount,
+        relay.started(),
+        route.resumable() && relay.lastEventNumber().isPresent());
+  }
+
+  private static boolean isResend(NextStep step) {
+    return step == NextStep.RESEND || step == NextStep.RESUME;
+  }
+
+  private boolean hasTimeToResend() {
+    return request.deadlineNanos() - System.nanoTime() > MIN_RESEND_NANOS;
+  }
+
   private void admit() {
     memoryReserved = components.bodyMemory().tryReserve(body.readableBytes());
     if (!memoryReserved) {
--- a/gateway/src/main/java/org/pollenrock/gateway/SendOwner.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/SendOwner.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
+import org.pollenrock.core.dispatch.Selection;
 import org.pollenrock.core.dispatch.SendFailure;
 
 /** Receives the events of a send. */
@@ -18,8 +20,17 @@
   /** Called when a complete response that is not a stream has arrived. */
   void responseReceived(ServerSend send, PlainResponse response);
 
-  /** Returns whether the request could be sent to another server if this send failed. */
-  boolean canResend();
+  /**
+   * Claims another server for the request, which is charged for the resend, before a send is given
+   * up whose server may yet respond.
+   *
+   * @return the server, to which {@link #replaceSend} must send the request; empty if the request
+   *     can't be sent elsewhere now, so that the send has to go on
+   */
+  Optional<Selection.Chosen> claimReplacement(ServerSend send);
+
+  /** Called when the send was given up; sends the request to the claimed server. */
+  void replaceSend(ServerSend send, Selection.Chosen replacement, String cause);
 
   /** Returns whether the request has its final result, so that it is not sent again. */
   boolean isConcluded();
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.pollenrock.core.dispatch.ConnectionReuse;
 import org.pollenrock.core.dispatch.DispatchRequest;
@@ -419,34 +420,38 @@
   }
 
   /**
-   * Fails the send when the server, although responses are due, has sent nothing on any connection
-   * for too long, and the request can be sent to another server. The limit is lower for a server
-   * that is already missing. As long as the server sends bytes for other requests, the response to
-   * this one may take any time. After a pause of this process, the response may wait to be read.
+   * Gives up the send when the server, although responses are due, has sent nothing on any
+   * connection for too long, and another server has been claimed for the request; otherwise the
+   * server may still respond. The limit is lower for a server that is already missing. As long as
+   * the server sends bytes for other requests, the response to this one may take any time. After a
+   * pause of this process, the response may wait to be read.
    */
   private void checkSilence() {
     if (closed) {
       return;
     }
     if (isServerSilent()) {
-      components.loopMonitor().runAfterNextRound(this::failIfSilent);
+      components.loopMonitor().runAfterNextRound(this::replaceIfSilent);
     } else {
       scheduleSilenceCheck();
     }
   }
 
-  private void failIfSilent() {
+  private void replaceIfSilent() {
     if (closed) {
       return;
     }
-    if (!isServerSilent()) {
+    Optional<Selection.Chosen> replacement =
+        isServerSilent() ? owner.claimReplacement(this) : Optional.empty();
+    if (replacement.isEmpty()) {
       scheduleSilenceCheck();
       return;
     }
     connection.abandon();
     components.reachability().recordUnreachable(backend, "silent");
     recordOutcome(false);
-    fail(SendFailure.BROKEN, "silent");
+    close();
+    owner.replaceSend(this, replacement.get(), "silent");
   }
 
   private boolean isServerSilent() {
@@ -454,7 +459,7 @@
     long latencyLimitMillis =
         backend.isMissing() ? 0 : MAX_SILENT_TARGET_LATENCIES * request.targetLatencyMillis();
     long maxSilenceNanos = Math.max(SILENCE_CHECK_MILLIS, latencyLimitMillis) * 1_000_000;
-    return backend.silentNanos(now) >= maxSilenceNanos && owner.canResend();
+    return backend.silentNanos(now) >= maxSilenceNanos;
   }
 
   private void recordOutcome(boolean success) {
