Bound the grace period of removals by the return of contact

Cause: removals were deferred by 2 s from the read of the list, which may come 1.7 s after the return of contact: timeout 0.9 s, pause 0.8 s. Change: RelistGrace in core counts from the earliest possible return, which TopicWatch knows; the same for a return from an older copy.

--- a/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
@@ -18,12 +18,6 @@
  * after the list's return has ended.
  */
 public final class Fleet {
-  /**
-   * Grace period after the list becomes available again. The platform specifies that live servers
-   * have registered again by then.
-   */
-  public static final long RELIST_GRACE_NANOS = 2_000_000_000L;
-
   /** Maximum number of removed incarnations that are remembered. */
   private static final int MAX_REMOVED = 4_096;
 
@@ -45,7 +39,7 @@
 
   private boolean listRead;
   private boolean listUnavailable;
-  private long listAvailableSinceNanos = Long.MIN_VALUE;
+  private long removalsDeferredUntilNanos = Long.MIN_VALUE;
   private long listRestoredNanos = Long.MIN_VALUE;
 
   /** Creates an empty fleet. */
@@ -134,11 +128,12 @@
    * Records that the list can be read again, which starts the grace period.
    *
    * @param nowNanos current time
+   * @param graceNanos length of the grace period, see {@link RelistGrace}
    */
-  public void markListAvailable(long nowNanos) {
+  public void markListAvailable(long nowNanos, long graceNanos) {
     if (listUnavailable) {
       listUnavailable = false;
-      listAvailableSinceNanos = nowNanos;
+      removalsDeferredUntilNanos = nowNanos + graceNanos;
     }
   }
 
@@ -149,10 +144,11 @@
    * goes back to what it was.
    *
    * @param nowNanos current time
+   * @param graceNanos length of the grace period, see {@link RelistGrace}
    */
-  public void markListRestored(long nowNanos) {
+  public void markListRestored(long nowNanos, long graceNanos) {
     listUnavailable = false;
-    listAvailableSinceNanos = nowNanos;
+    removalsDeferredUntilNanos = nowNanos + graceNanos;
     listRestoredNanos = nowNanos;
   }
 
@@ -231,7 +227,8 @@
   /** Returns whether an entry is one of an older copy of the list and tells less than is known. */
   private boolean isOutdated(ListedBackend entry, Backend known, long nowNanos) {
     boolean restored =
-        listRestoredNanos != Long.MIN_VALUE && nowNanos - listRestoredNanos < RELIST_GRACE_NANOS;
+        listRestoredNanos != Long.MIN_VALUE
+            && nowNanos - listRestoredNanos < RelistGrace.REGISTRATION_NANOS;
     if (!restored) {
       return false;
     }
@@ -244,8 +241,8 @@
 
   private boolean isInGracePeriod(long nowNanos) {
     return listUnavailable
-        || listAvailableSinceNanos != Long.MIN_VALUE
-            && nowNanos - listAvailableSinceNanos < RELIST_GRACE_NANOS;
+        || removalsDeferredUntilNanos != Long.MIN_VALUE
+            && nowNanos - removalsDeferredUntilNanos < 0;
   }
 
   private void removeUnlisted(String id) {
--- a/core/src/test/java/org/pollenrock/core/fleet/FleetTest.java
+++ b/core/src/test/java/org/pollenrock/core/fleet/FleetTest.java
@@ -43,7 +43,7 @@
     fleet.applyEntry(entry("a", 1, true), 0);
     fleet.applyEntry(entry("b", 1, true), 0);
     fleet.markListUnavailable();
-    fleet.markListAvailable(100 * MILLI);
+    fleet.markListAvailable(100 * MILLI, RelistGrace.REGISTRATION_NANOS);
     assertThat(fleet.applyRemoval("a", 200 * MILLI)).isFalse();
     assertThat(fleet.applyRemoval("b", 200 * MILLI)).isFalse();
     fleet.applyEntry(entry("b", 1, true), 900 * MILLI);
@@ -86,10 +86,10 @@
   void drainingServerStaysOutOfUseWhenAnOlderListReturns() {
     fleet.applyEntry(entry("a", 1, true), 0);
     fleet.applyEntry(entry("a", 1, false), 1);
-    fleet.markListRestored(2);
+    fleet.markListRestored(2, RelistGrace.REGISTRATION_NANOS);
     fleet.applyFullList(List.of(entry("a", 1, true)), 3);
     assertThat(fleet.usableServers("service")).isEmpty();
-    fleet.applyEntry(entry("a", 1, true), 2 + Fleet.RELIST_GRACE_NANOS);
+    fleet.applyEntry(entry("a", 1, true), 2 + RelistGrace.REGISTRATION_NANOS);
     assertThat(fleet.usableServers("service")).hasSize(1);
   }
 
@@ -98,7 +98,7 @@
   void removedServerStaysOutOfUseWhenAnOlderListReturns() {
     fleet.applyEntry(entry("a", 1, true), 0);
     fleet.applyRemoval("a", 1);
-    fleet.markListRestored(2);
+    fleet.markListRestored(2, RelistGrace.REGISTRATION_NANOS);
     fleet.applyFullList(List.of(entry("a", 1, true)), 3);
     assertThat(fleet.all()).isEmpty();
     fleet.applyEntry(entry("a", 2, true), 4);
@@ -111,7 +111,7 @@
     fleet.applyEntry(entry("a", 1, true), 0);
     fleet.applyEntry(entry("a", 2, true), 1);
     Backend restarted = fleet.usableServers("service").get(0);
-    fleet.markListRestored(2);
+    fleet.markListRestored(2, RelistGrace.REGISTRATION_NANOS);
     fleet.applyFullList(List.of(entry("a", 1, true)), 3);
     assertThat(fleet.usableServers("service")).containsExactly(restarted);
   }
