Count the time until weights are mandatory from the return of contact

Cause: after a cut the time started anew when the log was read, up to 1.7 s after the return of contact. Evidence: OutageDetectionTest.versionPublishedDuringACutBecomesMandatoryInTime and .versionKnownBeforeACutBecomesMandatoryInTime failed before. Change: both times count from the earliest possible return. StoreDelayTest and SendDelayTest add up the delays of these paths. After: OutageDetectionTest, StoreRestoreTest, WeightsVersionPauseTest, WeightsTargetsTest, StoreDelayTest and SendDelayTest pass.

--- a/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
+++ b/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
@@ -89,9 +89,9 @@
   /**
    * Records that the log can be read again. The time until a version is mandatory starts anew.
    *
-   * @param nowNanos current time
+   * @param availableNanos earliest time at which the log may have been available again
    */
-  public void markLogAvailable(long nowNanos) {
+  public void markLogAvailable(long availableNanos) {
     logUnavailable = false;
     versionsByModel
         .values()
@@ -102,8 +102,8 @@
                         new TargetVersion(
                             target.version(),
                             target.preferredFromNanos(),
-                            fallbackOnlyFrom(nowNanos),
-                            nowNanos + mandatoryDelayNanos)));
+                            fallbackOnlyFrom(availableNanos),
+                            availableNanos + mandatoryDelayNanos)));
   }
 
   /**
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -30,7 +30,7 @@
  */
 public final class Gateway {
   /** Interval of the periodic work on waiting requests, timeouts and idle connections. */
-  private static final long SWEEP_MILLIS = 50;
+  static final long SWEEP_MILLIS = 50;
 
   /** Sweeps between two checks of the connections, whose state changes slowly. */
   private static final int SWEEPS_PER_CONNECTION_SWEEP = 10;
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerConnectionPools.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerConnectionPools.java
@@ -13,7 +13,7 @@
 /** Connection pools of the backend servers, one for each incarnation of a server. */
 final class ServerConnectionPools {
   /** Maximum time to open a connection; allows for several round trips between zones. */
-  private static final int CONNECT_TIMEOUT_MILLIS = 350;
+  static final int CONNECT_TIMEOUT_MILLIS = 350;
 
   private final EventLoop loop;
   private final ConnectionPool.Observer observer;
