Continue a stream only with a response of the same kind

Cause: each success on a route of streams was taken as a stream, and a response that is passed on whole did not ask whether a stream had begun. Evidence: ResumedStreamErrorTest, before: 2 of 8 failed (200 and 204); the other six passed, for 302, 400 and 404 since the encoder refuses a second head. They stay as guards. Change: StreamRelay.accepts; all other responses to a resumption are failed sends; Exchange.reply alone ends requests and breaks off begun streams. After: ResumedStreamErrorTest, EndToEndRequestTest, SilentServerTest and EndlessBytesTest pass.

--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -146,6 +146,11 @@
     refuse(cause);
   }
 
+  @Override
+  public boolean acceptsStream(HttpResponse serverResponse) {
+    return relay.accepts(serverResponse);
+  }
+
   @Override
   public void streamStarted(ServerSend from, HttpResponse serverResponse) {
     relay.begin(serverResponse);
@@ -180,7 +185,9 @@
 
   @Override
   public void responseReceived(ServerSend from, PlainResponse serverResponse) {
-    boolean failed = serverResponse.status().codeClass() == HttpStatusClass.SERVER_ERROR;
+    // After a stream has begun, no other response can reach the caller.
+    boolean failed =
+        serverResponse.status().codeClass() == HttpStatusClass.SERVER_ERROR || relay.started();
     if (!failed) {
       from.recordComplete();
       relayResponse(serverResponse);
@@ -357,10 +364,7 @@
     if (send != null) {
       send.cancel();
     }
-    if (relay.started()) {
-      response.abort();
-      finish("broken_off", 0, "deadline");
-    } else if (sent || mayHaveRun) {
+    if (sent || mayHaveRun) {
       replyFailed(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline");
     } else {
       refuse(DispatchResult.Cause.WAITED);
@@ -376,10 +380,7 @@
         relayResponse(serverResponse);
       }
       case ANSWER_UNKNOWN -> replyFailed(HttpResponseStatus.BAD_GATEWAY, cause);
-      case BREAK_OFF -> {
-        response.abort();
-        finish("broken_off", 0, cause);
-      }
+      case BREAK_OFF -> replyFailed(HttpResponseStatus.BAD_GATEWAY, cause);
       default -> throw new IllegalStateException("unexpected step " + step);
     }
   }
@@ -401,12 +402,7 @@
   }
 
   private void refuse(DispatchResult.Cause cause) {
-    if (relay.started()) {
-      response.abort();
-      finish("broken_off", 0, cause.name());
-      return;
-    }
-    if (mayHaveRun) {
+    if (mayHaveRun || relay.started()) {
       replyFailed(HttpResponseStatus.BAD_GATEWAY, cause.name());
       return;
     }
@@ -425,7 +421,13 @@
     reply(status, CallerConnection.emptyHeaders(), "failed", cause);
   }
 
+  /** Ends the request with a response without a body, or breaks off a stream that has begun. */
   private void reply(HttpResponseStatus status, HttpHeaders headers, String outcome, String cause) {
+    if (relay.started()) {
+      response.abort();
+      finish("broken_off", 0, cause);
+      return;
+    }
     response.sendFull(status, headers, Unpooled.EMPTY_BUFFER);
     finish(outcome, status.code(), cause);
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/SendOwner.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/SendOwner.java
@@ -8,6 +8,12 @@
 
 /** Receives the events of a send. */
 interface SendOwner {
+  /**
+   * Returns whether a successful response can be relayed as a stream: always, unless a stream has
+   * begun, which only a response of the same status and type can continue.
+   */
+  boolean acceptsStream(HttpResponse response);
+
   /** Called when the head of a streamed response has arrived. */
   void streamStarted(ServerSend send, HttpResponse response);
 
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -209,6 +209,9 @@
                 || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
       failInvalid("response lacks request id or signature, or is compressed");
       return true;
+    } else if (success && route.kind() == RouteKind.STREAM && !owner.acceptsStream(response)) {
+      failInvalid("response does not continue the stream");
+      return true;
     } else {
       recordWeightsVersion(metadata);
       mode = success && route.kind() == RouteKind.STREAM ? Mode.STREAM : Mode.PLAIN;
--- a/gateway/src/main/java/org/pollenrock/gateway/StreamRelay.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/StreamRelay.java
@@ -2,9 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -28,6 +30,15 @@
     this.splitter = new EventSplitter(allocator, lastEventNumber);
   }
 
+  /** Returns whether a response can begin the stream or continue the one that has begun. */
+  boolean accepts(HttpResponse serverResponse) {
+    return !started
+        || status.equals(serverResponse.status())
+            && Objects.equals(
+                headers.get(HttpHeaderNames.CONTENT_TYPE),
+                serverResponse.headers().get(HttpHeaderNames.CONTENT_TYPE));
+  }
+
   /**
    * Begins to relay the stream of a server, and discards a partial event of the server before it.
    */
