Send nothing to a server after a response in which it leaves

Change: ServerNotices belong to an incarnation and outlive its entry, so that no entry, outage or return of an older list brings the server back. ServerGate is asked before each request, probe, report, order and poll, and is told of each response. Queued requests are refused at once if no server is left. Peers are not told yet.

--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -210,6 +210,22 @@
     return limited;
   }
 
+  /**
+   * Removes the waiting requests of a service that has no server any more.
+   *
+   * @param service name of the service
+   * @return the removed entries, whose requests the caller of this method has to refuse
+   */
+  public List<QueueEntry> removeUnserved(String service) {
+    DispatchQueue queue = queues.get(service);
+    if (queue == null || queue.size() == 0 || !fleet.usableServers(service).isEmpty()) {
+      return List.of();
+    }
+    List<QueueEntry> unserved = queue.entriesInOrder();
+    unserved.forEach(queue::remove);
+    return unserved;
+  }
+
   /**
    * Removes a waiting request from the queue because its caller disconnected.
    *
--- a/core/src/main/java/org/pollenrock/core/fleet/Backend.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Backend.java
@@ -45,6 +45,7 @@
   private static final double OUTCOME_WEIGHT = 0.12;
 
   private ListedBackend entry;
+  private final ServerNotices notices;
   private final long idHash;
   private final Map<String, Long> weightsVersions = new HashMap<>();
   private final PeerWork peerWork = new PeerWork();
@@ -79,7 +80,19 @@
    * @param nowNanos current time
    */
   public Backend(ListedBackend entry, long nowNanos) {
+    this(entry, new ServerNotices(), nowNanos);
+  }
+
+  /**
+   * Creates the state of a server that is listed again.
+   *
+   * @param entry the server's entry
+   * @param notices what this incarnation of the server has told before
+   * @param nowNanos current time
+   */
+  Backend(ListedBackend entry, ServerNotices notices, long nowNanos) {
     this.entry = entry;
+    this.notices = notices;
     this.idHash = RendezvousHash.hash(entry.id());
     this.slots = entry.slots();
     this.lastReceivedNanos = nowNanos;
@@ -267,10 +280,10 @@
    * Returns whether the next reachability probe of a missing server is due.
    *
    * @param nowNanos current time
-   * @return whether a probe is due; always false for a server that is not missing
+   * @return whether a probe is due; always false for a server that is not missing or leaves
    */
   public boolean isProbeDue(long nowNanos) {
-    return missing && nowNanos - probeDueNanos >= 0;
+    return missing && notices.permitsRequest() && nowNanos - probeDueNanos >= 0;
   }
 
   /**
@@ -451,6 +464,15 @@
     return entry;
   }
 
+  /**
+   * Returns what the server has told about further requests.
+   *
+   * @return the notices
+   */
+  public ServerNotices notices() {
+    return notices;
+  }
+
   /**
    * Returns the hash of the server's identifier, for rendezvous hashing.
    *
--- a/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
@@ -37,6 +37,23 @@
         }
       };
 
+  /** Notices of incarnations without an entry, by identifier; the oldest leave first. */
+  private final Map<String, UnlistedServer> unlistedServers =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, UnlistedServer> eldest) {
+          return size() > MAX_REMOVED;
+        }
+      };
+
+  /**
+   * Incarnation of a server whose entry was removed.
+   *
+   * @param entry the last entry
+   * @param notices what the server has told
+   */
+  private record UnlistedServer(ListedBackend entry, ServerNotices notices) {}
+
   private boolean listRead;
   private boolean listUnavailable;
   private long removalsDeferredUntilNanos = Long.MIN_VALUE;
@@ -60,7 +77,7 @@
     }
     pendingRemovals.remove(entry.id());
     if (known == null || !isSameIncarnation(known.entry(), entry)) {
-      Backend added = new Backend(entry, nowNanos);
+      Backend added = new Backend(entry, knownNotices(entry), nowNanos);
       byId.put(entry.id(), added);
       byIdHash.put(added.idHash(), added);
       usableByService.clear();
@@ -178,6 +195,29 @@
     remove(backend.entry().id());
   }
 
+  /**
+   * Applies a notice in the response of a server.
+   *
+   * @param backend the server that the request was sent to
+   * @param notice the notice, which is of another server if that one has taken over the address
+   * @return the server that is now known to leave and was not before
+   */
+  public Optional<Backend> applyNotice(Backend backend, ServerNotice notice) {
+    if (!notice.leaving()) {
+      return Optional.empty();
+    }
+    boolean own = notice.serverId().isEmpty() || notice.serverId().equals(backend.entry().id());
+    Backend responding = own ? backend : byId.get(notice.serverId());
+    if (responding == null || !responding.notices().recordLeaving()) {
+      return Optional.empty();
+    }
+    usableByService.clear();
+    if (byId.get(responding.entry().id()) != responding) {
+      rememberNotices(responding);
+    }
+    return Optional.of(responding);
+  }
+
   /**
    * Returns the servers of a service that accept new requests.
    *
@@ -189,7 +229,7 @@
         service,
         name ->
             byId.values().stream()
-                .filter(backend -> backend.entry().ready())
+                .filter(backend -> backend.entry().ready() && !backend.notices().isLeaving())
                 .filter(backend -> backend.entry().service().equals(name))
                 .sorted((a, b) -> a.entry().id().compareTo(b.entry().id()))
                 .toList());
@@ -259,9 +299,26 @@
     if (removed != null) {
       byIdHash.remove(removed.idHash());
       usableByService.clear();
+      rememberNotices(removed);
     }
   }
 
+  /** Keeps the notices of a server without an entry, since its entry may come back. */
+  private void rememberNotices(Backend unlisted) {
+    String id = unlisted.entry().id();
+    Backend listed = byId.get(id);
+    if (listed == null && unlisted.notices().hasLastingNotice()) {
+      unlistedServers.put(id, new UnlistedServer(unlisted.entry(), unlisted.notices()));
+    }
+  }
+
+  private ServerNotices knownNotices(ListedBackend entry) {
+    UnlistedServer unlisted = unlistedServers.remove(entry.id());
+    return unlisted != null && isSameIncarnation(unlisted.entry(), entry)
+        ? unlisted.notices()
+        : new ServerNotices();
+  }
+
   private static boolean isSameIncarnation(ListedBackend known, ListedBackend entry) {
     return known.startMillis() == entry.startMillis()
         && known.address().equals(entry.address())
--- a/core/src/main/java/org/pollenrock/core/weights/WeightsRollout.java
+++ b/core/src/main/java/org/pollenrock/core/weights/WeightsRollout.java
@@ -223,6 +223,9 @@
 
   /** Returns a model whose weights on the server are outdated; null if there is none. */
   private static String outdatedModel(Backend backend, WeightsTargets targets) {
+    if (backend.notices().isLeaving()) {
+      return null;
+    }
     for (Map.Entry<String, Long> target : targets.newestVersions().entrySet()) {
       OptionalLong loadedVersion = backend.weightsVersion(target.getKey());
       if (loadedVersion.isPresent() && loadedVersion.getAsLong() < target.getValue()) {
--- a/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
@@ -53,6 +53,7 @@
       long timeoutMillis) {}
 
   private final EventLoop loop;
+  private final ServerGate serverGate;
   private final ConnectionPool.Observer observer;
   private final Map<InetSocketAddress, ConnectionPool> pools = new HashMap<>();
 
@@ -60,10 +61,12 @@
    * Creates a client.
    *
    * @param loop event loop on which calls have to be made and results are passed on
+   * @param serverGate keeps calls from servers that want none
    * @param log the event log
    */
-  public ControlClient(EventLoop loop, EventLog log) {
+  public ControlClient(EventLoop loop, ServerGate serverGate, EventLog log) {
     this.loop = loop;
+    this.serverGate = serverGate;
     this.observer = address -> ServerConnectionObserver.logStrayBytes(log, address);
   }
 
@@ -88,7 +91,11 @@
    * @param result receives the outcome, exactly once
    */
   public void call(Backend server, Call call, Consumer<CallResult> result) {
-    call(ServerConnectionPools.address(server), call, result);
+    if (serverGate.tryEnter(server)) {
+      call(ServerConnectionPools.address(server), call, recordingNotices(server, result));
+    } else {
+      result.accept(unwanted(server));
+    }
   }
 
   /**
@@ -104,8 +111,13 @@
    */
   public void callOnNewConnection(
       Backend server, Call call, BooleanSupplier maySend, Consumer<CallResult> result) {
+    if (!serverGate.tryEnter(server)) {
+      result.accept(unwanted(server));
+      return;
+    }
     InetSocketAddress address = ServerConnectionPools.address(server);
-    PendingCall pending = new PendingCall(address, call, result, false, maySend);
+    PendingCall pending =
+        new PendingCall(address, call, recordingNotices(server, result), false, maySend);
     pending.startTimeout();
     pool(address).connect(pending);
   }
@@ -115,6 +127,20 @@
     pools.values().forEach(ConnectionPool::sweep);
   }
 
+  private Consumer<CallResult> recordingNotices(Backend server, Consumer<CallResult> result) {
+    return outcome -> {
+      if (outcome instanceof CallResult.Answered answered) {
+        serverGate.recordResponse(server, answered.status(), answered.headers());
+      }
+      result.accept(outcome);
+    };
+  }
+
+  private static CallResult unwanted(Backend server) {
+    return new CallResult.Failed(
+        Step.SEND, server.entry().address(), "server wants no requests", false);
+  }
+
   private ConnectionPool pool(InetSocketAddress address) {
     return pools.computeIfAbsent(
         address, target -> new ConnectionPool(loop, target, CONNECT_TIMEOUT_MILLIS, observer));
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -55,6 +55,7 @@
   private final Optional<PageListener> operatorListener;
   private final EventLog log;
   private final GatewayMetrics metrics;
+  private final ServerGate serverGate;
   private final ControlClient controlClient;
   private final PeerGossip gossip;
   private final ReachabilityMonitor reachability;
@@ -101,7 +102,9 @@
     connectionPools = new ServerConnectionPools(loop, new ServerConnectionObserver(metrics, log));
     queuedExchanges = new QueuedExchanges(dispatcher);
     bodyMemory = new BodyMemory(settings.maxHeldBodyBytes());
-    controlClient = new ControlClient(loop, log);
+    serverGate =
+        new ServerNoticeTask(fleet, serverProtocol, connectionPools, queuedExchanges, metrics, log);
+    controlClient = new ControlClient(loop, serverGate, log);
     loopMonitor = new LoopMonitor(loop, metrics, log);
     reachability = createReachabilityMonitor(settings.gossipAddress());
     GatewayComponents components =
@@ -122,6 +125,7 @@
             gossip,
             reachability,
             rateLimits,
+            serverGate,
             loopMonitor,
             () -> refusingRequests);
     callerListener =
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
@@ -27,6 +27,7 @@
  * @param gossip gossip with the other instances
  * @param reachability detects which servers are missing
  * @param rateLimits request rates that servers have named
+ * @param serverGate keeps sends from servers that want none
  * @param loopMonitor delays work while the event loop is late
  * @param refusingRequests whether new requests are refused
  */
@@ -47,5 +48,6 @@
     PeerGossip gossip,
     ReachabilityMonitor reachability,
     RateLimitTask rateLimits,
+    ServerGate serverGate,
     LoopMonitor loopMonitor,
     BooleanSupplier refusingRequests) {}
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayMetrics.java
@@ -33,6 +33,9 @@
       counter("pollenrock_send_failures", "Failed sends to servers", "kind", "failure");
   private final Counter connects =
       counter("pollenrock_connects", "Connections opened to servers", "outcome");
+  private final Counter serversLeaving =
+      counter("pollenrock_servers_leaving", "Servers whose responses told that they leave");
+
   private final Counter foreignResponses =
       counter("pollenrock_foreign_answers", "Answers that belonged to another request");
   private final Counter strayByteCloses =
@@ -113,6 +116,10 @@
     loopDelay.observe(nanos / 1e9);
   }
 
+  void recordServerLeaving() {
+    serversLeaving.inc();
+  }
+
   void recordForeignResponse() {
     foreignResponses.inc();
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/QueuedExchanges.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QueuedExchanges.java
@@ -28,13 +28,16 @@
 
   /**
    * Sends the waiting requests of a service that a server can take now. Refuses quarantined ones,
-   * and those for which all servers are at their rates.
+   * those for which all servers are at their rates, and all if the service has no server any more.
    */
   void dispatchWaiting(String service) {
     long now = System.nanoTime();
     for (QueueEntry quarantined : dispatcher.removeQuarantined(service, now)) {
       exchanges.remove(quarantined).refuseFromQueue(DispatchResult.Cause.QUARANTINED);
     }
+    for (QueueEntry unserved : dispatcher.removeUnserved(service)) {
+      exchanges.remove(unserved).refuseFromQueue(DispatchResult.Cause.NO_SERVER);
+    }
     for (QueueEntry limited : dispatcher.removeRateLimited(service, now)) {
       exchanges.remove(limited).refuseFromQueue(DispatchResult.Cause.RATE_LIMITED);
     }
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerGate.java
@@ -0,0 +1,24 @@
+package org.pollenrock.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import org.pollenrock.core.fleet.Backend;
+
+/** Asked before anything is sent to a backend server, and told of each of its responses. */
+public interface ServerGate {
+  /**
+   * Returns whether the server may get a request or call now, and counts it if so.
+   *
+   * @param server the server
+   * @return whether the server accepts it as far as it has told
+   */
+  boolean tryEnter(Backend server);
+
+  /**
+   * Records what a response tells about further requests.
+   *
+   * @param server the server that the request was sent to
+   * @param status status of the response
+   * @param headers headers of the response
+   */
+  void recordResponse(Backend server, int status, HttpHeaders headers);
+}
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerProtocol.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerProtocol.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import org.pollenrock.core.fleet.ServerNotice;
 import org.pollenrock.core.ratelimit.RateNotice;
 
 /**
@@ -24,6 +25,15 @@
    */
   ServerResponseMetadata decode(HttpResponse response);
 
+  /**
+   * Decodes what a response of any kind tells about further requests to the server.
+   *
+   * @param status status of the response
+   * @param headers headers of the response
+   * @return the notice
+   */
+  ServerNotice decodeNotice(int status, HttpHeaders headers);
+
   /**
    * Decodes the rate of requests that the server accepts from a response to a probe.
    *
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -148,6 +148,12 @@
       opened.close();
       return;
     }
+    if (!components.serverGate().tryEnter(backend)) {
+      // The server has told so while the connection was opened.
+      opened.returnUnused();
+      fail(SendFailure.NOT_SENT, "server wants no requests");
+      return;
+    }
     if (!opened.isUsable()) {
       // The server closed the connection before anything was sent on it.
       acquireConnection();
@@ -175,6 +181,7 @@
   public boolean headReceived(HttpResponse response) {
     long now = System.nanoTime();
     components.reachability().recordReceived(backend);
+    components.serverGate().recordResponse(backend, response.status().code(), response.headers());
     ServerResponseMetadata metadata = components.serverProtocol().decode(response);
     if (!metadata.requestId().isEmpty() && !metadata.requestId().equals(request.id())) {
       components.metrics().recordForeignResponse();
--- a/gateway/src/test/java/org/pollenrock/gateway/NoServerProtocol.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/NoServerProtocol.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import org.pollenrock.core.fleet.ServerNotice;
 import org.pollenrock.core.ratelimit.RateNotice;
 
 /** Protocol of servers for tests that send no requests. */
@@ -16,6 +17,11 @@
     throw new IllegalStateException("no response is received");
   }
 
+  @Override
+  public ServerNotice decodeNotice(int status, HttpHeaders headers) {
+    throw new IllegalStateException("no response is received");
+  }
+
   @Override
   public RateNotice decodeRate(HttpHeaders headers) {
     throw new IllegalStateException("no probe is sent");
