Send nothing to a server within the time of its Retry-After

Evidence: ServerRetryAfterTest, before: the test of the only server of a service failed (it got requests within its pause); the others passed, since another server took the requests, and stay as guards. Change: a 503 with Retry-After puts the server on hold for this instance. Dispatcher.permittedServers leaves it out for new requests, resends, the queue and claims; ServerGate for probes, reports, orders and polls; a request whose connection was opened meanwhile goes elsewhere. Callers are refused at once with ON_HOLD and a Retry-After no sooner than the end. The return is spread by instance, and a single request goes first. It counts neither as a load of weights nor as a fault.

--- a/core/src/main/java/org/pollenrock/core/dispatch/AdmissionPolicy.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/AdmissionPolicy.java
@@ -63,9 +63,25 @@
    */
   public static long retryAfterMillis(DispatchRequest request, long nowNanos) {
     long remainingMillis = (request.deadlineNanos() - nowNanos) / 1_000_000;
-    long jitter =
-        Long.remainderUnsigned(RendezvousHash.hash(request.id()), RETRY_AFTER_JITTER_MILLIS);
     return Math.clamp(
-        MIN_RETRY_AFTER_MILLIS + jitter, 1, Math.max(1, remainingMillis / MAX_RETRY_AFTER_DIVISOR));
+        MIN_RETRY_AFTER_MILLIS + jitterMillis(request),
+        1,
+        Math.max(1, remainingMillis / MAX_RETRY_AFTER_DIVISOR));
+  }
+
+  /**
+   * Returns the delay after which a caller should retry whose request no server accepts for some
+   * time.
+   *
+   * @param request the request
+   * @param holdNanos time until a server accepts requests again
+   * @return delay in milliseconds
+   */
+  static long afterHoldMillis(DispatchRequest request, long holdNanos) {
+    return Math.ceilDiv(holdNanos, 1_000_000L) + jitterMillis(request);
+  }
+
+  private static long jitterMillis(DispatchRequest request) {
+    return Long.remainderUnsigned(RendezvousHash.hash(request.id()), RETRY_AFTER_JITTER_MILLIS);
   }
 }
--- a/core/src/main/java/org/pollenrock/core/dispatch/DispatchResult.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/DispatchResult.java
@@ -52,6 +52,8 @@
     /** A part of the prompt is quarantined because servers crashed under it. */
     QUARANTINED,
     /** All servers that could take the request have named request rates that are used up. */
-    RATE_LIMITED
+    RATE_LIMITED,
+    /** All servers that could take the request have asked for a pause. */
+    ON_HOLD
   }
 }
--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -110,7 +110,7 @@
       return Optional.empty();
     }
     List<Backend> untried =
-        rateLimits.withinRate(fleet.usableServers(request.service()), nowNanos).stream()
+        permittedServers(request.service(), nowNanos).stream()
             .filter(server -> !triedServers.contains(server.entry().id()))
             .filter(server -> !server.isMissing())
             .toList();
@@ -137,7 +137,7 @@
     }
     List<DispatchResult.Released> released = new ArrayList<>();
     for (QueueEntry entry : queue.entriesInOrder()) {
-      List<Backend> servers = rateLimits.withinRate(fleet.usableServers(service), nowNanos);
+      List<Backend> servers = permittedServers(service, nowNanos);
       Selection selection = selectServer(entry.request(), servers, entry.triedServers(), nowNanos);
       if (selection instanceof Selection.Chosen chosen) {
         queue.remove(entry);
@@ -186,25 +186,25 @@
 
   /**
    * Removes the waiting requests of a service that no server may take, because all that could have
-   * named request rates that are used up.
+   * named request rates that are used up or have asked for a pause.
    *
    * @param service name of the service
    * @param nowNanos current time
    * @return the removed entries, whose requests the caller of this method has to refuse
    */
-  public List<QueueEntry> removeRateLimited(String service, long nowNanos) {
+  public List<QueueEntry> removeUnpermitted(String service, long nowNanos) {
     DispatchQueue queue = queues.get(service);
     if (queue == null || queue.size() == 0) {
       return List.of();
     }
     List<Backend> servers = fleet.usableServers(service);
-    List<Backend> withinRate = rateLimits.withinRate(servers, nowNanos);
-    if (withinRate.size() == servers.size()) {
+    List<Backend> permitted = permittedServers(service, nowNanos);
+    if (permitted.size() == servers.size()) {
       return List.of();
     }
     List<QueueEntry> limited =
         queue.entriesInOrder().stream()
-            .filter(entry -> isRateLimited(entry.request(), servers, withinRate))
+            .filter(entry -> isUnpermitted(entry.request(), servers, permitted))
             .toList();
     limited.forEach(queue::remove);
     return limited;
@@ -226,6 +226,49 @@
     return unserved;
   }
 
+  /**
+   * Returns why no server may take a request that servers could take.
+   *
+   * @param request the request
+   * @param nowNanos current time
+   * @return the cause of the refusal
+   */
+  public DispatchResult.Cause unpermittedCause(DispatchRequest request, long nowNanos) {
+    return fleet.usableServers(request.service()).stream()
+            .filter(server -> serves(server, request))
+            .anyMatch(server -> server.notices().remainingHoldNanos(nowNanos) > 0)
+        ? DispatchResult.Cause.ON_HOLD
+        : DispatchResult.Cause.RATE_LIMITED;
+  }
+
+  /**
+   * Returns the delay after which a refused caller should retry: no sooner than a server accepts
+   * requests, if all that could take the request have asked for a pause.
+   *
+   * @param request the request
+   * @param nowNanos current time
+   * @return delay in milliseconds, at least 1
+   */
+  public long retryAfterMillis(DispatchRequest request, long nowNanos) {
+    long usual = AdmissionPolicy.retryAfterMillis(request, nowNanos);
+    long holdNanos =
+        fleet.usableServers(request.service()).stream()
+            .filter(server -> serves(server, request))
+            .mapToLong(server -> server.notices().remainingHoldNanos(nowNanos))
+            .min()
+            .orElse(0);
+    return holdNanos == 0 ? usual : AdmissionPolicy.afterHoldMillis(request, holdNanos);
+  }
+
+  /**
+   * Returns the number of instances that share budgets and trial requests.
+   *
+   * @return the number; a large one while it is not known
+   */
+  public int instanceCount() {
+    return instanceCount;
+  }
+
   /**
    * Removes a waiting request from the queue because its caller disconnected.
    *
@@ -294,18 +337,18 @@
       DispatchRequest request, Set<String> triedServers, long nowNanos) {
     DispatchQueue queue = queues.computeIfAbsent(request.service(), service -> new DispatchQueue());
     List<Backend> servers = fleet.usableServers(request.service());
-    List<Backend> withinRate = rateLimits.withinRate(servers, nowNanos);
-    if (isRateLimited(request, servers, withinRate)) {
-      return new DispatchResult.Refused(DispatchResult.Cause.RATE_LIMITED);
+    List<Backend> permitted = permittedServers(request.service(), nowNanos);
+    if (isUnpermitted(request, servers, permitted)) {
+      return new DispatchResult.Refused(unpermittedCause(request, nowNanos));
     }
-    return switch (selectServer(request, withinRate, triedServers, nowNanos)) {
+    return switch (selectServer(request, permitted, triedServers, nowNanos)) {
       case Selection.Chosen chosen -> {
         recordSend(chosen, nowNanos);
         yield new DispatchResult.Sent(chosen);
       }
       case Selection.NoServer() -> new DispatchResult.Refused(DispatchResult.Cause.NO_SERVER);
       case Selection.AllBusy() -> {
-        int slots = withinRate.stream().mapToInt(Backend::slots).sum();
+        int slots = permitted.stream().mapToInt(Backend::slots).sum();
         yield AdmissionPolicy.mayQueue(request, queue, slots)
             ? new DispatchResult.Queued(
                 queue.add(
@@ -317,14 +360,27 @@
 
   private void recordSend(Selection.Chosen chosen, long nowNanos) {
     rateLimits.recordSend(chosen.backend(), nowNanos);
+    chosen.backend().notices().recordRequest(nowNanos);
     chosen.backend().recordRequestStart(chosen.delayingTokens(), nowNanos);
   }
 
-  /** Returns whether servers could take a request, but none within its rate can. */
-  private static boolean isRateLimited(
-      DispatchRequest request, List<Backend> servers, List<Backend> withinRate) {
-    return withinRate.size() < servers.size()
-        && withinRate.stream().noneMatch(server -> serves(server, request))
+  /** Returns the usable servers that have not asked for a pause and are within their rates. */
+  private List<Backend> permittedServers(String service, long nowNanos) {
+    List<Backend> servers = fleet.usableServers(service);
+    boolean anyHeld =
+        servers.stream().anyMatch(server -> server.notices().remainingHoldNanos(nowNanos) > 0);
+    List<Backend> accepting =
+        anyHeld
+            ? servers.stream().filter(server -> server.notices().permitsSend(nowNanos)).toList()
+            : servers;
+    return rateLimits.withinRate(accepting, nowNanos);
+  }
+
+  /** Returns whether servers could take a request, but none of the permitted ones can. */
+  private static boolean isUnpermitted(
+      DispatchRequest request, List<Backend> servers, List<Backend> permitted) {
+    return permitted.size() < servers.size()
+        && permitted.stream().noneMatch(server -> serves(server, request))
         && servers.stream().anyMatch(server -> serves(server, request));
   }
 
--- a/core/src/main/java/org/pollenrock/core/fleet/Backend.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Backend.java
@@ -280,10 +280,11 @@
    * Returns whether the next reachability probe of a missing server is due.
    *
    * @param nowNanos current time
-   * @return whether a probe is due; always false for a server that is not missing or leaves
+   * @return whether a probe is due; always false for a server that is not missing or wants no
+   *     requests
    */
   public boolean isProbeDue(long nowNanos) {
-    return missing && notices.permitsRequest() && nowNanos - probeDueNanos >= 0;
+    return missing && notices.permitsRequest(nowNanos) && nowNanos - probeDueNanos >= 0;
   }
 
   /**
@@ -408,14 +409,16 @@
   }
 
   /**
-   * Returns whether the server temporarily gets no requests, after a refusal or while it loads
-   * weights.
+   * Returns whether the server temporarily gets no requests: after a refusal, while it loads
+   * weights, or until it has responded to the first request after a hold.
    *
    * @param nowNanos current time
    * @return whether the server is paused
    */
   public boolean isPaused(long nowNanos) {
-    return nowNanos < refusalPauseUntilNanos || nowNanos < loadingUntilNanos;
+    return nowNanos < refusalPauseUntilNanos
+        || nowNanos < loadingUntilNanos
+        || notices.isTrialPending(nowNanos);
   }
 
   /**
--- a/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
@@ -200,22 +200,39 @@
    *
    * @param backend the server that the request was sent to
    * @param notice the notice, which is of another server if that one has taken over the address
-   * @return the server that is now known to leave and was not before
+   * @param holdSpreadNanos additional time of a hold, which differs between instances
+   * @param nowNanos current time
+   * @return what has changed
    */
-  public Optional<Backend> applyNotice(Backend backend, ServerNotice notice) {
-    if (!notice.leaving()) {
-      return Optional.empty();
-    }
+  public NoticeEffect applyNotice(
+      Backend backend, ServerNotice notice, long holdSpreadNanos, long nowNanos) {
     boolean own = notice.serverId().isEmpty() || notice.serverId().equals(backend.entry().id());
     Backend responding = own ? backend : byId.get(notice.serverId());
-    if (responding == null || !responding.notices().recordLeaving()) {
-      return Optional.empty();
+    if (responding == null) {
+      return new NoticeEffect.None();
+    }
+    ServerNotices notices = responding.notices();
+    if (notice.holdNanos().isPresent()) {
+      notices.recordHold(notice.holdNanos().getAsLong(), holdSpreadNanos, nowNanos);
+    } else {
+      notices.recordResponse(nowNanos);
+    }
+    boolean newlyLeaving = notice.leaving() && notices.recordLeaving();
+    if (newlyLeaving) {
+      usableByService.clear();
     }
-    usableByService.clear();
     if (byId.get(responding.entry().id()) != responding) {
       rememberNotices(responding);
     }
-    return Optional.of(responding);
+    if (newlyLeaving) {
+      return new NoticeEffect.Leaving(responding);
+    }
+    if (notice.holdNanos().isPresent()) {
+      return new NoticeEffect.Held(responding);
+    }
+    return notice.unreadable() && notices.recordUnreadable()
+        ? new NoticeEffect.Unreadable(responding)
+        : new NoticeEffect.None();
   }
 
   /**
--- a/core/src/main/java/org/pollenrock/core/weights/WeightsRollout.java
+++ b/core/src/main/java/org/pollenrock/core/weights/WeightsRollout.java
@@ -197,7 +197,7 @@
       WeightsTargets targets,
       long fencingNumber,
       long nowNanos) {
-    if (update.callPending) {
+    if (update.callPending || !backend.notices().permitsRequest(nowNanos)) {
       return null;
     }
     boolean orderSent = update.orderNanos != Long.MIN_VALUE;
--- a/core/src/test/java/org/pollenrock/core/fleet/LeavingServerTest.java
+++ b/core/src/test/java/org/pollenrock/core/fleet/LeavingServerTest.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -23,7 +24,7 @@
   }
 
   private static ServerNotice leaving(String serverId) {
-    return new ServerNotice(true, serverId);
+    return new ServerNotice(true, OptionalLong.empty(), false, serverId);
   }
 
   private static Backend find(Fleet fleet, String id) {
@@ -60,7 +61,7 @@
             if (random.nextInt(3) == 0) {
               starts[server]++;
             } else if (backend != null) {
-              fleet.applyNotice(backend, leaving(""));
+              fleet.applyNotice(backend, leaving(""), 0, 0);
               leavingIncarnations.add(incarnation(backend));
               if (random.nextInt(4) == 0) {
                 fleet.removeMisplaced(backend);
@@ -83,7 +84,7 @@
   void newIncarnationOfALeavingServerIsUsed() {
     Fleet fleet = new Fleet();
     fleet.applyEntry(entry(1, 1, true), 0);
-    fleet.applyNotice(find(fleet, "s1"), leaving("s1"));
+    fleet.applyNotice(find(fleet, "s1"), leaving("s1"), 0, 0);
     assertThat(fleet.usableServers(SERVICE)).isEmpty();
     fleet.applyEntry(entry(1, 2, true), 1);
     assertThat(fleet.usableServers(SERVICE)).hasSize(1);
@@ -96,7 +97,7 @@
     fleet.applyEntry(entry(1, 1, true), 0);
     Backend backend = find(fleet, "s1");
     fleet.applyRemoval("s1", 1);
-    fleet.applyNotice(backend, leaving(""));
+    fleet.applyNotice(backend, leaving(""), 0, 0);
     fleet.applyEntry(entry(1, 1, true), 2);
     assertThat(fleet.usableServers(SERVICE)).isEmpty();
   }
@@ -107,9 +108,11 @@
     Fleet fleet = new Fleet();
     fleet.applyEntry(entry(1, 1, true), 0);
     fleet.applyEntry(entry(2, 1, true), 0);
-    assertThat(fleet.applyNotice(find(fleet, "s1"), leaving("s2"))).isPresent();
+    assertThat(fleet.applyNotice(find(fleet, "s1"), leaving("s2"), 0, 0))
+        .isEqualTo(new NoticeEffect.Leaving(find(fleet, "s2")));
     assertThat(fleet.usableServers(SERVICE)).containsExactly(find(fleet, "s1"));
-    assertThat(fleet.applyNotice(find(fleet, "s1"), leaving("s9"))).isEmpty();
+    assertThat(fleet.applyNotice(find(fleet, "s1"), leaving("s9"), 0, 0))
+        .isEqualTo(new NoticeEffect.None());
   }
 
   @Test
@@ -119,7 +122,7 @@
     Backend backend = find(fleet, "s1");
     backend.recordUnreachable(0);
     assertThat(fleet.serversDueForProbe(5_000 * MILLI)).containsExactly(backend);
-    fleet.applyNotice(backend, leaving(""));
+    fleet.applyNotice(backend, leaving(""), 0, 0);
     assertThat(fleet.serversDueForProbe(5_000 * MILLI)).isEmpty();
   }
 }
--- a/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
+++ b/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
@@ -251,7 +251,7 @@
         }
       }
       for (String service : dispatcher.servicesWithWaitingRequests()) {
-        refusedAtOnce += dispatcher.removeRateLimited(service, now).size();
+        refusedAtOnce += dispatcher.removeUnpermitted(service, now).size();
         dispatcher
             .dispatchWaiting(service, now)
             .forEach(released -> send(released.entry().request(), released.choice()));
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -16,7 +16,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.pollenrock.core.dispatch.AdmissionPolicy;
 import org.pollenrock.core.dispatch.DispatchRequest;
 import org.pollenrock.core.dispatch.DispatchResult;
 import org.pollenrock.core.dispatch.FailurePolicy;
@@ -410,7 +409,7 @@
     long retryAfterMillis =
         request == null
             ? EARLY_RETRY_AFTER_MILLIS
-            : AdmissionPolicy.retryAfterMillis(request, System.nanoTime());
+            : components.dispatcher().retryAfterMillis(request, System.nanoTime());
     HttpHeaders headers = CallerConnection.emptyHeaders();
     headers.set(
         HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterMillis / 1000.0));
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -103,7 +103,15 @@
     queuedExchanges = new QueuedExchanges(dispatcher);
     bodyMemory = new BodyMemory(settings.maxHeldBodyBytes());
     serverGate =
-        new ServerNoticeTask(fleet, serverProtocol, connectionPools, queuedExchanges, metrics, log);
+        new ServerNoticeTask(
+            Peer.id(settings.gossipAddress().getAddress()),
+            fleet,
+            dispatcher,
+            serverProtocol,
+            connectionPools,
+            queuedExchanges,
+            metrics,
+            log);
     controlClient = new ControlClient(loop, serverGate, log);
     loopMonitor = new LoopMonitor(loop, metrics, log);
     reachability = createReachabilityMonitor(settings.gossipAddress());
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayMetrics.java
@@ -36,6 +36,9 @@
   private final Counter serversLeaving =
       counter("pollenrock_servers_leaving", "Servers whose responses told that they leave");
 
+  private final Counter serverHolds =
+      counter("pollenrock_server_holds", "Responses in which servers asked for a pause");
+
   private final Counter foreignResponses =
       counter("pollenrock_foreign_answers", "Answers that belonged to another request");
   private final Counter strayByteCloses =
@@ -120,6 +123,10 @@
     serversLeaving.inc();
   }
 
+  void recordServerHold() {
+    serverHolds.inc();
+  }
+
   void recordForeignResponse() {
     foreignResponses.inc();
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/QueuedExchanges.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QueuedExchanges.java
@@ -28,7 +28,8 @@
 
   /**
    * Sends the waiting requests of a service that a server can take now. Refuses quarantined ones,
-   * those for which all servers are at their rates, and all if the service has no server any more.
+   * those for which all servers are at their rates or want a pause, and all if the service has no
+   * server any more.
    */
   void dispatchWaiting(String service) {
     long now = System.nanoTime();
@@ -38,8 +39,10 @@
     for (QueueEntry unserved : dispatcher.removeUnserved(service)) {
       exchanges.remove(unserved).refuseFromQueue(DispatchResult.Cause.NO_SERVER);
     }
-    for (QueueEntry limited : dispatcher.removeRateLimited(service, now)) {
-      exchanges.remove(limited).refuseFromQueue(DispatchResult.Cause.RATE_LIMITED);
+    for (QueueEntry unpermitted : dispatcher.removeUnpermitted(service, now)) {
+      exchanges
+          .remove(unpermitted)
+          .refuseFromQueue(dispatcher.unpermittedCause(unpermitted.request(), now));
     }
     for (DispatchResult.Released released : dispatcher.dispatchWaiting(service, now)) {
       exchanges.remove(released.entry()).sendFromQueue(released.choice());
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerGate.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerGate.java
@@ -6,13 +6,21 @@
 /** Asked before anything is sent to a backend server, and told of each of its responses. */
 public interface ServerGate {
   /**
-   * Returns whether the server may get a request or call now, and counts it if so.
+   * Returns whether the server may get a call now, and counts it if so.
    *
    * @param server the server
    * @return whether the server accepts it as far as it has told
    */
   boolean tryEnter(Backend server);
 
+  /**
+   * Returns whether a request that was assigned to the server may still be sent.
+   *
+   * @param server the server
+   * @return whether the server accepts it as far as it has told
+   */
+  boolean permitsSend(Backend server);
+
   /**
    * Records what a response tells about further requests.
    *
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -148,7 +148,7 @@
       opened.close();
       return;
     }
-    if (!components.serverGate().tryEnter(backend)) {
+    if (!components.serverGate().permitsSend(backend)) {
       // The server has told so while the connection was opened.
       opened.returnUnused();
       fail(SendFailure.NOT_SENT, "server wants no requests");
@@ -181,7 +181,6 @@
   public boolean headReceived(HttpResponse response) {
     long now = System.nanoTime();
     components.reachability().recordReceived(backend);
-    components.serverGate().recordResponse(backend, response.status().code(), response.headers());
     ServerResponseMetadata metadata = components.serverProtocol().decode(response);
     if (!metadata.requestId().isEmpty() && !metadata.requestId().equals(request.id())) {
       components.metrics().recordForeignResponse();
@@ -194,6 +193,7 @@
           .write();
       return false;
     }
+    components.serverGate().recordResponse(backend, response.status().code(), response.headers());
     identified = !metadata.requestId().isEmpty();
     if (!metadata.unreadableHeaders().isEmpty()) {
       components
@@ -285,7 +285,9 @@
                 plainBody == null ? Unpooled.EMPTY_BUFFER : plainBody);
         plainBody = null;
         boolean failed = responseHead.status().codeClass() == HttpStatusClass.SERVER_ERROR;
-        recordOutcome(!failed);
+        if (!failed || components.serverGate().permitsSend(backend)) {
+          recordOutcome(!failed);
+        }
         close();
         owner.responseReceived(this, plainResponse);
       }
@@ -370,6 +372,11 @@
    */
   private void handleRefusal() {
     long now = System.nanoTime();
+    if (!components.serverGate().permitsSend(backend)) {
+      // The server has told for how long it wants no requests.
+      fail(SendFailure.REFUSED, "refused with a notice");
+      return;
+    }
     if (request.prompt().isEmpty()) {
       backend.recordRefusal(now);
     } else if (backend.recordLoading(now)) {
