Resume reading on a connection before it returns to its pool

What callers would see: 504 at the deadline of a request whose connection had been paused for the slow caller of the request before. Cause: reading is paused while a caller reads slowly, and resumed when its connection is writable again; a response that ended meanwhile has nobody left to resume it. Read by the review, without a case. Evidence: HttpConnectionTest failed before. Change: HttpConnection resumes reading when it returns to the pool. After: HttpConnectionTest and EndToEndRequestTest pass.

--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -186,6 +186,8 @@
         close();
         return;
       }
+      // Reading may have been paused for a caller who has the whole response now.
+      setReading(true);
       idleSinceNanos = System.nanoTime();
       pool.returnIdle(this);
     }
