Count a connection as busy until its response is written

Cause: a connection was idle once its response was handed to the channel. Evidence: SlowCallerTest failed before: 0 busy connections with 7 MB unwritten. Change: CallerConnection counts ended responses that are not written yet, and pipelined requests that wait. After: SlowCallerTest and EndToEndRequestTest pass.

--- a/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -53,6 +54,9 @@
   private long lastActiveNanos;
   private boolean reading;
 
+  /** Number of ended responses of which not all bytes have been written to the socket yet. */
+  private int unwrittenResponses;
+
   CallerConnection(CallerListener listener) {
     this.listener = listener;
   }
@@ -121,12 +125,12 @@
     channel.close();
   }
 
-  /** Returns whether a request is being received or processed. */
+  /** Returns whether a request is being received or processed, or its response is being written. */
   boolean isBusy() {
-    return exchange != null || reading;
+    return exchange != null || reading || unwrittenResponses > 0 || !pendingMessages.isEmpty();
   }
 
-  /** Closes the connection unless a request is being received or processed. */
+  /** Closes the connection unless it is busy. */
   void closeIfIdle() {
     if (!isBusy()) {
       closing = true;
@@ -141,7 +145,9 @@
     }
     if (!reading) {
       if (now - lastActiveNanos > idleTimeoutNanos) {
-        closeIfIdle();
+        // Also a caller who does not read its response must not keep the connection for ever.
+        closing = true;
+        channel.close();
       }
       return;
     }
@@ -312,9 +318,12 @@
   private void finishResponse() {
     exchange = null;
     lastActiveNanos = System.nanoTime();
+    unwrittenResponses++;
+    ChannelFuture written =
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> handleWritten());
     if (!keepAlive) {
       closing = true;
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      written.addListener(ChannelFutureListener.CLOSE);
       return;
     }
     if (!pendingMessages.isEmpty()) {
@@ -322,6 +331,11 @@
     }
   }
 
+  private void handleWritten() {
+    unwrittenResponses--;
+    lastActiveNanos = System.nanoTime();
+  }
+
   private void acceptPending() {
     while (exchange == null && !closing && !pendingMessages.isEmpty()) {
       reading = true;
