--- a/core/src/main/java/org/pollenrock/core/fleet/Backend.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Backend.java
@@ -38,12 +38,6 @@
    */
   private static final long RECENT_RECEIPT_NANOS = 300_000_000L;
 
-  /**
-   * Weight of one outcome in the moving average of failures, which is dominated by about the last
-   * eight outcomes.
-   */
-  private static final double OUTCOME_WEIGHT = 0.12;
-
   private ListedBackend entry;
   private final ServerNotices notices;
   private final long idHash;
@@ -69,8 +63,7 @@
   private boolean missing;
   private int unreachableCount;
   private long probeDueNanos;
-  private double failureRate;
-  private long failureRateUpdatedNanos;
+  private final FailureRate failureRate;
   private long lastTrialNanos = Long.MIN_VALUE;
 
   /**
@@ -97,7 +90,7 @@
     this.slots = entry.slots();
     this.lastReceivedNanos = nowNanos;
     this.loadReportNanos = nowNanos;
-    this.failureRateUpdatedNanos = nowNanos;
+    this.failureRate = new FailureRate(nowNanos);
     weightsVersions.putAll(entry.weightsVersions());
   }
 
@@ -303,8 +296,7 @@
    * @param nowNanos current time
    */
   public void recordOutcome(boolean success, long nowNanos) {
-    failureRate = failureRate(nowNanos) * (1 - OUTCOME_WEIGHT) + (success ? 0 : OUTCOME_WEIGHT);
-    failureRateUpdatedNanos = nowNanos;
+    failureRate.recordOutcome(success, nowNanos);
   }
 
   /**
@@ -316,23 +308,19 @@
    */
   public void applyPeerOutcomes(int successes, int failures, long nowNanos) {
     int count = Math.max(0, successes) + Math.max(0, failures);
-    if (count == 0) {
-      return;
+    if (count > 0) {
+      failureRate.record(count, Math.max(0, failures), nowNanos);
     }
-    double retained = Math.pow(1 - OUTCOME_WEIGHT, count);
-    failureRate = failureRate(nowNanos) * retained + (1 - retained) * Math.max(0, failures) / count;
-    failureRateUpdatedNanos = nowNanos;
   }
 
   /**
-   * Returns the moving average of failures. It decays with time, at a half-life of four times
-   * {@link #LOAD_HALF_LIFE_NANOS}, so that an avoided server gets requests again.
+   * Returns the moving average of failures, which decays with time.
    *
    * @param nowNanos current time
    * @return fraction of failed requests, from 0 to 1
    */
   public double failureRate(long nowNanos) {
-    return failureRate * decayFactor(nowNanos - failureRateUpdatedNanos, 4 * LOAD_HALF_LIFE_NANOS);
+    return failureRate.value(nowNanos);
   }
 
   /**
--- a/core/src/main/java/org/pollenrock/core/route/CustomerAccess.java
+++ b/core/src/main/java/org/pollenrock/core/route/CustomerAccess.java
@@ -1,5 +1,6 @@
 package org.pollenrock.core.route;
 
+import java.util.Optional;
 import java.util.OptionalInt;
 
 /**
@@ -9,4 +10,17 @@
  * @param priority priority of the customer's requests, which overrides the priority of the route
  * @param isolated whether the customer shares cached prompts with no other customer
  */
-public record CustomerAccess(String name, OptionalInt priority, boolean isolated) {}
+public record CustomerAccess(String name, OptionalInt priority, boolean isolated) {
+  /**
+   * Returns the scope in which prompts of a request are cached.
+   *
+   * @param access the customer of the request, if it has one
+   * @return a scope of the customer's own if it is isolated, otherwise the one that all share
+   */
+  public static String cacheScope(Optional<CustomerAccess> access) {
+    return access
+        .filter(CustomerAccess::isolated)
+        .map(customer -> "customer-" + customer.name())
+        .orElse("shared");
+  }
+}
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -9,12 +9,10 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.LinkedHashSet;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.pollenrock.core.dispatch.DispatchRequest;
 import org.pollenrock.core.dispatch.DispatchResult;
@@ -24,6 +22,7 @@
 import org.pollenrock.core.dispatch.QueueEntry;
 import org.pollenrock.core.dispatch.Selection;
 import org.pollenrock.core.dispatch.SendFailure;
+import org.pollenrock.core.dispatch.SendProgress;
 import org.pollenrock.core.dispatch.SendState;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.route.CustomerAccess;
@@ -50,7 +49,7 @@
   private final CallerRequestMetadata metadata;
   private final StreamRelay relay;
   private final long arrivedNanos = System.nanoTime();
-  private final Set<String> triedServerIds = new LinkedHashSet<>();
+  private final SendProgress progress = new SendProgress();
   private Route route;
   private Optional<CustomerAccess> customerAccess = Optional.empty();
   private long configVersion;
@@ -62,9 +61,6 @@
   private long waitedNanos;
   private PlainResponse serverErrorResponse;
   private int sendCount;
-  private int runs;
-  private int refusalCount;
-  private boolean mayHaveRun;
   private boolean callerDisconnected;
   private boolean finished;
   private boolean memoryReserved;
@@ -201,20 +197,21 @@
 
   @Override
   public Optional<Selection.Chosen> claimReplacement(ServerSend from) {
-    NextStep step = FailurePolicy.nextStep(SendFailure.BROKEN, sendState(runs + 1, true));
-    if (!isResend(step) || !hasTimeToResend()) {
+    SendProgress ifBroken = progress.with(from.backend().entry().id(), SendFailure.BROKEN);
+    if (!isResend(FailurePolicy.nextStep(SendFailure.BROKEN, sendState(ifBroken)))
+        || !hasTimeToResend()) {
       return Optional.empty();
     }
-    Set<String> excludedServerIds = new LinkedHashSet<>(triedServerIds);
-    excludedServerIds.add(from.backend().entry().id());
-    return components.dispatcher().claimReplacement(request, excludedServerIds, System.nanoTime());
+    return components
+        .dispatcher()
+        .claimReplacement(request, ifBroken.triedServerIds(), System.nanoTime());
   }
 
   @Override
   public void replaceSend(ServerSend from, Selection.Chosen replacement, String cause) {
     recordFailure(from, SendFailure.BROKEN);
-    NextStep step = FailurePolicy.nextStep(SendFailure.BROKEN, sendState(runs, mayHaveRun));
-    logSendFailure(from, SendFailure.BROKEN, cause, step);
+    NextStep step = FailurePolicy.nextStep(SendFailure.BROKEN, sendState(progress));
+    logFailure(from, SendFailure.BROKEN, cause, step);
     sendTo(replacement);
   }
 
@@ -226,9 +223,9 @@
   @Override
   public void sendFailed(ServerSend from, SendFailure failure, String cause) {
     recordFailure(from, failure);
-    SendState state = sendState(runs, mayHaveRun);
+    SendState state = sendState(progress);
     NextStep step = FailurePolicy.nextStep(failure, state);
-    logSendFailure(from, failure, cause, step);
+    logFailure(from, failure, cause, step);
     if (callerDisconnected) {
       finish("caller_left", 0, cause);
       return;
@@ -237,7 +234,9 @@
     if (shouldResend && hasTimeToResend()) {
       boolean counted = failure != SendFailure.NOT_SENT;
       DispatchResult next =
-          components.dispatcher().resubmit(request, triedServerIds, counted, System.nanoTime());
+          components
+              .dispatcher()
+              .resubmit(request, progress.triedServerIds(), counted, System.nanoTime());
       if (next instanceof DispatchResult.Refused refused) {
         conclude(FailurePolicy.finalStep(failure, state), refused.cause(), cause);
       } else {
@@ -251,25 +250,14 @@
 
   private void recordFailure(ServerSend from, SendFailure failure) {
     send = null;
-    if (failure != SendFailure.OTHER_WEIGHTS) {
-      triedServerIds.add(from.backend().entry().id());
-    }
-    if (failure.certainlyNotRun()) {
-      refusalCount++;
-    } else {
-      runs++;
-      mayHaveRun = true;
-    }
+    progress.recordFailure(from.backend().entry().id(), failure);
     components.metrics().recordSendFailure(route.kind(), failure);
   }
 
-  private SendState sendState(int runsSoFar, boolean mayHaveRunSoFar) {
-    return new SendState(
+  private SendState sendState(SendProgress current) {
+    return current.state(
         route.isRepeatable(),
-        mayHaveRunSoFar,
-        runsSoFar,
         route.maxAttempts(),
-        refusalCount,
         relay.started(),
         route.resumable() && relay.lastEventNumber().isPresent());
   }
@@ -295,7 +283,7 @@
             metadata.id(),
             route.serviceFor(metadata.id()),
             route.prefixAffinity() ? metadata.prompt() : Optional.empty(),
-            cacheScope(),
+            CustomerAccess.cacheScope(customerAccess),
             route.urgency(
                 customerAccess.map(CustomerAccess::priority).orElse(OptionalInt.empty()),
                 metadata.prompt().map(Prompt::tokens).orElse(0)),
@@ -343,13 +331,6 @@
     send.start(head, body);
   }
 
-  private String cacheScope() {
-    return customerAccess
-        .filter(CustomerAccess::isolated)
-        .map(access -> "customer-" + access.name())
-        .orElse("shared");
-  }
-
   private void expire() {
     if (finished) {
       return;
@@ -363,7 +344,7 @@
     if (send != null) {
       send.cancel();
     }
-    if (sent || mayHaveRun) {
+    if (sent || progress.mayHaveRun()) {
       replyFailed(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline");
     } else {
       refuse(DispatchResult.Cause.WAITED);
@@ -401,7 +382,7 @@
   }
 
   private void refuse(DispatchResult.Cause cause) {
-    if (mayHaveRun || relay.started()) {
+    if (progress.mayHaveRun() || relay.started()) {
       replyFailed(HttpResponseStatus.BAD_GATEWAY, cause.name());
       return;
     }
@@ -455,23 +436,9 @@
     logRequest(outcome, status, cause, total);
   }
 
-  private void logSendFailure(ServerSend from, SendFailure failure, String cause, NextStep step) {
-    Backend backend = from.backend();
-    long now = System.nanoTime();
-    components
-        .log()
-        .line("send_failed")
-        .with("id", metadata.id())
-        .with("server", backend.entry().id())
-        .with("address", backend.entry().address())
-        .with("failure", failure.name())
-        .with("cause", cause)
-        .with("server_load", (long) backend.load(now))
-        .with("server_silent_ms", backend.silentNanos(now) / 1_000_000)
-        .with("events", relay.eventCount())
-        .with("next", step.name())
-        .with("parts", metadata.sharedPartIds().orElse(null))
-        .write();
+  private void logFailure(ServerSend from, SendFailure failure, String cause, NextStep step) {
+    String promptParts = metadata.sharedPartIds().orElse(null);
+    from.logFailure(failure, cause, relay.eventCount(), step, promptParts);
   }
 
   private void logRequest(String outcome, int status, String cause, long totalNanos) {
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -102,16 +102,7 @@
     connectionPools = new ServerConnectionPools(loop, new ServerConnectionObserver(metrics, log));
     queuedExchanges = new QueuedExchanges(dispatcher);
     bodyMemory = new BodyMemory(settings.maxHeldBodyBytes());
-    serverGate =
-        new ServerNoticeTask(
-            Peer.id(settings.gossipAddress().getAddress()),
-            fleet,
-            dispatcher,
-            serverProtocol,
-            connectionPools,
-            queuedExchanges,
-            metrics,
-            log);
+    serverGate = createServerGate(settings.gossipAddress(), serverProtocol);
     controlClient = new ControlClient(loop, serverGate, log);
     loopMonitor = new LoopMonitor(loop, metrics, log);
     reachability = createReachabilityMonitor(settings.gossipAddress());
@@ -376,6 +367,19 @@
         log);
   }
 
+  private ServerGate createServerGate(
+      InetSocketAddress gossipAddress, ServerProtocol serverProtocol) {
+    return new ServerNoticeTask(
+        Peer.id(gossipAddress.getAddress()),
+        fleet,
+        dispatcher,
+        serverProtocol,
+        connectionPools,
+        queuedExchanges,
+        metrics,
+        log);
+  }
+
   private ReachabilityMonitor createReachabilityMonitor(InetSocketAddress gossipAddress) {
     return new ReachabilityMonitor(
         loop,
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -9,12 +9,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.pollenrock.core.dispatch.ConnectionReuse;
 import org.pollenrock.core.dispatch.DispatchRequest;
+import org.pollenrock.core.dispatch.NextStep;
 import org.pollenrock.core.dispatch.PrefixStoreView;
 import org.pollenrock.core.dispatch.Selection;
 import org.pollenrock.core.dispatch.SendFailure;
@@ -24,15 +23,6 @@
 
 /** Sends a request to one server and receives the response of that server. */
 final class ServerSend implements ConnectionPool.AcquireListener, HttpConnection.Listener {
-  /**
-   * Interval at which the send of a repeatable request checks whether its server has gone silent;
-   * also the minimum silence after which the send is given up.
-   */
-  private static final long SILENCE_CHECK_MILLIS = 450;
-
-  /** Silence after which the send is given up, as a multiple of the target latency of the route. */
-  private static final long MAX_SILENT_TARGET_LATENCIES = 2;
-
   /** Maximum size of a response body that is buffered until it is complete. */
   private static final int MAX_PLAIN_BODY_BYTES = 8 << 20;
 
@@ -79,7 +69,7 @@
   /** Whether the response names the request. */
   private boolean identified;
 
-  private ScheduledFuture<?> silenceTimer;
+  private final SilenceCheck silenceCheck;
 
   ServerSend(
       GatewayComponents components,
@@ -96,6 +86,9 @@
     this.request = request;
     this.route = route;
     this.context = context;
+    this.silenceCheck =
+        new SilenceCheck(
+            components, backend, request.targetLatencyMillis(), this::replaceSilentServer);
   }
 
   /** Acquires a connection to the server and sends the request on it. */
@@ -123,6 +116,26 @@
     }
   }
 
+  /** Logs the failure of the send, what had been relayed before, and what follows. */
+  void logFailure(
+      SendFailure failure, String cause, long relayedEvents, NextStep next, String promptParts) {
+    long now = System.nanoTime();
+    components
+        .log()
+        .line("send_failed")
+        .with("id", request.id())
+        .with("server", backend.entry().id())
+        .with("address", backend.entry().address())
+        .with("failure", failure.name())
+        .with("cause", cause)
+        .with("server_load", (long) backend.load(now))
+        .with("server_silent_ms", backend.silentNanos(now) / 1_000_000)
+        .with("events", relayedEvents)
+        .with("next", next.name())
+        .with("parts", promptParts)
+        .write();
+  }
+
   /** Gives up the send without notifying the owner. */
   void cancel() {
     if (closed) {
@@ -163,7 +176,7 @@
     sent = true;
     sentNanos = System.nanoTime();
     if (route.isRepeatable()) {
-      scheduleSilenceCheck();
+      silenceCheck.start();
     }
     opened.send(ForwardedRequest.of(head, body, context, components.serverProtocol()), this);
   }
@@ -431,52 +444,23 @@
     }
   }
 
-  private void scheduleSilenceCheck() {
-    silenceTimer =
-        components.loop().schedule(this::checkSilence, SILENCE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
-  }
-
   /**
-   * Gives up the send when the server, although responses are due, has sent nothing on any
-   * connection for too long, and another server has been claimed for the request; otherwise the
-   * server may still respond. The limit is lower for a server that is already missing. As long as
-   * the server sends bytes for other requests, the response to this one may take any time. After a
-   * pause of this process, the response may wait to be read.
+   * Gives up the send to a silent server if another one has been claimed for the request; otherwise
+   * the server may still respond.
+   *
+   * @return whether the send was given up
    */
-  private void checkSilence() {
-    if (closed) {
-      return;
-    }
-    if (isServerSilent()) {
-      components.loopMonitor().runAfterNextRound(this::replaceIfSilent);
-    } else {
-      scheduleSilenceCheck();
-    }
-  }
-
-  private void replaceIfSilent() {
-    if (closed) {
-      return;
-    }
-    Optional<Selection.Chosen> replacement =
-        isServerSilent() ? owner.claimReplacement(this) : Optional.empty();
+  private boolean replaceSilentServer() {
+    Optional<Selection.Chosen> replacement = owner.claimReplacement(this);
     if (replacement.isEmpty()) {
-      scheduleSilenceCheck();
-      return;
+      return false;
     }
     connection.abandon();
     components.reachability().recordUnreachable(backend, "silent");
     recordOutcome(false);
     close();
     owner.replaceSend(this, replacement.get(), "silent");
-  }
-
-  private boolean isServerSilent() {
-    long now = System.nanoTime();
-    long latencyLimitMillis =
-        backend.isMissing() ? 0 : MAX_SILENT_TARGET_LATENCIES * request.targetLatencyMillis();
-    long maxSilenceNanos = Math.max(SILENCE_CHECK_MILLIS, latencyLimitMillis) * 1_000_000;
-    return backend.silentNanos(now) >= maxSilenceNanos;
+    return true;
   }
 
   private void recordOutcome(boolean success) {
@@ -491,9 +475,7 @@
 
   private void close() {
     closed = true;
-    if (silenceTimer != null) {
-      silenceTimer.cancel(false);
-    }
+    silenceCheck.stop();
     if (plainBody != null) {
       plainBody.release();
       plainBody = null;
--- a/gateway/src/main/java/org/pollenrock/gateway/StatePages.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/StatePages.java
@@ -61,6 +61,8 @@
     json.writeStringField("address", backend.entry().address());
     json.writeStringField("data_centre", backend.entry().dataCentre());
     json.writeBooleanField("ready", backend.entry().ready());
+    json.writeBooleanField("leaving", backend.notices().isLeaving());
+    json.writeNumberField("on_hold_ms", backend.notices().remainingHoldNanos(now) / 1_000_000);
     json.writeNumberField("in_flight", backend.inFlightCount());
     json.writeNumberField("load", backend.load(now));
     json.writeNumberField("slots", backend.slots());
