Ask the gate again when the connection of a call is open

A connection to a server opens within 0.7 s, and the server may ask for a pause or leave meanwhile; requests of callers were asked about again, probes, reports, polls and orders were not. After: EngineOrderTest, ServerRetryAfterTest, ServerLeavingTest, EngineCacheWatchTest, WeightsVersionPauseTest and ServerRateNoticeTest pass.

--- a/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
@@ -78,9 +78,7 @@
    * @param result receives the outcome, exactly once
    */
   public void call(InetSocketAddress address, Call call, Consumer<CallResult> result) {
-    PendingCall pending = new PendingCall(address, call, result, true, () -> true);
-    pending.startTimeout();
-    pool(address).acquire(false, pending);
+    callOnAnyConnection(address, call, () -> true, result);
   }
 
   /**
@@ -92,7 +90,11 @@
    */
   public void call(Backend server, Call call, Consumer<CallResult> result) {
     if (serverGate.tryEnter(server)) {
-      call(ServerConnectionPools.address(server), call, recordingNotices(server, result));
+      callOnAnyConnection(
+          ServerConnectionPools.address(server),
+          call,
+          () -> serverGate.permitsSend(server),
+          recordingNotices(server, result));
     } else {
       result.accept(unwanted(server));
     }
@@ -117,7 +119,12 @@
     }
     InetSocketAddress address = ServerConnectionPools.address(server);
     PendingCall pending =
-        new PendingCall(address, call, recordingNotices(server, result), false, maySend);
+        new PendingCall(
+            address,
+            call,
+            recordingNotices(server, result),
+            false,
+            () -> maySend.getAsBoolean() && serverGate.permitsSend(server));
     pending.startTimeout();
     pool(address).connect(pending);
   }
@@ -127,6 +134,13 @@
     pools.values().forEach(ConnectionPool::sweep);
   }
 
+  private void callOnAnyConnection(
+      InetSocketAddress address, Call call, BooleanSupplier maySend, Consumer<CallResult> result) {
+    PendingCall pending = new PendingCall(address, call, result, true, maySend);
+    pending.startTimeout();
+    pool(address).acquire(false, pending);
+  }
+
   private Consumer<CallResult> recordingNotices(Backend server, Consumer<CallResult> result) {
     return outcome -> {
       if (outcome instanceof CallResult.Answered answered) {
