Share the notices of a server that is listed again with its earlier state

What callers would see: requests go to a server after a response in which it leaves, if its entry had been removed and came back between the request and this response (DRAIN). Seen when reading the diff. Cause: the response arrives for the state of before, whose notices the new state did not share. Change: an incarnation keeps one object of notices, also without an entry. After: LeavingServerTest, ServerHoldTest and FleetTest pass.

--- a/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
@@ -37,7 +37,7 @@
         }
       };
 
-  /** Notices of incarnations without an entry, by identifier; the oldest leave first. */
+  /** Incarnations whose entries were removed, by identifier; the oldest leave first. */
   private final Map<String, UnlistedServer> unlistedServers =
       new LinkedHashMap<>() {
         @Override
@@ -221,9 +221,6 @@
     if (newlyLeaving) {
       usableByService.clear();
     }
-    if (byId.get(responding.entry().id()) != responding) {
-      rememberNotices(responding);
-    }
     if (newlyLeaving) {
       return new NoticeEffect.Leaving(responding);
     }
@@ -316,19 +313,14 @@
     if (removed != null) {
       byIdHash.remove(removed.idHash());
       usableByService.clear();
-      rememberNotices(removed);
-    }
-  }
-
-  /** Keeps the notices of a server without an entry, since its entry may come back. */
-  private void rememberNotices(Backend unlisted) {
-    String id = unlisted.entry().id();
-    Backend listed = byId.get(id);
-    if (listed == null && unlisted.notices().hasLastingNotice()) {
-      unlistedServers.put(id, new UnlistedServer(unlisted.entry(), unlisted.notices()));
+      unlistedServers.put(id, new UnlistedServer(removed.entry(), removed.notices()));
     }
   }
 
+  /**
+   * Returns the notices for a new entry. An incarnation that is listed again shares them with the
+   * state of before, to which responses to earlier requests still arrive.
+   */
   private ServerNotices knownNotices(ListedBackend entry) {
     UnlistedServer unlisted = unlistedServers.remove(entry.id());
     return unlisted != null && isSameIncarnation(unlisted.entry(), entry)
--- a/core/src/main/java/org/pollenrock/core/fleet/ServerNotices.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/ServerNotices.java
@@ -137,9 +137,4 @@
   public boolean permitsRequest(long nowNanos) {
     return permitsSend(nowNanos) && !isTrialPending(nowNanos);
   }
-
-  /** Returns whether the notices have to outlive the server's entry. */
-  boolean hasLastingNotice() {
-    return leaving || holding;
-  }
 }
--- a/core/src/test/java/org/pollenrock/core/fleet/LeavingServerTest.java
+++ b/core/src/test/java/org/pollenrock/core/fleet/LeavingServerTest.java
@@ -102,6 +102,19 @@
     assertThat(fleet.usableServers(SERVICE)).isEmpty();
   }
 
+  /** A response to a request from before the removal may arrive when the server is listed again. */
+  @Test
+  void noticeAfterTheEntryHasComeBackHolds() {
+    Fleet fleet = new Fleet();
+    fleet.applyEntry(entry(1, 1, true), 0);
+    Backend backend = find(fleet, "s1");
+    fleet.applyRemoval("s1", 1);
+    fleet.applyEntry(entry(1, 1, true), 2);
+    assertThat(fleet.usableServers(SERVICE)).hasSize(1);
+    fleet.applyNotice(backend, leaving(""), 0, 0);
+    assertThat(fleet.usableServers(SERVICE)).isEmpty();
+  }
+
   /** Another server may have taken over the address. */
   @Test
   void noticeOfAnotherServerDoesNotHoldForTheExpectedOne() {
