Use one bounded map, one removal from the queue and one test bed

BoundedMap moves from the quarantine to core.collection, with keys of any type; it replaces two anonymous maps of Fleet, one of the server list and the older copy in PrefixStoreView. DispatchQueue.removeIf serves its four removals. Dispatcher.claimReplacement no longer filters the tried servers twice. The spread of a hold is computed for responses with a hold only, not for each response, and the hash of the own identity once.

--- a/core/src/main/java/org/pollenrock/core/collection/BoundedMap.java
+++ b/core/src/main/java/org/pollenrock/core/collection/BoundedMap.java
@@ -1,25 +1,31 @@
-package org.pollenrock.core.quarantine;
+package org.pollenrock.core.collection;
 
 import java.io.Serial;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
- * Map from hashes that keeps a maximum number of entries; the oldest leave first.
+ * Map that keeps a maximum number of entries; the oldest leave first.
  *
+ * @param <K> type of the keys
  * @param <V> type of the values
  */
-final class BoundedMap<V> extends LinkedHashMap<Long, V> {
+public final class BoundedMap<K, V> extends LinkedHashMap<K, V> {
   @Serial private static final long serialVersionUID = 1L;
 
   private final int maxEntries;
 
-  BoundedMap(int maxEntries) {
+  /**
+   * Creates an empty map.
+   *
+   * @param maxEntries maximum number of entries
+   */
+  public BoundedMap(int maxEntries) {
     this.maxEntries = maxEntries;
   }
 
   @Override
-  protected boolean removeEldestEntry(Map.Entry<Long, V> eldest) {
+  protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
     return size() > maxEntries;
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/collection/package-info.java
@@ -0,0 +1,2 @@
+/** Collections with bounds that the standard library lacks. */
+package org.pollenrock.core.collection;
--- a/core/src/main/java/org/pollenrock/core/dispatch/DispatchQueue.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/DispatchQueue.java
@@ -1,10 +1,10 @@
 package org.pollenrock.core.dispatch;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * Queue of the requests of one service that wait for a server, ordered by urgency and then by
@@ -54,14 +54,19 @@
    * @return the removed entries
    */
   public List<QueueEntry> removeExpired(long nowNanos) {
-    List<QueueEntry> expired = new ArrayList<>();
-    for (QueueEntry entry : entries) {
-      if (entry.queueDeadlineNanos() - nowNanos <= 0) {
-        expired.add(entry);
-      }
-    }
-    expired.forEach(entries::remove);
-    return expired;
+    return removeIf(entry -> entry.queueDeadlineNanos() - nowNanos <= 0);
+  }
+
+  /**
+   * Removes the entries that meet a condition.
+   *
+   * @param condition the condition
+   * @return the removed entries in dispatch order
+   */
+  public List<QueueEntry> removeIf(Predicate<QueueEntry> condition) {
+    List<QueueEntry> removed = entries.stream().filter(condition).toList();
+    removed.forEach(entries::remove);
+    return removed;
   }
 
   /**
--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -114,7 +114,7 @@
             .filter(server -> !triedServers.contains(server.entry().id()))
             .filter(server -> !server.isMissing())
             .toList();
-    if (selectServer(request, untried, triedServers, nowNanos) instanceof Selection.Chosen chosen
+    if (selectServer(request, untried, Set.of(), nowNanos) instanceof Selection.Chosen chosen
         && allowance.tryResend(nowNanos)) {
       recordSend(chosen, nowNanos);
       return Optional.of(chosen);
@@ -176,12 +176,7 @@
     if (queue == null || queue.size() == 0 || quarantine.hasNoStrikes()) {
       return List.of();
     }
-    List<QueueEntry> quarantined =
-        queue.entriesInOrder().stream()
-            .filter(entry -> isQuarantined(entry.request(), nowNanos))
-            .toList();
-    quarantined.forEach(queue::remove);
-    return quarantined;
+    return queue.removeIf(entry -> isQuarantined(entry.request(), nowNanos));
   }
 
   /**
@@ -202,12 +197,7 @@
     if (permitted.size() == servers.size()) {
       return List.of();
     }
-    List<QueueEntry> limited =
-        queue.entriesInOrder().stream()
-            .filter(entry -> isUnpermitted(entry.request(), servers, permitted))
-            .toList();
-    limited.forEach(queue::remove);
-    return limited;
+    return queue.removeIf(entry -> isUnpermitted(entry.request(), servers, permitted));
   }
 
   /**
@@ -221,9 +211,7 @@
     if (queue == null || queue.size() == 0 || !fleet.usableServers(service).isEmpty()) {
       return List.of();
     }
-    List<QueueEntry> unserved = queue.entriesInOrder();
-    unserved.forEach(queue::remove);
-    return unserved;
+    return queue.removeIf(entry -> true);
   }
 
   /**
--- a/core/src/main/java/org/pollenrock/core/dispatch/PrefixStoreView.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/PrefixStoreView.java
@@ -1,9 +1,9 @@
 package org.pollenrock.core.dispatch;
 
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.pollenrock.core.collection.BoundedMap;
 
 /**
  * This instance's view of the prefix store, an external server from which all engines can fetch
@@ -32,8 +32,8 @@
   /** Maximum number of recorded prefixes; beyond it, the oldest record is dropped. */
   private static final int MAX_PREFIXES = 16_384;
 
-  private final Map<Long, Boolean> storedParts = boundedMap();
-  private final Map<Long, Long> saveStartNanos = boundedMap();
+  private final Map<Long, Boolean> storedParts = new BoundedMap<>(MAX_PREFIXES);
+  private final Map<Long, Long> saveStartNanos = new BoundedMap<>(MAX_PREFIXES);
   private Optional<String> address = Optional.empty();
   private boolean reachable;
 
@@ -165,15 +165,4 @@
     List<PromptPart> parts = prompt.parts();
     return PrefixDirectory.key(salt, parts.get(parts.size() - 2).id());
   }
-
-  private static <V> Map<Long, V> boundedMap() {
-    return new LinkedHashMap<>() {
-      private static final long serialVersionUID = 1L;
-
-      @Override
-      protected boolean removeEldestEntry(Map.Entry<Long, V> eldest) {
-        return size() > MAX_PREFIXES;
-      }
-    };
-  }
 }
--- a/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
@@ -2,12 +2,12 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.pollenrock.core.collection.BoundedMap;
 
 /**
  * Registry of the backend servers that requests may be sent to.
@@ -29,22 +29,10 @@
   /**
    * Starts of the incarnations that the list has removed, by identifier; the oldest leave first.
    */
-  private final Map<String, Long> removedStarts =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-          return size() > MAX_REMOVED;
-        }
-      };
+  private final Map<String, Long> removedStarts = new BoundedMap<>(MAX_REMOVED);
 
   /** Incarnations whose entries were removed, by identifier; the oldest leave first. */
-  private final Map<String, UnlistedServer> unlistedServers =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, UnlistedServer> eldest) {
-          return size() > MAX_REMOVED;
-        }
-      };
+  private final Map<String, UnlistedServer> unlistedServers = new BoundedMap<>(MAX_REMOVED);
 
   /**
    * Incarnation of a server whose entry was removed.
--- a/core/src/main/java/org/pollenrock/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/PartQuarantine.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.pollenrock.core.collection.BoundedMap;
 import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.dispatch.PromptPart;
 import org.pollenrock.core.fleet.Backend;
@@ -57,9 +58,9 @@
   private static final int MAX_SUSPECTS = 1_024;
 
   private final Listener listener;
-  private final BoundedMap<StruckPart> struckParts = new BoundedMap<>(MAX_PARTS);
-  private final BoundedMap<Long> completions = new BoundedMap<>(MAX_COMPLETED_PARTS);
-  private final BoundedMap<SuspectServer> suspectServers = new BoundedMap<>(MAX_SERVERS);
+  private final BoundedMap<Long, StruckPart> struckParts = new BoundedMap<>(MAX_PARTS);
+  private final BoundedMap<Long, Long> completions = new BoundedMap<>(MAX_COMPLETED_PARTS);
+  private final BoundedMap<Long, SuspectServer> suspectServers = new BoundedMap<>(MAX_SERVERS);
   private Optional<Long> lastCompletionNanos = Optional.empty();
 
   /**
@@ -109,7 +110,7 @@
 
   /** Suspect parts of a server, and whether the server has ended. */
   private static final class SuspectServer {
-    private final BoundedMap<Suspect> suspects = new BoundedMap<>(MAX_SUSPECTS);
+    private final BoundedMap<Long, Suspect> suspects = new BoundedMap<>(MAX_SUSPECTS);
     private Optional<Long> endedNanos = Optional.empty();
   }
 
--- a/core/src/main/java/org/pollenrock/core/quarantine/StruckPart.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/StruckPart.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.OptionalLong;
+import org.pollenrock.core.collection.BoundedMap;
 
 /** Strikes against one part since its last completion, and its quarantine. */
 final class StruckPart {
@@ -18,7 +19,7 @@
    */
   private record ServerStrike(String serverId, long nanos) {}
 
-  private final BoundedMap<ServerStrike> strikesByServer = new BoundedMap<>(MAX_STRIKES);
+  private final BoundedMap<Long, ServerStrike> strikesByServer = new BoundedMap<>(MAX_STRIKES);
   private String partId = "";
   private boolean quarantinedBefore;
   private long quarantinedSinceNanos;
--- a/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
@@ -9,12 +9,8 @@
 import org.junit.jupiter.api.Test;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
-import org.pollenrock.core.model.InstanceId;
 import org.pollenrock.core.quarantine.IgnoredAnnouncements;
 import org.pollenrock.core.quarantine.PartQuarantine;
-import org.pollenrock.core.ratelimit.RateShares;
-import org.pollenrock.core.ratelimit.ServerRateLimits;
-import org.pollenrock.core.weights.WeightsTargets;
 
 /**
  * Guards against urgent requests that starve, queues that grow without bound, and refusals without
@@ -23,17 +19,7 @@
 class DispatcherTest {
   private final Fleet fleet = new Fleet();
   private final PartQuarantine quarantine = new PartQuarantine(new IgnoredAnnouncements());
-  private final Dispatcher dispatcher =
-      new Dispatcher(
-          fleet,
-          new ServerSelector(
-              SelectorSettings.defaults("near"), new PrefixDirectory(), new PrefixStoreView()),
-          new WeightsTargets(0),
-          quarantine,
-          new ServerRateLimits(
-              new RateShares(new InstanceId("own"), 0), (server, notice, announced) -> {}),
-          new RetryAllowanceSettings(0.2, 10, 10 * Fixtures.SECOND),
-          -20 * Fixtures.SECOND);
+  private final Dispatcher dispatcher = Fixtures.dispatcher(fleet, quarantine, 10);
 
   private static DispatchRequest request(String id, int urgency, long nowNanos) {
     return Fixtures.request(id, Optional.empty(), urgency, nowNanos);
--- a/core/src/test/java/org/pollenrock/core/dispatch/Fixtures.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/Fixtures.java
@@ -3,7 +3,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.fleet.ListedBackend;
+import org.pollenrock.core.model.InstanceId;
+import org.pollenrock.core.quarantine.PartQuarantine;
+import org.pollenrock.core.ratelimit.RateShares;
+import org.pollenrock.core.ratelimit.ServerRateLimits;
+import org.pollenrock.core.weights.WeightsTargets;
 
 /** Requests and servers for the tests of this package. */
 final class Fixtures {
@@ -64,4 +70,18 @@
         nowNanos,
         nowNanos + 6 * SECOND);
   }
+
+  /** Returns the dispatcher of an instance that started long ago. */
+  static Dispatcher dispatcher(Fleet fleet, PartQuarantine quarantine, int retrySlack) {
+    return new Dispatcher(
+        fleet,
+        new ServerSelector(
+            SelectorSettings.defaults("near"), new PrefixDirectory(), new PrefixStoreView()),
+        new WeightsTargets(0),
+        quarantine,
+        new ServerRateLimits(
+            new RateShares(new InstanceId("own"), 0), (server, notice, announced) -> {}),
+        new RetryAllowanceSettings(0.2, retrySlack, 10 * SECOND),
+        -20 * SECOND);
+  }
 }
--- a/core/src/test/java/org/pollenrock/core/dispatch/RetryAllowanceFleetTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/RetryAllowanceFleetTest.java
@@ -9,12 +9,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.pollenrock.core.fleet.Fleet;
-import org.pollenrock.core.model.InstanceId;
 import org.pollenrock.core.quarantine.IgnoredAnnouncements;
 import org.pollenrock.core.quarantine.PartQuarantine;
-import org.pollenrock.core.ratelimit.RateShares;
-import org.pollenrock.core.ratelimit.ServerRateLimits;
-import org.pollenrock.core.weights.WeightsTargets;
 
 /** Guards against instances that each take the whole slack of a retry budget. */
 class RetryAllowanceFleetTest {
@@ -24,16 +20,7 @@
   private static Dispatcher startedDispatcher() {
     Fleet fleet = new Fleet();
     fleet.applyEntry(Fixtures.plainServer("a", "near", 100_000), 0);
-    return new Dispatcher(
-        fleet,
-        new ServerSelector(
-            SelectorSettings.defaults("near"), new PrefixDirectory(), new PrefixStoreView()),
-        new WeightsTargets(0),
-        new PartQuarantine(new IgnoredAnnouncements()),
-        new ServerRateLimits(
-            new RateShares(new InstanceId("own"), 0), (server, notice, announced) -> {}),
-        new RetryAllowanceSettings(0.2, SLACK, 10 * SECOND),
-        -20 * SECOND);
+    return Fixtures.dispatcher(fleet, new PartQuarantine(new IgnoredAnnouncements()), SLACK);
   }
 
   private static int resendAsOftenAsAllowed(Dispatcher dispatcher) {
--- a/core/src/test/java/org/pollenrock/core/dispatch/ServerHoldTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/ServerHoldTest.java
@@ -15,12 +15,8 @@
 import org.pollenrock.core.fleet.ListedBackend;
 import org.pollenrock.core.fleet.ServerNotice;
 import org.pollenrock.core.fleet.ServerNotices;
-import org.pollenrock.core.model.InstanceId;
 import org.pollenrock.core.quarantine.IgnoredAnnouncements;
 import org.pollenrock.core.quarantine.PartQuarantine;
-import org.pollenrock.core.ratelimit.RateShares;
-import org.pollenrock.core.ratelimit.ServerRateLimits;
-import org.pollenrock.core.weights.WeightsTargets;
 
 /** Guards against requests to a server that has asked for a pause. */
 class ServerHoldTest {
@@ -33,16 +29,7 @@
   private final Dispatcher dispatcher = dispatcher(fleet);
 
   private static Dispatcher dispatcher(Fleet fleet) {
-    return new Dispatcher(
-        fleet,
-        new ServerSelector(
-            SelectorSettings.defaults("near"), new PrefixDirectory(), new PrefixStoreView()),
-        new WeightsTargets(0),
-        new PartQuarantine(new IgnoredAnnouncements()),
-        new ServerRateLimits(
-            new RateShares(new InstanceId("own"), 0), (server, notice, announced) -> {}),
-        new RetryAllowanceSettings(0.2, 1_000, 10 * Fixtures.SECOND),
-        -20 * Fixtures.SECOND);
+    return Fixtures.dispatcher(fleet, new PartQuarantine(new IgnoredAnnouncements()), 1_000);
   }
 
   private static ServerNotice hold(long nanos) {
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerNoticeTask.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerNoticeTask.java
@@ -22,7 +22,7 @@
   /** Longest additional time of a hold. */
   private static final long MAX_SPREAD_NANOS = 2_000_000_000L;
 
-  private final InstanceId ownId;
+  private final long ownIdHash;
   private final Fleet fleet;
   private final Dispatcher dispatcher;
   private final ServerProtocol serverProtocol;
@@ -40,7 +40,7 @@
       QueuedExchanges queuedExchanges,
       GatewayMetrics metrics,
       EventLog log) {
-    this.ownId = ownId;
+    this.ownIdHash = RendezvousHash.hash(ownId.value());
     this.fleet = fleet;
     this.dispatcher = dispatcher;
     this.serverProtocol = serverProtocol;
@@ -69,7 +69,8 @@
   public void recordResponse(Backend server, int status, HttpHeaders headers) {
     ServerNotice notice = serverProtocol.decodeNotice(status, headers);
     long now = System.nanoTime();
-    switch (fleet.applyNotice(server, notice, spreadNanos(server), now)) {
+    long spreadNanos = notice.holdNanos().isPresent() ? spreadNanos(server) : 0;
+    switch (fleet.applyNotice(server, notice, spreadNanos, now)) {
       case NoticeEffect.None() -> {}
       case NoticeEffect.Leaving(Backend leaving) -> handleLeaving(leaving);
       case NoticeEffect.Held(Backend held) -> handleHeld(held, now);
@@ -81,8 +82,7 @@
   private long spreadNanos(Backend server) {
     long rangeNanos =
         Math.min(MAX_SPREAD_NANOS, dispatcher.instanceCount() * RETURN_INTERVAL_NANOS);
-    return Long.remainderUnsigned(
-        RendezvousHash.mix(RendezvousHash.hash(ownId.value()) ^ server.idHash()), rangeNanos);
+    return Long.remainderUnsigned(RendezvousHash.mix(ownIdHash ^ server.idHash()), rangeNanos);
   }
 
   private void handleLeaving(Backend server) {
