Log heads of responses that are not those of one response

HeadCheck in core looks for a second status line, lines that are no fields, and repeated identifying or framing fields. A head with such a fault is logged (response_malformed) and counted (pollenrock_malformed_heads), with the number of earlier requests and skipped responses of its connection, and is used as before: no decision changes. Calls to the store and to servers log the same.

--- a/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
@@ -15,6 +15,7 @@
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.List;
+import org.pollenrock.core.response.HeadCheck;
 
 /** Pool of client connections to one address; reuses the most recently used connection first. */
 final class ConnectionPool {
@@ -68,14 +69,20 @@
   private final InetSocketAddress address;
   private final int connectTimeoutMillis;
   private final Observer observer;
+  private final HeadCheck headCheck;
   private final Deque<HttpConnection> idleConnections = new ArrayDeque<>();
 
   ConnectionPool(
-      EventLoop loop, InetSocketAddress address, int connectTimeoutMillis, Observer observer) {
+      EventLoop loop,
+      InetSocketAddress address,
+      int connectTimeoutMillis,
+      Observer observer,
+      HeadCheck headCheck) {
     this.loop = loop;
     this.address = address;
     this.connectTimeoutMillis = connectTimeoutMillis;
     this.observer = observer;
+    this.headCheck = headCheck;
   }
 
   /**
@@ -109,6 +116,11 @@
     idleConnections.addFirst(connection);
   }
 
+  /** Returns the check of the heads of responses. */
+  HeadCheck headCheck() {
+    return headCheck;
+  }
+
   /** Reports bytes to the observer that belong to no request. */
   void reportStrayBytes() {
     observer.strayBytesReceived(address);
--- a/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
@@ -20,6 +20,7 @@
 import java.util.function.Consumer;
 import org.pollenrock.core.error.Step;
 import org.pollenrock.core.fleet.Backend;
+import org.pollenrock.core.response.HeadCheck;
 
 /**
  * HTTP client for calls with small bodies: to the platform's store, and to servers for probes,
@@ -54,6 +55,8 @@
 
   private final EventLoop loop;
   private final ServerGate serverGate;
+  private final EventLog log;
+  private final HeadCheck headCheck;
   private final ConnectionPool.Observer observer;
   private final Map<InetSocketAddress, ConnectionPool> pools = new HashMap<>();
 
@@ -62,11 +65,14 @@
    *
    * @param loop event loop on which calls have to be made and results are passed on
    * @param serverGate keeps calls from servers that want none
+   * @param headCheck check of the heads of responses
    * @param log the event log
    */
-  public ControlClient(EventLoop loop, ServerGate serverGate, EventLog log) {
+  public ControlClient(EventLoop loop, ServerGate serverGate, HeadCheck headCheck, EventLog log) {
     this.loop = loop;
     this.serverGate = serverGate;
+    this.headCheck = headCheck;
+    this.log = log;
     this.observer = address -> ServerConnectionObserver.logStrayBytes(log, address);
   }
 
@@ -157,7 +163,8 @@
 
   private ConnectionPool pool(InetSocketAddress address) {
     return pools.computeIfAbsent(
-        address, target -> new ConnectionPool(loop, target, CONNECT_TIMEOUT_MILLIS, observer));
+        address,
+        target -> new ConnectionPool(loop, target, CONNECT_TIMEOUT_MILLIS, observer, headCheck));
   }
 
   /** Call whose outcome is not known yet. */
@@ -227,6 +234,11 @@
       return true;
     }
 
+    @Override
+    public void malformedHeadReceived(MalformedHead malformed) {
+      malformed.log(log, call.target(), "", address.getHostString() + ":" + address.getPort());
+    }
+
     @Override
     public void contentReceived(ByteBuf bytes) {
       if (body.size() + bytes.readableBytes() > MAX_BODY_BYTES) {
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.membership.UnknownInstances;
 import org.pollenrock.core.quarantine.PartQuarantine;
+import org.pollenrock.core.response.HeadCheck;
 import org.pollenrock.core.route.ActiveConfig;
 import org.pollenrock.core.weights.WeightsRollout;
 import org.pollenrock.core.weights.WeightsTargets;
@@ -99,11 +100,13 @@
             System.nanoTime());
     gossip = createGossip(settings);
     quarantineTask.addListener(gossip.quarantineGossip());
-    connectionPools = new ServerConnectionPools(loop, new ServerConnectionObserver(metrics, log));
+    HeadCheck headCheck = new HeadCheck(serverProtocol.identifyingHeaders());
+    connectionPools =
+        new ServerConnectionPools(loop, new ServerConnectionObserver(metrics, log), headCheck);
     queuedExchanges = new QueuedExchanges(dispatcher);
     bodyMemory = new BodyMemory(settings.maxHeldBodyBytes());
     serverGate = createServerGate(settings.gossipAddress(), serverProtocol);
-    controlClient = new ControlClient(loop, serverGate, log);
+    controlClient = new ControlClient(loop, serverGate, headCheck, log);
     loopMonitor = new LoopMonitor(loop, metrics, log);
     reachability = createReachabilityMonitor(settings.gossipAddress());
     GatewayComponents components =
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayMetrics.java
@@ -11,6 +11,7 @@
 import org.pollenrock.core.dispatch.DispatchResult;
 import org.pollenrock.core.dispatch.Selection;
 import org.pollenrock.core.dispatch.SendFailure;
+import org.pollenrock.core.response.HeadFault;
 import org.pollenrock.core.route.RouteKind;
 
 /**
@@ -41,6 +42,11 @@
 
   private final Counter foreignResponses =
       counter("pollenrock_foreign_answers", "Answers that belonged to another request");
+  private final Counter malformedHeads =
+      counter(
+          "pollenrock_malformed_heads",
+          "Response heads that are not those of one response",
+          "fault");
   private final Counter strayByteCloses =
       counter("pollenrock_stray_bytes", "Connections closed for bytes that belong to no request");
   private final Counter probes =
@@ -127,6 +133,10 @@
     serverHolds.inc();
   }
 
+  void recordMalformedHead(HeadFault fault) {
+    malformedHeads.labelValues(fault.name()).inc();
+  }
+
   void recordForeignResponse() {
     foreignResponses.inc();
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -34,6 +34,9 @@
      */
     boolean headReceived(HttpResponse response);
 
+    /** Called before a head is passed on that is not that of one response. */
+    void malformedHeadReceived(MalformedHead head);
+
     /** Called when bytes of the body have arrived; they are valid only during the call. */
     void contentReceived(ByteBuf bytes);
 
@@ -57,6 +60,8 @@
 
   private final ConnectionPool pool;
   private long skippedBytes;
+  private long requestCount;
+  private long skippedResponses;
   private Channel channel;
   private Listener listener;
   private boolean inResponse;
@@ -81,6 +86,7 @@
   /** Sends a request and releases its body. */
   void send(FullHttpRequest request, Listener newListener) {
     listener = newListener;
+    requestCount++;
     skippedBytes = 0;
     inResponse = false;
     skippingResponse = false;
@@ -207,7 +213,15 @@
   }
 
   private void handleHead(HttpResponse response) {
+    pool.headCheck()
+        .find(
+            response.status().code(),
+            response.status().reasonPhrase(),
+            response.headers().iteratorCharSequence())
+        .map(fault -> MalformedHead.of(fault, response, requestCount - 1, skippedResponses))
+        .ifPresent(listener::malformedHeadReceived);
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      skippedResponses++;
       skippingResponse = true;
       return;
     }
@@ -220,6 +234,7 @@
     if (listener.headReceived(response)) {
       inResponse = true;
     } else {
+      skippedResponses++;
       skippingResponse = true;
     }
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerConnectionPools.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerConnectionPools.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import org.pollenrock.core.fleet.Backend;
+import org.pollenrock.core.response.HeadCheck;
 
 /** Connection pools of the backend servers, one for each incarnation of a server. */
 final class ServerConnectionPools {
@@ -17,18 +18,21 @@
 
   private final EventLoop loop;
   private final ConnectionPool.Observer observer;
+  private final HeadCheck headCheck;
   private final Map<Backend, ConnectionPool> pools = new HashMap<>();
 
-  ServerConnectionPools(EventLoop loop, ConnectionPool.Observer observer) {
+  ServerConnectionPools(EventLoop loop, ConnectionPool.Observer observer, HeadCheck headCheck) {
     this.loop = loop;
     this.observer = observer;
+    this.headCheck = headCheck;
   }
 
   /** Returns the connection pool of a server. */
   ConnectionPool poolFor(Backend backend) {
     return pools.computeIfAbsent(
         backend,
-        server -> new ConnectionPool(loop, address(server), CONNECT_TIMEOUT_MILLIS, observer));
+        server ->
+            new ConnectionPool(loop, address(server), CONNECT_TIMEOUT_MILLIS, observer, headCheck));
   }
 
   /** Returns the address that requests to a server go to. */
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerProtocol.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerProtocol.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
 import org.pollenrock.core.fleet.ServerNotice;
 import org.pollenrock.core.ratelimit.RateNotice;
 
@@ -17,6 +18,14 @@
    */
   void prepare(HttpHeaders headers, SendContext context);
 
+  /**
+   * Returns the names of the headers that identify a response or its server, each of which a
+   * response has at most once.
+   *
+   * @return the names
+   */
+  List<String> identifyingHeaders();
+
   /**
    * Decodes the metadata of a response.
    *
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -248,6 +248,12 @@
     return true;
   }
 
+  @Override
+  public void malformedHeadReceived(MalformedHead malformed) {
+    components.metrics().recordMalformedHead(malformed.fault());
+    malformed.log(components.log(), request.id(), backend.entry().id(), backend.entry().address());
+  }
+
   @Override
   public void contentReceived(ByteBuf bytes) {
     long now = System.nanoTime();
--- a/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
@@ -12,7 +12,9 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.pollenrock.core.response.HeadCheck;
 
 /** Guards against connections that return to their pool in a state that harms the next request. */
 class HttpConnectionTest {
@@ -20,7 +22,8 @@
 
   private final EmbeddedChannel channel = new EmbeddedChannel();
   private final ConnectionPool pool =
-      new ConnectionPool(channel.eventLoop(), ADDRESS, 100, address -> {});
+      new ConnectionPool(
+          channel.eventLoop(), ADDRESS, 100, address -> {}, new HeadCheck(List.of()));
   private final HttpConnection connection = new HttpConnection(pool);
 
   /** Pauses reading with the first bytes of the body, as for a caller who reads slowly. */
@@ -32,6 +35,11 @@
       return true;
     }
 
+    @Override
+    public void malformedHeadReceived(MalformedHead head) {
+      throw new AssertionError(head);
+    }
+
     @Override
     public void contentReceived(ByteBuf bytes) {
       connection.setReading(false);
--- a/gateway/src/test/java/org/pollenrock/gateway/NoServerProtocol.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/NoServerProtocol.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
 import org.pollenrock.core.fleet.ServerNotice;
 import org.pollenrock.core.ratelimit.RateNotice;
 
@@ -12,6 +13,11 @@
     throw new IllegalStateException("no request is sent");
   }
 
+  @Override
+  public List<String> identifyingHeaders() {
+    return List.of();
+  }
+
   @Override
   public ServerResponseMetadata decode(HttpResponse response) {
     throw new IllegalStateException("no response is received");
