Let servers of the soak begin responses twice

The option has a random sequence of its own, so that the schedules of the known seeds stay as they are. The settings of a run are a record now; the seeds in SoakRunTest play as before.

--- a/soak/src/main/java/org/pollenrock/soak/SoakCommand.java
+++ b/soak/src/main/java/org/pollenrock/soak/SoakCommand.java
@@ -34,6 +34,9 @@
   @Option(names = "--returns", description = "Lets the store come back from older copies.")
   private boolean returns;
 
+  @Option(names = "--spoiled-heads", description = "Lets servers begin responses twice.")
+  private boolean spoiledHeads;
+
   @Option(names = "--logs", description = "Folder for the logs of the processes.")
   private Path logs = Path.of("soak", "target", "soak");
 
@@ -55,7 +58,9 @@
     boolean broken = false;
     for (long next = seed; next < seed + seeds; next++) {
       Path directory = Files.createDirectories(logs.resolve("seed-" + next));
-      SoakReport report = new SoakRun(next, seconds, gateways, returns, directory).play();
+      SoakReport report =
+          new SoakRun(new SoakSettings(next, seconds, gateways, returns, spoiledHeads), directory)
+              .play();
       out.print(report.text());
       out.flush();
       broken |= !report.violations().isEmpty();
--- a/soak/src/main/java/org/pollenrock/soak/SoakRun.java
+++ b/soak/src/main/java/org/pollenrock/soak/SoakRun.java
@@ -41,9 +41,7 @@
   private static final Pattern VERSION =
       Pattern.compile("^pollenrock_config_version (\\S+)", Pattern.MULTILINE);
 
-  private final long seed;
-  private final int seconds;
-  private final boolean returns;
+  private final SoakSettings settings;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private final KeyedStoreStandin store = new KeyedStoreStandin(group);
@@ -56,11 +54,9 @@
   private long version = 1;
   private long weights = 1;
 
-  SoakRun(long seed, int seconds, int gatewayCount, boolean returns, Path directory) {
-    this.seed = seed;
-    this.seconds = seconds;
-    this.returns = returns;
-    for (int i = 1; i <= gatewayCount; i++) {
+  SoakRun(SoakSettings settings, Path directory) {
+    this.settings = settings;
+    for (int i = 1; i <= settings.gateways(); i++) {
       gateways.add(new GatewayProcess(i, directory, group, store));
     }
     for (int i = 1; i <= PLAIN_SERVERS; i++) {
@@ -83,8 +79,8 @@
     gateways.forEach(GatewayProcess::open);
     try {
       awaitService("start");
-      SplittableRandom random = new SplittableRandom(seed);
-      long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+      SplittableRandom random = new SplittableRandom(settings.seed());
+      long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(settings.seconds());
       List<Thread> threads = new ArrayList<>();
       for (GatewayProcess gateway : gateways) {
         for (int i = 0; i < CALLERS_PER_GATEWAY; i++) {
@@ -97,12 +93,17 @@
         SplittableRandom own = random.split();
         threads.add(Thread.ofPlatform().daemon().start(() -> faults(own, end)));
       }
-      if (returns) {
+      if (settings.returns()) {
         StoreReturns storeReturns =
             new StoreReturns(store, servers, this::changeAll, this::writeAgain, this::tell);
         SplittableRandom own = random.split();
         threads.add(Thread.ofPlatform().daemon().start(() -> storeReturns.play(own, end)));
       }
+      if (settings.spoiledHeads()) {
+        SpoiledHeads spoiledHeads = new SpoiledHeads(servers, this::tell);
+        SplittableRandom own = random.split();
+        threads.add(Thread.ofPlatform().daemon().start(() -> spoiledHeads.play(own, end)));
+      }
       while (System.nanoTime() - end < 0) {
         TimeUnit.MILLISECONDS.sleep(CHECK_MILLIS);
         look();
@@ -126,7 +127,7 @@
     List<Violation> violations = record.check();
     synchronized (story) {
       return new SoakReport(
-          seed,
+          settings.seed(),
           violations,
           record.count(Outcome.End.COMPLETED),
           record.count(Outcome.End.REFUSED_NOT_RUN),
@@ -176,7 +177,10 @@
     for (GatewayProcess gateway : gateways) {
       SoakCaller caller =
           new SoakCaller(
-              gateway.name() + after.charAt(0), gateway, record, new SplittableRandom(seed));
+              gateway.name() + after.charAt(0),
+              gateway,
+              record,
+              new SplittableRandom(settings.seed()));
       long give = System.nanoTime() + TimeUnit.SECONDS.toNanos(RECOVERY_SECONDS);
       int right = 0;
       while (right < RIGHT_IN_A_ROW && System.nanoTime() - give < 0) {
--- a/soak/src/main/java/org/pollenrock/soak/SoakServer.java
+++ b/soak/src/main/java/org/pollenrock/soak/SoakServer.java
@@ -53,6 +53,7 @@
   private volatile boolean loading;
   private volatile boolean losesAnswers;
   private volatile boolean strayAnswers;
+  private volatile boolean spoilsHeads;
 
   SoakServer(
       String name,
@@ -69,6 +70,10 @@
     this.link = new LinkRelay(group, server::address, Duration.ZERO);
   }
 
+  String name() {
+    return name;
+  }
+
   LinkRelay link() {
     return link;
   }
@@ -136,6 +141,10 @@
     strayAnswers = stray;
   }
 
+  void spoilsHeads(boolean spoils) {
+    spoilsHeads = spoils;
+  }
+
   boolean engine() {
     return service.equals(SoakPlan.ENGINES);
   }
@@ -218,6 +227,10 @@
       exchange.abort();
       return;
     }
+    if (spoilsHeads) {
+      answerAfterBeginOfAnother(exchange, attempt);
+      return;
+    }
     if (!engine()) {
       answer(exchange, attempt, SoakPlan.plainBody(attempt));
       return;
@@ -237,6 +250,29 @@
     stream(exchange, attempt, last.isEmpty() ? 1 : Integer.parseInt(last) + 1);
   }
 
+  /**
+   * Writes the begin of a success and then a failure, or the begin of a refusal and then a success.
+   * The place of the cut and the kind follow from the attempt.
+   */
+  private void answerAfterBeginOfAnother(StandinExchange exchange, String attempt) {
+    int choice = attempt.hashCode() >>> 1;
+    boolean failure = choice % 2 == 0;
+    String begin =
+        failure
+            ? "HTTP/1.1 200 OK\r\nDate: Sat, 05 Dec\r\nContent-Type: text/plain\r\n"
+            : "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Type: text/plain\r\n";
+    exchange.bytes(begin.substring(0, choice / 2 % (begin.length() + 1)));
+    if (failure) {
+      exchange.respond(
+          500,
+          Map.of("Attempt-Id", attempt, "Response-Stamp", id),
+          "text/plain",
+          "failed".getBytes(StandardCharsets.UTF_8));
+    } else {
+      answer(exchange, attempt, SoakPlan.plainBody(attempt));
+    }
+  }
+
   private void stream(StandinExchange exchange, String attempt, int event) {
     if (!exchange.open()) {
       return;
--- a/soak/src/test/java/org/pollenrock/soak/SoakRunTest.java
+++ b/soak/src/test/java/org/pollenrock/soak/SoakRunTest.java
@@ -37,7 +37,8 @@
 
   private void play(long seed, int seconds, int gateways, boolean returns) throws Exception {
     System.out.println("soak seed " + seed);
-    SoakReport report = new SoakRun(seed, seconds, gateways, returns, directory).play();
+    SoakReport report =
+        new SoakRun(new SoakSettings(seed, seconds, gateways, returns, false), directory).play();
     assertThat(report.violations()).as(report.text()).isEmpty();
     assertThat(report.completed()).isPositive();
   }
--- a/standin/src/main/java/org/pollenrock/standin/http/StandinExchange.java
+++ b/standin/src/main/java/org/pollenrock/standin/http/StandinExchange.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
@@ -85,6 +86,19 @@
     write(new DefaultLastHttpContent(), !keepAlive);
   }
 
+  /**
+   * Sends bytes that are not part of any answer; allowed only while no answer has begun.
+   *
+   * @param text the bytes
+   */
+  public void bytes(String text) {
+    // The codec accepts no bytes before a head, so they are written below it.
+    channel
+        .pipeline()
+        .context(HttpServerCodec.class)
+        .writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+  }
+
   /** Closes the connection without ending the answer. */
   public void abort() {
     channel.close();
