Fail requests whose response head begins twice

Callers got a success where the server had answered with a failure, and responses with a header line "HTTP/1.1: ". A server in trouble writes the first bytes of a response and then its true one; the decoder takes both as one head, with the status of the first and the identifier of the second. As a refusal, such a head made a request that must run once be sent again.

A head with a fault that HeadCheck finds, and a trailer section with one, now ends the connection and fails the request as broken, so that nothing in it is used: status, identity, notices, load, weights version, keep-alive.

--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -16,6 +17,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
+import org.pollenrock.core.response.HeadFault;
 
 /**
  * Client side of an HTTP connection, which carries one request at a time.
@@ -34,7 +37,7 @@
      */
     boolean headReceived(HttpResponse response);
 
-    /** Called before a head is passed on that is not that of one response. */
+    /** Called when a head is not that of one response, before the request fails. */
     void malformedHeadReceived(MalformedHead head);
 
     /** Called when bytes of the body have arrived; they are valid only during the call. */
@@ -213,13 +216,18 @@
   }
 
   private void handleHead(HttpResponse response) {
-    pool.headCheck()
-        .find(
-            response.status().code(),
-            response.status().reasonPhrase(),
-            response.headers().iteratorCharSequence())
-        .map(fault -> MalformedHead.of(fault, response, requestCount - 1, skippedResponses))
-        .ifPresent(listener::malformedHeadReceived);
+    Optional<HeadFault> fault =
+        pool.headCheck()
+            .find(
+                response.status().code(),
+                response.status().reasonPhrase(),
+                response.headers().iteratorCharSequence());
+    if (fault.isPresent()) {
+      listener.malformedHeadReceived(
+          MalformedHead.of(fault.get(), response, requestCount - 1, skippedResponses));
+      fail(new CorruptedFrameException("malformed head: " + fault.get()));
+      return;
+    }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       skippedResponses++;
       skippingResponse = true;
@@ -251,6 +259,14 @@
     if (lastContent && exceptionSeen) {
       return;
     }
+    if (content instanceof LastHttpContent end) {
+      Optional<HeadFault> fault =
+          pool.headCheck().findInFields(end.trailingHeaders().iteratorCharSequence());
+      if (fault.isPresent()) {
+        fail(new CorruptedFrameException("malformed trailer: " + fault.get()));
+        return;
+      }
+    }
     if (content.content().isReadable()) {
       listener.contentReceived(content.content());
     }
