Fail requests whose body takes its end from another response

Callers got a success whose body ended with bytes of the server's true failure, events of a stream that were the head of another response, or no result until the deadline; a refusal with such a body made a request that must run once be sent up to 6 times. A server breaks off a response in its body and then writes another one, and the length of the first takes the bytes of the second.

ResponseDecoder, in place of HttpClientCodec's decoder, withholds the part of a body from which a status line begins. The delimiter of a chunk proves its end. A body with a length is broken if bytes follow its end in the same read, unless they are exactly a second response, or if the identifier of the request follows as a field. Bodies that quote a head are passed on, events at the end of their chunk. A refusal stands only if the connection ends behind it, not if its body is invalid. Bytes after the end of a response close the connection, also those that are no message yet: the decoder kept them as the begin of the next response.

--- a/core/src/main/java/org/pollenrock/core/response/HeadCheck.java
+++ b/core/src/main/java/org/pollenrock/core/response/HeadCheck.java
@@ -20,7 +20,12 @@
 
   private static final String TRANSFER_ENCODING = "transfer-encoding";
   private static final String CHUNKED = "chunked";
-  private static final String PROTOCOL = "HTTP/";
+  private static final char ANY_DIGIT = '0';
+  private static final String STATUS_LINE_PATTERN = "HTTP/0.0 000";
+
+  /** Length of a status line without its reason phrase, in bytes. */
+  static final int STATUS_LINE_LENGTH = STATUS_LINE_PATTERN.length();
+
   private static final int MIN_STATUS = 100;
   private static final int SWITCHING_PROTOCOLS = 101;
   private static final int MAX_STATUS = 599;
@@ -100,29 +105,32 @@
    * @return the position; negative if there is none
    */
   public static int statusLinePosition(CharSequence text, int from) {
-    int last = text.length() - "HTTP/1.1 200".length();
+    int last = text.length() - STATUS_LINE_LENGTH;
     for (int position = from; position <= last; position++) {
-      if (text.charAt(position) == 'H' && isStatusLine(text, position)) {
+      if (isPartOfStatusLine(text, position)) {
         return position;
       }
     }
     return -1;
   }
 
-  private static boolean isStatusLine(CharSequence text, int start) {
-    for (int i = 1; i < PROTOCOL.length(); i++) {
-      if (text.charAt(start + i) != PROTOCOL.charAt(i)) {
+  /**
+   * Returns whether a text from a position on is a status line, as far as the text goes.
+   *
+   * @param text the text
+   * @param start the position
+   * @return whether the text there is the begin of a status line or begins with one
+   */
+  static boolean isPartOfStatusLine(CharSequence text, int start) {
+    int length = Math.min(text.length() - start, STATUS_LINE_LENGTH);
+    for (int i = 0; i < length; i++) {
+      char expected = STATUS_LINE_PATTERN.charAt(i);
+      char next = text.charAt(start + i);
+      if (expected == ANY_DIGIT ? !isDigit(next) : next != expected) {
         return false;
       }
     }
-    int version = start + PROTOCOL.length();
-    return isDigit(text.charAt(version))
-        && text.charAt(version + 1) == '.'
-        && isDigit(text.charAt(version + 2))
-        && text.charAt(version + 3) == ' '
-        && isDigit(text.charAt(version + 4))
-        && isDigit(text.charAt(version + 5))
-        && isDigit(text.charAt(version + 6));
+    return true;
   }
 
   private static Optional<HeadFault> findInText(CharSequence text) {
--- a/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
@@ -7,8 +7,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -37,7 +37,8 @@
    */
   private static final double FRESH_IDLE_FRACTION = 0.4;
 
-  private static final HttpDecoderConfig DECODER =
+  /** Configuration of the decoders of responses. */
+  static final HttpDecoderConfig DECODER =
       new HttpDecoderConfig()
           .setMaxHeaderSize(32_768)
           .setMaxChunkSize(65_536)
@@ -171,7 +172,8 @@
                     channel
                         .pipeline()
                         .addLast(connection.byteCounter())
-                        .addLast(new HttpClientCodec(DECODER, false, false))
+                        .addLast(connection.decoder())
+                        .addLast(new HttpRequestEncoder())
                         .addLast(connection);
                   }
                 })
--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -6,10 +6,10 @@
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -37,6 +37,11 @@
      */
     boolean headReceived(HttpResponse response);
 
+    /** Returns the identifier that responses to the request carry; empty if none. */
+    default String requestId() {
+      return "";
+    }
+
     /** Called when a head is not that of one response, before the request fails. */
     void malformedHeadReceived(MalformedHead head);
 
@@ -62,6 +67,7 @@
   private static final int MAX_SKIPPED_BYTES = 8 << 20;
 
   private final ConnectionPool pool;
+  private final ResponseDecoder decoder = new ResponseDecoder(ConnectionPool.DECODER);
   private long skippedBytes;
   private long requestCount;
   private long skippedResponses;
@@ -95,6 +101,7 @@
     skippingResponse = false;
     requestWritten = false;
     responseComplete = false;
+    decoder.expectResponse(request.method().equals(HttpMethod.HEAD), newListener.requestId());
     channel
         .writeAndFlush(request)
         .addListener(
@@ -127,6 +134,11 @@
     };
   }
 
+  /** Returns the decoder of the responses on this connection. */
+  ChannelInboundHandler decoder() {
+    return decoder;
+  }
+
   /** Gives up the request and closes the connection, without notifying the listener. */
   void abandon() {
     listener = null;
@@ -191,7 +203,7 @@
   public void channelReadComplete(ChannelHandlerContext context) {
     if (responseComplete && listener != null) {
       listener = null;
-      if (closing || !requestWritten || !channel.isActive()) {
+      if (closing || !requestWritten || !channel.isActive() || decoder.hasBytesOfNextResponse()) {
         close();
         return;
       }
@@ -199,6 +211,10 @@
       setReading(true);
       idleSinceNanos = System.nanoTime();
       pool.returnIdle(this);
+    } else if (listener == null && isUsable() && decoder.hasBytesOfNextResponse()) {
+      // They would become the begin of the response to the next request.
+      pool.reportStrayBytes();
+      close();
     }
   }
 
@@ -225,7 +241,7 @@
     if (fault.isPresent()) {
       listener.malformedHeadReceived(
           MalformedHead.of(fault.get(), response, requestCount - 1, skippedResponses));
-      fail(new CorruptedFrameException("malformed head: " + fault.get()));
+      fail(new MixedResponseException("malformed head: " + fault.get()));
       return;
     }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -263,7 +279,7 @@
       Optional<HeadFault> fault =
           pool.headCheck().findInFields(end.trailingHeaders().iteratorCharSequence());
       if (fault.isPresent()) {
-        fail(new CorruptedFrameException("malformed trailer: " + fault.get()));
+        fail(new MixedResponseException("malformed trailer: " + fault.get()));
         return;
       }
     }
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.PrematureChannelClosureException;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -70,6 +69,7 @@
   private boolean identified;
 
   private final SilenceCheck silenceCheck;
+  private final SendLog sendLog;
 
   ServerSend(
       GatewayComponents components,
@@ -86,6 +86,7 @@
     this.request = request;
     this.route = route;
     this.context = context;
+    this.sendLog = new SendLog(components, request.id(), backend.entry());
     this.silenceCheck =
         new SilenceCheck(
             components, backend, request.targetLatencyMillis(), this::replaceSilentServer);
@@ -196,27 +197,12 @@
     components.reachability().recordReceived(backend);
     ServerResponseMetadata metadata = components.serverProtocol().decode(response);
     if (!metadata.requestId().isEmpty() && !metadata.requestId().equals(request.id())) {
-      components.metrics().recordForeignResponse();
-      components
-          .log()
-          .line("foreign_answer")
-          .with("id", request.id())
-          .with("server", backend.entry().id())
-          .with("answer_to", metadata.requestId())
-          .write();
+      sendLog.foreignResponse(metadata.requestId());
       return false;
     }
     components.serverGate().recordResponse(backend, response.status().code(), response.headers());
     identified = !metadata.requestId().isEmpty();
-    if (!metadata.unreadableHeaders().isEmpty()) {
-      components
-          .log()
-          .line("answer_headers_unreadable")
-          .with("id", request.id())
-          .with("server", backend.entry().id())
-          .with("headers", String.join(",", metadata.unreadableHeaders()))
-          .write();
-    }
+    sendLog.unreadableHeaders(metadata.unreadableHeaders());
     metadata.load().ifPresent(load -> backend.recordLoad(load, now));
     boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
     if (metadata.misdirected()) {
@@ -248,10 +234,14 @@
     return true;
   }
 
+  @Override
+  public String requestId() {
+    return request.id();
+  }
+
   @Override
   public void malformedHeadReceived(MalformedHead malformed) {
-    components.metrics().recordMalformedHead(malformed.fault());
-    malformed.log(components.log(), request.id(), backend.entry().id(), backend.entry().address());
+    sendLog.malformedHead(malformed);
   }
 
   @Override
@@ -320,7 +310,8 @@
     if (closed) {
       return;
     }
-    switch (mode) {
+    // A refusal is not believed if its body contains another response.
+    switch (isConnectionLoss(cause) ? mode : Mode.AWAITING) {
       case REFUSED -> handleRefusal();
       case MISPLACED -> fail(SendFailure.MISPLACED, "another server runs at the address");
       case OTHER_WEIGHTS -> fail(SendFailure.OTHER_WEIGHTS, "server has another weights version");
@@ -446,7 +437,7 @@
     if (refusalBytes > MAX_REFUSAL_BODY_BYTES) {
       connection.abandon();
       recordOutcome(false);
-      requestFailed(new TooLongFrameException("refusal of over " + MAX_REFUSAL_BODY_BYTES));
+      requestFailed(new IOException("refusal of over " + MAX_REFUSAL_BODY_BYTES));
     }
   }
 
