Test that calls without identifier never get two responses as one

HttpConnectionTest cuts the response to a call to the store or a server before each byte, followed by a whole other response or by the end of the connection, and passes a body on that quotes a head.

--- a/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
@@ -70,4 +71,86 @@
     assertThat(connection.isUsable()).isTrue();
     assertThat(channel.config().isAutoRead()).isTrue();
   }
+
+  /** Collects the outcome of a call to a service whose responses name no request. */
+  private static final class CollectingListener implements HttpConnection.Listener {
+    private final StringBuilder body = new StringBuilder();
+    private int status;
+    private boolean ended;
+    private boolean failed;
+
+    @Override
+    public boolean headReceived(HttpResponse response) {
+      status = response.status().code();
+      return true;
+    }
+
+    @Override
+    public void malformedHeadReceived(MalformedHead head) {
+      assertThat(failed).isFalse();
+    }
+
+    @Override
+    public void contentReceived(ByteBuf bytes) {
+      body.append(bytes.toString(US_ASCII));
+    }
+
+    @Override
+    public boolean responseEnded() {
+      ended = true;
+      return true;
+    }
+
+    @Override
+    public void requestFailed(Throwable cause) {
+      failed = true;
+    }
+  }
+
+  private static CollectingListener receive(String... reads) {
+    EmbeddedChannel calls = new EmbeddedChannel();
+    HttpConnection call =
+        new HttpConnection(
+            new ConnectionPool(
+                calls.eventLoop(), ADDRESS, 100, address -> {}, new HeadCheck(List.of())));
+    calls.pipeline().addLast(call.decoder()).addLast(new HttpRequestEncoder()).addLast(call);
+    CollectingListener listener = new CollectingListener();
+    call.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), listener);
+    for (String read : reads) {
+      calls.writeInbound(Unpooled.copiedBuffer(read, US_ASCII));
+    }
+    calls.finishAndReleaseAll();
+    return listener;
+  }
+
+  /** A response without identifier, as of the store or to a probe, that is begun twice. */
+  @Test
+  void responseBegunTwiceIsNeverTheResultOfACall() {
+    String begun = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n0123456789ab";
+    String second = "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy";
+    for (int cut = 1; cut < begun.length(); cut++) {
+      for (String[] reads :
+          List.of(
+              new String[] {begun.substring(0, cut) + second},
+              new String[] {begun.substring(0, cut), second},
+              new String[] {begun.substring(0, cut)})) {
+        CollectingListener result = receive(reads);
+        assertThat(result.failed).as("cut %s", cut).isTrue();
+        assertThat(result.ended).as("cut %s", cut).isFalse();
+      }
+    }
+  }
+
+  /** Records of the store may contain anything, also at the end of a page. */
+  @Test
+  void bodyThatQuotesAResponseIsReceivedWhole() {
+    String page = "record HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 20";
+    String text = "HTTP/1.1 200 OK\r\nContent-Length: " + page.length() + "\r\n\r\n" + page;
+    for (int cut = 1; cut < text.length(); cut++) {
+      CollectingListener result = receive(text.substring(0, cut), text.substring(cut));
+      assertThat(result.status).isEqualTo(200);
+      assertThat(result.ended).as("cut %s", cut).isTrue();
+      assertThat(result.body).hasToString(page);
+    }
+  }
 }
