Believe only identified responses after one to another request

A server that writes copies of earlier responses may write several. After a skipped copy, a refusal without identifier on the same connection was believed, although it may be a copy too; the request, which must run once, was then sent again. And the connection was reused, so that further copies came where a later response was due.

After a response to another request, only a response that names the request is credible; any other counts as unknown. The connection is closed after the response. The price is a new connection for each foreign_answer (pollenrock_foreign_answers).

--- a/core/src/main/java/org/pollenrock/core/dispatch/ConnectionReuse.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/ConnectionReuse.java
@@ -16,9 +16,22 @@
    *
    * @param identified whether the response names the request that it belongs to
    * @param concluded whether the request has its final result, so that it is not sent again
-   * @return false if a copy of the response could be mistaken for the response to a later request
+   * @param foreignSeen whether the connection has carried a response to another request
+   * @return false if a copy of the response could be mistaken for the response to a later request,
+   *     or if further copies may follow
    */
-  public static boolean isAllowed(boolean identified, boolean concluded) {
-    return identified && concluded;
+  public static boolean isAllowed(boolean identified, boolean concluded, boolean foreignSeen) {
+    return identified && concluded && !foreignSeen;
+  }
+
+  /**
+   * Returns whether a response may be taken as that to the request on its connection.
+   *
+   * @param identified whether the response names the request
+   * @param foreignSeen whether the connection has carried a response to another request before
+   * @return false if the response may be a copy of the response to another request
+   */
+  public static boolean isCredible(boolean identified, boolean foreignSeen) {
+    return identified || !foreignSeen;
   }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -68,6 +68,9 @@
   /** Whether the response names the request. */
   private boolean identified;
 
+  /** Whether the connection has carried a response to another request during the send. */
+  private boolean foreignSeen;
+
   private final SilenceCheck silenceCheck;
   private final SendLog sendLog;
 
@@ -198,10 +201,15 @@
     ServerResponseMetadata metadata = components.serverProtocol().decode(response);
     if (!metadata.requestId().isEmpty() && !metadata.requestId().equals(request.id())) {
       sendLog.foreignResponse(metadata.requestId());
+      foreignSeen = true;
       return false;
     }
-    components.serverGate().recordResponse(backend, response.status().code(), response.headers());
     identified = !metadata.requestId().isEmpty();
+    if (!ConnectionReuse.isCredible(identified, foreignSeen)) {
+      failInvalid("response without request id after one to another request");
+      return true;
+    }
+    components.serverGate().recordResponse(backend, response.status().code(), response.headers());
     sendLog.unreadableHeaders(metadata.unreadableHeaders());
     metadata.load().ifPresent(load -> backend.recordLoad(load, now));
     boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
@@ -269,7 +277,7 @@
     if (!closed) {
       concludeResponse();
     }
-    return ConnectionReuse.isAllowed(identified, owner.isConcluded());
+    return ConnectionReuse.isAllowed(identified, owner.isConcluded(), foreignSeen);
   }
 
   private void concludeResponse() {
