Ask before each send whether the response can arrive before the stop

Cause: until 2.6 s after SIGTERM nothing but a flag decided about new requests, and nothing about waiting requests, resends, resumed streams and replacements of silent servers.

Change: the dispatcher, through which every send passes, asks a StopPlan. A non-repeatable request needs its whole time (timeout of the route or deadline of the caller) before the end. For repeatable ones, whose callers can send them again, the usual time of the service counts, if it is shorter: twice the 99th percentile of recent responses, known after 100. The timeout alone would refuse all streams of 12 to 15 s from SIGTERM on, though nearly all end within 2 s. What is refused has not run; Retry-After is 20 ms if there are other instances.

--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
@@ -18,6 +19,9 @@
  * can't be served.
  */
 public final class Dispatcher {
+  /** Retry-After of a request that was refused before it was dispatched, in milliseconds. */
+  private static final long EARLY_RETRY_AFTER_MILLIS = 300;
+
   private final Fleet fleet;
   private final ServerSelector selector;
   private final WeightsTargets weightsTargets;
@@ -27,7 +31,9 @@
   private final long processStartNanos;
   private final Map<String, DispatchQueue> queues = new HashMap<>();
   private final Map<String, RetryAllowance> retryAllowances = new HashMap<>();
+  private final Map<String, ResponseTimes> responseTimes = new HashMap<>();
   private int instanceCount;
+  private Optional<StopPlan> stopPlan = Optional.empty();
 
   /**
    * Creates a dispatcher, which assumes many instances until their number is set.
@@ -70,6 +76,9 @@
     if (isQuarantined(request, nowNanos)) {
       return new DispatchResult.Refused(DispatchResult.Cause.QUARANTINED);
     }
+    if (isTooLateToSend(request, nowNanos)) {
+      return new DispatchResult.Refused(DispatchResult.Cause.STOPPING);
+    }
     return dispatch(request, Set.of(), nowNanos);
   }
 
@@ -87,6 +96,9 @@
     if (isQuarantined(request, nowNanos)) {
       return new DispatchResult.Refused(DispatchResult.Cause.QUARANTINED);
     }
+    if (isTooLateToSend(request, nowNanos)) {
+      return new DispatchResult.Refused(DispatchResult.Cause.STOPPING);
+    }
     if (chargeRetryBudget && !retryAllowance(request.service()).tryResend(nowNanos)) {
       return new DispatchResult.Refused(DispatchResult.Cause.RETRY_BUDGET);
     }
@@ -106,7 +118,9 @@
   public Optional<Selection.Chosen> claimReplacement(
       DispatchRequest request, Set<String> triedServers, long nowNanos) {
     RetryAllowance allowance = retryAllowance(request.service());
-    if (isQuarantined(request, nowNanos) || allowance.remainingResends(nowNanos) == 0) {
+    if (isQuarantined(request, nowNanos)
+        || isTooLateToSend(request, nowNanos)
+        || allowance.remainingResends(nowNanos) == 0) {
       return Optional.empty();
     }
     List<Backend> untried =
@@ -179,6 +193,22 @@
     return queue.removeIf(entry -> isQuarantined(entry.request(), nowNanos));
   }
 
+  /**
+   * Removes the waiting requests of a service whose responses might not be complete before this
+   * instance stops.
+   *
+   * @param service name of the service
+   * @param nowNanos current time
+   * @return the removed entries, whose requests the caller of this method has to refuse
+   */
+  public List<QueueEntry> removeTooLate(String service, long nowNanos) {
+    DispatchQueue queue = queues.get(service);
+    if (queue == null || queue.size() == 0 || stopPlan.isEmpty()) {
+      return List.of();
+    }
+    return queue.removeIf(entry -> isTooLateToSend(entry.request(), nowNanos));
+  }
+
   /**
    * Removes the waiting requests of a service that no server may take, because all that could have
    * named request rates that are used up or have asked for a pause.
@@ -229,6 +259,25 @@
         : DispatchResult.Cause.RATE_LIMITED;
   }
 
+  /**
+   * Returns the delay after which a refused caller should retry. While this instance stops, others
+   * can serve the caller at once; if there are none, it can't tell when it is back.
+   *
+   * @param request the request; empty if it was refused before it was dispatched
+   * @param cause reason for the refusal
+   * @param nowNanos current time
+   * @return delay in milliseconds, at least 1
+   */
+  public long retryAfterMillis(
+      Optional<DispatchRequest> request, DispatchResult.Cause cause, long nowNanos) {
+    if (cause == DispatchResult.Cause.STOPPING && instanceCount > 1) {
+      return StopPlan.RETRY_AFTER_MILLIS;
+    }
+    return request
+        .map(dispatched -> retryAfterMillis(dispatched, nowNanos))
+        .orElse(EARLY_RETRY_AFTER_MILLIS);
+  }
+
   /**
    * Returns the delay after which a refused caller should retry: no sooner than a server accepts
    * requests, if all that could take the request have asked for a pause.
@@ -248,6 +297,28 @@
     return holdNanos == 0 ? usual : AdmissionPolicy.afterHoldMillis(request, holdNanos);
   }
 
+  /**
+   * Limits all further sends, also of waiting requests and after failed sends, to those whose
+   * responses are expected before this instance stops.
+   *
+   * @param plan the times of the stop
+   */
+  public void planStop(StopPlan plan) {
+    stopPlan = Optional.of(plan);
+  }
+
+  /**
+   * Records that a request has its complete response.
+   *
+   * @param request the request
+   * @param nowNanos current time
+   */
+  public void recordCompletion(DispatchRequest request, long nowNanos) {
+    responseTimes
+        .computeIfAbsent(request.service(), service -> new ResponseTimes())
+        .record(nowNanos - request.arrivalNanos());
+  }
+
   /**
    * Returns the number of instances that share budgets and trial requests.
    *
@@ -316,6 +387,15 @@
         .orElse(0);
   }
 
+  private boolean isTooLateToSend(DispatchRequest request, long nowNanos) {
+    if (stopPlan.isEmpty()) {
+      return false;
+    }
+    ResponseTimes times = responseTimes.get(request.service());
+    OptionalLong usualNanos = times == null ? OptionalLong.empty() : times.upperBoundNanos();
+    return !stopPlan.get().permitsSend(request, usualNanos, nowNanos);
+  }
+
   private boolean isQuarantined(DispatchRequest request, long nowNanos) {
     return request.prompt().isPresent()
         && quarantine.isQuarantined(request.prompt().get(), nowNanos);
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -39,9 +39,6 @@
   /** Minimum time left until the deadline for a request to be sent again. */
   private static final long MIN_RESEND_NANOS = 30_000_000L;
 
-  /** Retry-After of a request that was refused before it reached the dispatcher. */
-  private static final long EARLY_RETRY_AFTER_MILLIS = 300;
-
   private final GatewayComponents components;
   private final HttpRequest head;
   private final ByteBuf body;
@@ -388,9 +385,9 @@
     }
     components.metrics().recordRefusal(cause);
     long retryAfterMillis =
-        request == null
-            ? EARLY_RETRY_AFTER_MILLIS
-            : components.dispatcher().retryAfterMillis(request, System.nanoTime());
+        components
+            .dispatcher()
+            .retryAfterMillis(Optional.ofNullable(request), cause, System.nanoTime());
     HttpHeaders headers = CallerConnection.emptyHeaders();
     headers.set(
         HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterMillis / 1000.0));
--- a/gateway/src/main/java/org/pollenrock/gateway/QueuedExchanges.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QueuedExchanges.java
@@ -28,14 +28,17 @@
 
   /**
    * Sends the waiting requests of a service that a server can take now. Refuses quarantined ones,
-   * those for which all servers are at their rates or want a pause, and all if the service has no
-   * server any more.
+   * those for which all servers are at their rates or want a pause, those that may outlast this
+   * instance, and all if the service has no server any more.
    */
   void dispatchWaiting(String service) {
     long now = System.nanoTime();
     for (QueueEntry quarantined : dispatcher.removeQuarantined(service, now)) {
       exchanges.remove(quarantined).refuseFromQueue(DispatchResult.Cause.QUARANTINED);
     }
+    for (QueueEntry tooLate : dispatcher.removeTooLate(service, now)) {
+      exchanges.remove(tooLate).refuseFromQueue(DispatchResult.Cause.STOPPING);
+    }
     for (QueueEntry unserved : dispatcher.removeUnserved(service)) {
       exchanges.remove(unserved).refuseFromQueue(DispatchResult.Cause.NO_SERVER);
     }
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -339,6 +339,9 @@
    */
   void recordComplete() {
     boolean success = responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
+    if (success) {
+      components.dispatcher().recordCompletion(request, System.nanoTime());
+    }
     if (success && request.prompt().isPresent()) {
       components
           .reachability()
