Answer the requests that are in progress when a stop ends

Cause: the shutdown exited 0.2 s before the end whatever was in progress.

Change: 0.8 s before the end the instance answers for itself: 503 to what was not sent, 504 to what was, and a stream that has begun is broken off.

--- a/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
@@ -29,7 +29,10 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import org.pollenrock.core.dispatch.DispatchResult;
+import org.pollenrock.core.dispatch.StopPlan;
 
 /** Server side of a connection of a caller, which receives and answers its requests in sequence. */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerResponse {
@@ -42,6 +45,10 @@
   /** Time for which the rest of a rejected request is read and discarded. */
   private static final long REJECT_LINGER_MILLIS = 500;
 
+  /** Retry-After of requests that the connection itself refuses, in seconds. */
+  private static final String RETRY_AFTER =
+      String.format(Locale.ROOT, "%.3f", StopPlan.RETRY_AFTER_MILLIS / 1000.0);
+
   private final CallerListener listener;
   private final Deque<HttpObject> pendingMessages = new ArrayDeque<>();
   private Channel channel;
@@ -130,6 +137,15 @@
     return exchange != null || reading || unwrittenResponses > 0 || !pendingMessages.isEmpty();
   }
 
+  /** Answers the request that is being received or processed, without waiting any longer. */
+  void answer() {
+    if (exchange != null) {
+      exchange.end("stopping", DispatchResult.Cause.STOPPING);
+    } else if (reading && !closing) {
+      reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping");
+    }
+  }
+
   /** Closes the connection unless it is busy. */
   void closeIfIdle() {
     if (!isBusy()) {
@@ -299,6 +315,9 @@
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+      response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER);
+    }
     channel.writeAndFlush(response);
     // Closing with unread bytes would reset the connection before the caller has read the response.
     channel
--- a/gateway/src/main/java/org/pollenrock/gateway/CallerListener.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerListener.java
@@ -64,6 +64,11 @@
     List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
   }
 
+  /** Answers all requests that are being received or processed. */
+  void answerAll() {
+    List.copyOf(connections).forEach(CallerConnection::answer);
+  }
+
   /** Closes the listening socket. */
   void stop() {
     channel.close();
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -329,12 +329,17 @@
   }
 
   private void expire() {
+    end("deadline", DispatchResult.Cause.WAITED);
+  }
+
+  /** Answers the request although it is still in progress, for a reason on this side. */
+  void end(String cause, DispatchResult.Cause refusal) {
     if (finished) {
       return;
     }
     if (queueEntry != null) {
       components.queuedExchanges().withdraw(queueEntry);
-      refuseFromQueue(DispatchResult.Cause.WAITED);
+      refuseFromQueue(refusal);
       return;
     }
     boolean sent = send != null && send.sent();
@@ -342,9 +347,9 @@
       send.cancel();
     }
     if (sent || progress.mayHaveRun()) {
-      replyFailed(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline");
+      replyFailed(HttpResponseStatus.GATEWAY_TIMEOUT, cause);
     } else {
-      refuse(DispatchResult.Cause.WAITED);
+      refuse(refusal);
     }
   }
 
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -179,6 +179,15 @@
     callerListener.closeIdle();
   }
 
+  /**
+   * Answers all requests that are being received or processed, as the process is about to exit.
+   * Those that were not sent are refused; of the others the outcome is unknown.
+   */
+  public void answerRequests() {
+    refusingRequests = true;
+    callerListener.answerAll();
+  }
+
   /**
    * Returns the number of connections on which a request is being received or processed.
    *
