Answer requests that cross the close of their connection in a stop

What callers saw: right after a response with Connection: close, and 2.6 s after SIGTERM on idle connections, the connection was closed while the next request was on the way, so that it got no response. A request that was pipelined behind the last one was dropped although it had been read.

Cause: the close followed the response at once, and idle connections were closed although their callers had been told nothing.

Change: after the response that announces the close the connection is read for another second, and what arrives is refused with 503, as not run; the caller usually closes first. Requests that were read before are served, and the last of their responses announces the close. Idle connections stay open and their next request is answered.

--- a/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
@@ -45,6 +45,12 @@
   /** Time for which the rest of a rejected request is read and discarded. */
   private static final long REJECT_LINGER_MILLIS = 500;
 
+  /**
+   * Time after the last response in which a request that the caller sent before it read that
+   * response is refused, instead of being lost with the connection.
+   */
+  private static final long CROSSING_MILLIS = 1_000;
+
   /** Retry-After of requests that the connection itself refuses, in seconds. */
   private static final String RETRY_AFTER =
       String.format(Locale.ROOT, "%.3f", StopPlan.RETRY_AFTER_MILLIS / 1000.0);
@@ -57,6 +63,11 @@
   private Exchange exchange;
   private boolean keepAlive;
   private boolean closing;
+
+  /** Whether a response has told the caller that this side will close the connection. */
+  private boolean closeAnnounced;
+
+  private boolean closeScheduled;
   private long readingSinceNanos;
   private long lastActiveNanos;
   private boolean reading;
@@ -82,6 +93,7 @@
   /** Records that bytes have arrived; called before they are decoded. */
   void recordBytesReceived() {
     lastActiveNanos = System.nanoTime();
+    listener.recordBytesReceived(lastActiveNanos);
     if (!reading && exchange == null) {
       reading = true;
       readingSinceNanos = lastActiveNanos;
@@ -132,9 +144,16 @@
     channel.close();
   }
 
-  /** Returns whether a request is being received or processed, or its response is being written. */
+  /**
+   * Returns whether a request is being received or processed, its response is being written, or
+   * another request may cross the last response.
+   */
   boolean isBusy() {
-    return exchange != null || reading || unwrittenResponses > 0 || !pendingMessages.isEmpty();
+    return exchange != null
+        || reading
+        || closeAnnounced
+        || unwrittenResponses > 0
+        || !pendingMessages.isEmpty();
   }
 
   /** Answers the request that is being received or processed, without waiting any longer. */
@@ -146,14 +165,6 @@
     }
   }
 
-  /** Closes the connection unless it is busy. */
-  void closeIfIdle() {
-    if (!isBusy()) {
-      closing = true;
-      channel.close();
-    }
-  }
-
   /** Enforces the time limits for a slow or idle caller. */
   void sweep(long now, long headerTimeoutNanos, long idleTimeoutNanos) {
     if (closing || exchange != null) {
@@ -273,12 +284,24 @@
       head = null;
       body = null;
       reading = false;
+      if (closeAnnounced) {
+        requestBody.release();
+        refuseCrossing();
+        return;
+      }
       Exchange created = listener.exchangeFactory().create(request, requestBody, this);
       exchange = created;
       listener.loopMonitor().runAfterInput(() -> runIfCallerConnected(created));
     }
   }
 
+  /** Refuses a request that the caller sent before it read that it should send no more. */
+  private void refuseCrossing() {
+    HttpHeaders headers = emptyHeaders();
+    headers.set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER);
+    sendFull(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER);
+  }
+
   private void runIfCallerConnected(Exchange created) {
     if (exchange == created) {
       created.run();
@@ -328,8 +351,9 @@
   }
 
   private void setConnectionHeader(HttpResponse response) {
-    if (!keepAlive || listener.isDraining()) {
-      keepAlive = false;
+    // Requests that were read already are answered before the connection closes.
+    closeAnnounced |= keepAlive && listener.isDraining() && pendingMessages.isEmpty();
+    if (!keepAlive || closeAnnounced) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
   }
@@ -345,11 +369,28 @@
       written.addListener(ChannelFutureListener.CLOSE);
       return;
     }
+    if (closeAnnounced && !closeScheduled) {
+      closeScheduled = true;
+      written.addListener(
+          done ->
+              channel
+                  .eventLoop()
+                  .schedule(this::closeAfterCrossing, CROSSING_MILLIS, TimeUnit.MILLISECONDS));
+    }
     if (!pendingMessages.isEmpty()) {
       channel.eventLoop().execute(this::acceptPending);
     }
   }
 
+  private void closeAfterCrossing() {
+    if (reading && !closing) {
+      reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping");
+    } else {
+      closing = true;
+      channel.close();
+    }
+  }
+
   private void handleWritten() {
     unwrittenResponses--;
     lastActiveNanos = System.nanoTime();
--- a/gateway/src/main/java/org/pollenrock/gateway/CallerListener.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerListener.java
@@ -33,6 +33,7 @@
   private final Set<CallerConnection> connections = new HashSet<>();
   private Channel channel;
   private boolean draining;
+  private long lastReceivedNanos = System.nanoTime();
 
   CallerListener(
       EventLoop loop,
@@ -59,16 +60,21 @@
     draining = true;
   }
 
-  /** Closes the connections without a current request. */
-  void closeIdle() {
-    List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
-  }
-
   /** Answers all requests that are being received or processed. */
   void answerAll() {
     List.copyOf(connections).forEach(CallerConnection::answer);
   }
 
+  /** Records that bytes have arrived on a connection. */
+  void recordBytesReceived(long nowNanos) {
+    lastReceivedNanos = nowNanos;
+  }
+
+  /** Returns the time at which bytes last arrived on any connection. */
+  long lastReceivedNanos() {
+    return lastReceivedNanos;
+  }
+
   /** Closes the listening socket. */
   void stop() {
     channel.close();
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -170,13 +170,9 @@
     callerListener.drain();
   }
 
-  /**
-   * Closes connections without a current request, and refuses all further requests, which might not
-   * be finished before the process stops.
-   */
+  /** Refuses all further requests. */
   public void refuseRequests() {
     refusingRequests = true;
-    callerListener.closeIdle();
   }
 
   /**
@@ -189,7 +185,17 @@
   }
 
   /**
-   * Returns the number of connections on which a request is being received or processed.
+   * Returns the time at which callers last sent anything.
+   *
+   * @return the time in nanoseconds, as {@link System#nanoTime} counts
+   */
+  public long lastReceivedNanos() {
+    return callerListener.lastReceivedNanos();
+  }
+
+  /**
+   * Returns the number of connections on which a request is being received or processed, or may
+   * still arrive although the caller was told to send no more.
    *
    * @return the number
    */
