--- a/soak/src/main/java/org/pollenrock/soak/GatewayProcess.java
+++ b/soak/src/main/java/org/pollenrock/soak/GatewayProcess.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -31,7 +32,7 @@
   private final Path directory;
   private final LinkRelay storeLink;
   private final LinkRelay callerLink;
-  private Process process;
+  private volatile Process process;
   private int starts;
   private long startedNanos;
   private long logSizeAtStart;
@@ -59,6 +60,16 @@
     return callerLink;
   }
 
+  /** Address of its callers, past the relay. */
+  InetSocketAddress callers() {
+    return new InetSocketAddress("127.0.1." + number, port);
+  }
+
+  /** Whether the process runs. */
+  boolean isAlive() {
+    return process.isAlive();
+  }
+
   /** Address of its metrics. */
   String operators() {
     return address(3);
--- a/soak/src/main/java/org/pollenrock/soak/SoakPlan.java
+++ b/soak/src/main/java/org/pollenrock/soak/SoakPlan.java
@@ -23,7 +23,7 @@
     store.put(
         TOPIC,
         "config",
-        ("{\"version\":%d,\"routes\":[%s,%s,%s,%s],\"services\":[%s,%s],\"limits\":{"
+        ("{\"version\":%d,\"routes\":[%s,%s,%s,%s,%s],\"services\":[%s,%s],\"limits\":{"
              + "\"max_header_bytes\":4096,\"max_body_bytes\":20000,\"header_timeout_ms\":8000,"
              + "\"idle_timeout_ms\":8000},\"tenants\":[{\"name\":\"owner\",\"api_keys\":[\"key\"],"
              + "\"isolated\":true}]}")
@@ -31,6 +31,7 @@
                 version,
                 route("plain", "idempotent", PLAIN, false),
                 route("post", "non_idempotent", PLAIN, false),
+                longRoute(),
                 route("stream", "stream", ENGINES, true),
                 route("once", "stream", ENGINES, false),
                 service(PLAIN),
@@ -72,6 +73,14 @@
     return "{\"name\":\"%s\",\"health_path\":\"/health\",\"max_conns\":200}".formatted(name);
   }
 
+  /** Route of requests that run longer than a gateway takes to stop. */
+  private static String longRoute() {
+    return route("long", "non_idempotent", PLAIN, false)
+        .replace(
+            "\"timeout_ms\":" + DEADLINE_MILLIS,
+            "\"timeout_ms\":" + 2 * SoakServer.LONG_RUN_MILLIS);
+  }
+
   private static String route(String path, String kind, String service, boolean resumable) {
     return ("{\"name\":\"r-%s\",\"host\":\"soak.example\",\"path_prefix\":\"/%s/\","
             + "\"route_kind\":\"%s\",\"timeout_ms\":%d,\"target_latency_ms\":500,\"priority\":2,"
--- a/soak/src/main/java/org/pollenrock/soak/SoakRecord.java
+++ b/soak/src/main/java/org/pollenrock/soak/SoakRecord.java
@@ -28,6 +28,11 @@
     versions.add(sample);
   }
 
+  /** Whether a server has begun to run a request. */
+  synchronized boolean hasRun(String attempt) {
+    return runs.stream().anyMatch(run -> run.attempt().equals(attempt));
+  }
+
   /** Something that breaks a promise and was seen at once. */
   synchronized void violation(String promise, String detail) {
     seen.add(new Violation(promise, detail));
--- a/soak/src/main/java/org/pollenrock/soak/SoakRun.java
+++ b/soak/src/main/java/org/pollenrock/soak/SoakRun.java
@@ -266,9 +266,13 @@
           gateway.start();
         }
         case STOP_GATEWAY -> {
+          StopCallers callers = new StopCallers(gateway, record, seed);
+          callers.start();
+          TimeUnit.MILLISECONDS.sleep(millis / 4);
           if (!gateway.terminate()) {
             record.violation("stop", gateway.name() + " outlived its grace period");
           }
+          callers.join();
           gateway.start();
         }
         default -> gateway.reload();
--- a/soak/src/main/java/org/pollenrock/soak/SoakServer.java
+++ b/soak/src/main/java/org/pollenrock/soak/SoakServer.java
@@ -31,6 +31,10 @@
 
   private static final long EVENT_MILLIS = 15;
   private static final long RUN_MILLIS = 20;
+
+  /** Time of a run that outlasts the grace period of a gateway. */
+  static final long LONG_RUN_MILLIS = 1_000 * GatewayProcess.GRACE_SECONDS + 1_000;
+
   private static final long LOAD_MILLIS = 200;
 
   private final String name;
@@ -212,14 +216,15 @@
           Map.of("Instance-Id", id, "Weight-Versions", Long.toString(version)));
       return;
     }
-    boolean once = request.path().startsWith("/post/") || request.path().startsWith("/once/");
+    boolean once = !request.path().startsWith("/plain/") && !request.path().startsWith("/stream/");
     record.ran(
         new Execution(
             id, request.method(), request.path(), once ? attempt : "", attempt, request.text()));
     if (strayAnswers) {
       answer(exchange, "other", "ran other");
     }
-    group.schedule(() -> finish(request, exchange, attempt), RUN_MILLIS, TimeUnit.MILLISECONDS);
+    long runMillis = request.path().startsWith("/long/") ? LONG_RUN_MILLIS : RUN_MILLIS;
+    group.schedule(() -> finish(request, exchange, attempt), runMillis, TimeUnit.MILLISECONDS);
   }
 
   private void finish(StandinRequest request, StandinExchange exchange, String attempt) {
--- a/soak/src/test/java/org/pollenrock/soak/SoakRunTest.java
+++ b/soak/src/test/java/org/pollenrock/soak/SoakRunTest.java
@@ -35,6 +35,13 @@
     play(seed, seconds, gateways, false);
   }
 
+  /** Requests were cut without a response at the end of a stop (issue 37); the seed plays stops. */
+  @ParameterizedTest
+  @CsvSource({"301, 8, 2"})
+  void requestsThatRanAreAnsweredInAStop(long seed, int seconds, int gateways) throws Exception {
+    play(seed, seconds, gateways, false);
+  }
+
   private void play(long seed, int seconds, int gateways, boolean returns) throws Exception {
     System.out.println("soak seed " + seed);
     SoakReport report =
