Bound the memory for responses of servers

What operators saw: bytes without end from a faulty server filled the memory of the process that had called it, and the requests of all other clients ended with the process.

Cause: `BodyMemory` counted the bodies of requests only. A plain response is collected up to 8 MB, kept until its caller has read it, and a failed one while another server is tried; an unfinished event takes up to 1 MB, a response to a control call 8 MB. Each has a bound, their number has none: 60 servers with 7.9 MB each need 474 MB, and the direct memory of a process is 30% of its machine (335 to 950 MB).

Plain responses, events on the way to callers and bodies of control calls use it; an unfinished event is counted with its capacity. Over the bound the response that needs more ends as BROKEN, and a control call fails; the server is not counted as failed for it. The last quarter is left to responses of up to 64 KiB: large ones that grow at the same time would otherwise also fail each small one. The bound is not shared with requests, because a request that was admitted must get its response.

Metrics: `pollenrock_response_held_bytes`, `pollenrock_responses_over_memory`; cause of `send_failed`.

--- a/gateway/src/main/java/org/pollenrock/gateway/BodyMemory.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/BodyMemory.java
@@ -1,21 +1,47 @@
 package org.pollenrock.gateway;
 
-/** Limits the bytes of request bodies held in memory, so that callers can't exhaust the memory. */
-final class BodyMemory {
+/**
+ * Limits the bytes of bodies held in memory, so that callers or servers can't exhaust the memory.
+ */
+public final class BodyMemory {
+  /** Cause of the failure of a response for which no memory is left. */
+  static final String EXHAUSTED = "memory for responses is exhausted";
+
+  /** Maximum size of a body that may use the part of the memory that is kept for small ones. */
+  private static final long MAX_SMALL_BYTES = 64 << 10;
+
+  /** Fraction of the memory that bodies which are not small may occupy together. */
+  private static final double LARGE_FRACTION = 0.75;
+
   private final long limitBytes;
   private long heldBytes;
+  private long failureCount;
 
-  BodyMemory(long limitBytes) {
+  /**
+   * Creates the limit; nothing is held.
+   *
+   * @param limitBytes maximum number of bytes
+   */
+  public BodyMemory(long limitBytes) {
     this.limitBytes = limitBytes;
   }
 
   /** Reserves bytes; returns false, without reserving any, when they would exceed the limit. */
   boolean tryReserve(long bytes) {
-    if (heldBytes + bytes > limitBytes) {
-      return false;
-    }
-    heldBytes += bytes;
-    return true;
+    return tryReserve(bytes, limitBytes);
+  }
+
+  /**
+   * Reserves more bytes for a body that grows. A part of the memory is left to small bodies, which
+   * large ones could otherwise fail.
+   *
+   * @param reservedBytes number of bytes that are reserved for the body already
+   * @param moreBytes number of further bytes
+   * @return false, without reserving any, when they would exceed the limit
+   */
+  boolean tryReserveMore(long reservedBytes, long moreBytes) {
+    boolean small = reservedBytes + moreBytes <= MAX_SMALL_BYTES;
+    return tryReserve(moreBytes, small ? limitBytes : (long) (LARGE_FRACTION * limitBytes));
   }
 
   /** Gives reserved bytes back. */
@@ -26,4 +52,18 @@
   long heldBytes() {
     return heldBytes;
   }
+
+  /** Returns how often the limit has kept bytes from being reserved. */
+  long failureCount() {
+    return failureCount;
+  }
+
+  private boolean tryReserve(long bytes, long limit) {
+    if (heldBytes + bytes > limit) {
+      failureCount++;
+      return false;
+    }
+    heldBytes += bytes;
+    return true;
+  }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
@@ -1,6 +1,7 @@
 package org.pollenrock.gateway;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -10,7 +11,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
@@ -57,6 +57,7 @@
   private final ServerGate serverGate;
   private final EventLog log;
   private final HeadCheck headCheck;
+  private final BodyMemory responseMemory;
   private final ConnectionPool.Observer observer;
   private final Map<InetSocketAddress, ConnectionPool> pools = new HashMap<>();
 
@@ -66,12 +67,19 @@
    * @param loop event loop on which calls have to be made and results are passed on
    * @param serverGate keeps calls from servers that want none
    * @param headCheck check of the heads of responses
+   * @param responseMemory limit on the bytes of responses in memory
    * @param log the event log
    */
-  public ControlClient(EventLoop loop, ServerGate serverGate, HeadCheck headCheck, EventLog log) {
+  public ControlClient(
+      EventLoop loop,
+      ServerGate serverGate,
+      HeadCheck headCheck,
+      BodyMemory responseMemory,
+      EventLog log) {
     this.loop = loop;
     this.serverGate = serverGate;
     this.headCheck = headCheck;
+    this.responseMemory = responseMemory;
     this.log = log;
     this.observer = address -> ServerConnectionObserver.logStrayBytes(log, address);
   }
@@ -174,11 +182,11 @@
     private final Call call;
     private final boolean connectionReused;
     private final BooleanSupplier maySend;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Consumer<CallResult> result;
     private ScheduledFuture<?> timeoutTimer;
     private HttpConnection connection;
     private HttpResponse head;
+    private ReservedBuffer body;
 
     private PendingCall(
         InetSocketAddress address,
@@ -241,19 +249,22 @@
 
     @Override
     public void contentReceived(ByteBuf bytes) {
-      if (body.size() + bytes.readableBytes() > MAX_BODY_BYTES) {
+      if (body == null) {
+        body = new ReservedBuffer(bytes.alloc(), responseMemory);
+      }
+      if (body.readableBytes() + bytes.readableBytes() > MAX_BODY_BYTES) {
         connection.abandon();
         requestFailed(new IOException("response body longer than " + MAX_BODY_BYTES + " bytes"));
-        return;
+      } else if (!body.append(bytes)) {
+        connection.abandon();
+        requestFailed(new IOException(BodyMemory.EXHAUSTED));
       }
-      byte[] chunk = new byte[bytes.readableBytes()];
-      bytes.readBytes(chunk);
-      body.writeBytes(chunk);
     }
 
     @Override
     public boolean responseEnded() {
-      finish(new CallResult.Answered(head.status().code(), head.headers(), body.toByteArray()));
+      byte[] content = body == null ? new byte[0] : ByteBufUtil.getBytes(body);
+      finish(new CallResult.Answered(head.status().code(), head.headers(), content));
       return connectionReused;
     }
 
@@ -286,6 +297,10 @@
       timeoutTimer.cancel(false);
       Consumer<CallResult> resultConsumer = result;
       result = null;
+      if (body != null) {
+        body.release();
+        body = null;
+      }
       resultConsumer.accept(outcome);
     }
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/EventSplitter.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/EventSplitter.java
@@ -21,6 +21,7 @@
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
   private final ByteBufAllocator allocator;
+  private final BodyMemory memory;
   private ByteBuf partialEvent = Unpooled.EMPTY_BUFFER;
 
   /** Number of bytes of the incomplete event that form whole lines. */
@@ -29,9 +30,12 @@
   private long lastNumber;
   private boolean hasNumber;
   private long passedEvents;
+  private long reservedBytes;
+  private boolean lacksMemory;
 
-  EventSplitter(ByteBufAllocator allocator, OptionalLong lastEventNumber) {
+  EventSplitter(ByteBufAllocator allocator, BodyMemory memory, OptionalLong lastEventNumber) {
     this.allocator = allocator;
+    this.memory = memory;
     this.hasNumber = lastEventNumber.isPresent();
     this.lastNumber = lastEventNumber.orElse(0);
   }
@@ -43,14 +47,14 @@
    * @return the events that are complete now and not repeated; the caller has to release them
    */
   Optional<ByteBuf> push(ByteBuf bytes) {
-    if (!partialEvent.isReadable()) {
-      partialEvent.release();
-      partialEvent = allocator.buffer(bytes.readableBytes());
+    if (!tryGrow(bytes.readableBytes())) {
+      lacksMemory = true;
+      return Optional.empty();
     }
     int searchStart = partialEvent.writerIndex();
     partialEvent.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
     ByteBuf buffered = partialEvent;
-    ByteBuf events = null;
+    ReservedBuffer events = null;
     int eventStart = buffered.readerIndex();
     int lineStart = eventStart + scannedBytes;
     while (true) {
@@ -63,9 +67,16 @@
       lineStart = lineEnd + 1;
       searchStart = lineStart;
       if (blank) {
+        if (events == null) {
+          events = new ReservedBuffer(allocator, memory);
+          if (!events.tryGrow(buffered.readableBytes())) {
+            events.release();
+            lacksMemory = true;
+            return Optional.empty();
+          }
+        }
         ByteBuf event = buffered.slice(eventStart, lineStart - eventStart);
         if (acceptIfNew(event)) {
-          events = events == null ? allocator.buffer(buffered.readableBytes()) : events;
           events.writeBytes(event);
         }
         eventStart = lineStart;
@@ -75,6 +86,10 @@
     if (eventStart > buffered.readerIndex()) {
       keepFrom(eventStart);
     }
+    if (events != null && !events.isReadable()) {
+      events.release();
+      return Optional.empty();
+    }
     return Optional.ofNullable(events);
   }
 
@@ -88,6 +103,11 @@
     return partialEvent.isReadable();
   }
 
+  /** Returns whether no memory was left for bytes of the stream, so that they are lost. */
+  boolean lacksMemory() {
+    return lacksMemory;
+  }
+
   /** Returns whether the incomplete event exceeds the maximum size. */
   boolean isEventTooLong() {
     return partialEvent.readableBytes() > MAX_EVENT_BYTES;
@@ -108,6 +128,9 @@
     partialEvent.release();
     partialEvent = Unpooled.EMPTY_BUFFER;
     scannedBytes = 0;
+    lacksMemory = false;
+    memory.free(reservedBytes);
+    reservedBytes = 0;
   }
 
   /** Keeps only the buffered bytes from an index on, in a buffer of their size. */
@@ -119,6 +142,28 @@
             ? allocator.buffer(buffered.readableBytes()).writeBytes(buffered)
             : Unpooled.EMPTY_BUFFER;
     buffered.release();
+    memory.free(reservedBytes - partialEvent.readableBytes());
+    reservedBytes = partialEvent.readableBytes();
+  }
+
+  /** Makes room for further bytes of the incomplete event; returns false if no memory is left. */
+  private boolean tryGrow(int bytes) {
+    int requiredBytes = partialEvent.writerIndex() + bytes;
+    if (requiredBytes <= partialEvent.capacity()) {
+      return true;
+    }
+    int newCapacity = Math.max(requiredBytes, 2 * partialEvent.capacity());
+    if (!memory.tryReserveMore(reservedBytes, newCapacity - reservedBytes)) {
+      return false;
+    }
+    reservedBytes = newCapacity;
+    if (partialEvent.isReadable()) {
+      partialEvent.capacity(newCapacity);
+    } else {
+      partialEvent.release();
+      partialEvent = allocator.buffer(newCapacity);
+    }
+    return true;
   }
 
   private boolean acceptIfNew(ByteBuf event) {
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -69,7 +69,9 @@
     this.body = body;
     this.response = response;
     this.metadata = components.callerProtocol().decode(head);
-    this.relay = new StreamRelay(response, body.alloc(), metadata.lastEventNumber());
+    this.relay =
+        new StreamRelay(
+            response, body.alloc(), components.responseMemory(), metadata.lastEventNumber());
   }
 
   /** Routes the request and then sends it, queues it, refuses it or responds with an error. */
@@ -157,7 +159,9 @@
       firstByteNanos = System.nanoTime() - arrivedNanos;
       components.metrics().recordFirstByte(route.kind(), firstByteNanos);
     }
-    if (relay.isEventTooLong()) {
+    if (relay.lacksMemory()) {
+      from.failWithoutMemory();
+    } else if (relay.isEventTooLong()) {
       from.cancel();
       sendFailed(from, SendFailure.BROKEN, "event exceeds the maximum size");
     }
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -51,6 +51,7 @@
   private final ServerConnectionPools connectionPools;
   private final QueuedExchanges queuedExchanges;
   private final BodyMemory bodyMemory;
+  private final BodyMemory responseMemory;
   private final CallerListener callerListener;
   private final PageListener readinessListener;
   private final Optional<PageListener> operatorListener;
@@ -105,8 +106,9 @@
         new ServerConnectionPools(loop, new ServerConnectionObserver(metrics, log), headCheck);
     queuedExchanges = new QueuedExchanges(dispatcher);
     bodyMemory = new BodyMemory(settings.maxHeldBodyBytes());
+    responseMemory = new BodyMemory(settings.maxHeldResponseBytes());
     serverGate = createServerGate(settings.gossipAddress(), serverProtocol);
-    controlClient = new ControlClient(loop, serverGate, headCheck, log);
+    controlClient = new ControlClient(loop, serverGate, headCheck, responseMemory, log);
     loopMonitor = new LoopMonitor(loop, metrics, log);
     reachability = createReachabilityMonitor(settings.gossipAddress());
     GatewayComponents components =
@@ -123,6 +125,7 @@
             log,
             metrics,
             bodyMemory,
+            responseMemory,
             queuedExchanges,
             gossip,
             reachability,
@@ -203,6 +206,24 @@
     return callerListener.busyConnections();
   }
 
+  /**
+   * Returns the bytes held for responses of servers.
+   *
+   * @return the number of bytes
+   */
+  public long heldResponseBytes() {
+    return responseMemory.heldBytes();
+  }
+
+  /**
+   * Returns how often a response of a server ended since no memory was left for it.
+   *
+   * @return the number of responses
+   */
+  public long failedResponseReservations() {
+    return responseMemory.failureCount();
+  }
+
   /** Closes all sockets and stops the event loop. */
   public void stop() {
     callerListener.stop();
@@ -416,6 +437,14 @@
   private void registerGauges() {
     metrics.registerGauge("pollenrock_waiting", "Requests that wait", dispatcher::waitingRequests);
     metrics.registerGauge("pollenrock_held_bytes", "Bytes of bodies held", bodyMemory::heldBytes);
+    metrics.registerGauge(
+        "pollenrock_response_held_bytes",
+        "Bytes of responses of servers held",
+        responseMemory::heldBytes);
+    metrics.registerGauge(
+        "pollenrock_responses_over_memory",
+        "Responses of servers that ended since no memory was left",
+        responseMemory::failureCount);
     metrics.registerGauge("pollenrock_log_dropped", "Log lines dropped", log::droppedLines);
     metrics.registerGauge(
         "pollenrock_callers", "Open connections of callers", callerListener::openConnections);
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
@@ -23,6 +23,7 @@
  * @param log the event log
  * @param metrics counters and histograms
  * @param bodyMemory limit on the bytes of request bodies in memory
+ * @param responseMemory limit on the bytes of responses in memory
  * @param queuedExchanges exchanges that wait for a server
  * @param gossip gossip with the other instances
  * @param reachability detects which servers are missing
@@ -44,6 +45,7 @@
     EventLog log,
     GatewayMetrics metrics,
     BodyMemory bodyMemory,
+    BodyMemory responseMemory,
     QueuedExchanges queuedExchanges,
     PeerGossip gossip,
     ReachabilityMonitor reachability,
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewaySettings.java
@@ -18,6 +18,7 @@
  * @param weightsBindingNanos time after a new target version of weights was set from which servers
  *     with older versions get no requests
  * @param maxHeldBodyBytes maximum total size of the request bodies held in memory
+ * @param maxHeldResponseBytes maximum total size of the responses of servers held in memory
  */
 public record GatewaySettings(
     InetSocketAddress callerAddress,
@@ -27,4 +28,5 @@
     SelectorSettings selector,
     RetryAllowanceSettings retryAllowance,
     long weightsBindingNanos,
-    long maxHeldBodyBytes) {}
+    long maxHeldBodyBytes,
+    long maxHeldResponseBytes) {}
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -58,7 +58,7 @@
   private Mode mode = Mode.AWAITING;
   private HttpResponse responseHead;
   private boolean endsWithConnection;
-  private ByteBuf plainBody;
+  private ReservedBuffer plainBody;
   private boolean closed;
   private boolean sent;
   private long sentNanos;
@@ -360,6 +360,12 @@
     request.prompt().ifPresent(prompt -> components.reachability().recordBroken(backend, prompt));
   }
 
+  /** Fails the send since this instance has no memory for the response. */
+  void failWithoutMemory() {
+    connection.abandon();
+    fail(SendFailure.BROKEN, BodyMemory.EXHAUSTED);
+  }
+
   /** Fails the send because the response is not one that may be passed on. */
   private void failInvalid(String cause) {
     connection.abandon();
@@ -434,13 +440,15 @@
 
   private void appendPlainBody(ByteBuf bytes) {
     if (plainBody == null) {
-      plainBody = bytes.alloc().buffer(bytes.readableBytes());
+      plainBody = new ReservedBuffer(bytes.alloc(), components.responseMemory());
     }
     if (plainBody.readableBytes() + bytes.readableBytes() > MAX_PLAIN_BODY_BYTES) {
       failInvalid("response body longer than " + MAX_PLAIN_BODY_BYTES + " bytes");
       return;
     }
-    plainBody.writeBytes(bytes);
+    if (!plainBody.append(bytes)) {
+      failWithoutMemory();
+    }
   }
 
   private void skipRefusalBody(ByteBuf bytes) {
--- a/gateway/src/main/java/org/pollenrock/gateway/StreamRelay.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/StreamRelay.java
@@ -25,9 +25,13 @@
   private HttpHeaders headers;
   private boolean started;
 
-  StreamRelay(CallerResponse response, ByteBufAllocator allocator, OptionalLong lastEventNumber) {
+  StreamRelay(
+      CallerResponse response,
+      ByteBufAllocator allocator,
+      BodyMemory memory,
+      OptionalLong lastEventNumber) {
     this.response = response;
-    this.splitter = new EventSplitter(allocator, lastEventNumber);
+    this.splitter = new EventSplitter(allocator, memory, lastEventNumber);
   }
 
   /** Returns whether a response can begin the stream or continue the one that has begun. */
@@ -74,6 +78,11 @@
     return splitter.isEventTooLong();
   }
 
+  /** Returns whether no memory was left for bytes of the stream, so that they are lost. */
+  boolean lacksMemory() {
+    return splitter.lacksMemory();
+  }
+
   /** Ends the response to the caller. */
   void end() {
     start();
--- a/gateway/src/test/java/org/pollenrock/gateway/EventSplitterTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/EventSplitterTest.java
@@ -31,7 +31,7 @@
   }
 
   private static EventSplitter splitter(OptionalLong last) {
-    return new EventSplitter(ByteBufAllocator.DEFAULT, last);
+    return new EventSplitter(ByteBufAllocator.DEFAULT, new BodyMemory(Long.MAX_VALUE), last);
   }
 
   @Test
@@ -98,7 +98,8 @@
   @Test
   void largeEventIsNotCopiedForEachPiece() {
     CountingAllocator allocator = new CountingAllocator();
-    EventSplitter splitter = new EventSplitter(allocator, OptionalLong.empty());
+    EventSplitter splitter =
+        new EventSplitter(allocator, new BodyMemory(Long.MAX_VALUE), OptionalLong.empty());
     int eventBytes = EventSplitter.MAX_EVENT_BYTES / 2;
     ByteBuf piece = allocator.heapBuffer(1_024).writeBytes("a".repeat(1_024).getBytes(US_ASCII));
     for (int pushed = 0; pushed < eventBytes; pushed += piece.readableBytes()) {
