Share the event loop among connections with bytes without end

What operators saw: a faulty server sent bytes that were no answer, without end; the requests of other clients of the same instance ended or were not served.

Cause: one event loop serves all. A connection could deliver 16 reads of 64 KB in one turn of it, all of them processed before anything else, and heads or chunks of a few bytes cost microseconds each. For one request 8 MB could come before its response, and framing (chunk extensions) was bounded only by the body that it carried. With 60 callers of one service each turn took seconds. The loop is the cause, not only informational heads: tiny chunks in plain responses, refusals, responses to other requests and streams did the same.

Change: `ReadShare` pauses connections whose sockets hold more than one read (16 KiB now) once they have taken 10 ms of a turn, and reads them in order in the next turns; a connection that is read empty never waits. `ReceiveLimits` fails a send as BROKEN after 8 responses or 1 MiB that are not the response, or framing beyond 256 KiB and 8 bytes for each byte of content (a chunk of one byte needs 5). Both hold for sends, probes, orders, polls and calls to the store, which share `HttpConnection`. Since smaller reads could end exactly behind a response, a connection whose last read filled its buffer returns to the pool only after the next turn, so that bytes of no request are still found. A server whose event exceeds the maximum counts as failed now, as for each other response that is not passed on.

--- a/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
@@ -1,6 +1,7 @@
 package org.pollenrock.gateway;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -37,6 +38,12 @@
    */
   private static final double FRESH_IDLE_FRACTION = 0.4;
 
+  private static final int MIN_READ_BYTES = 64;
+  private static final int FIRST_READ_BYTES = 2_048;
+
+  /** Maximum size of one read, which limits the time that the event loop spends for it. */
+  private static final int MAX_READ_BYTES = 16_384;
+
   /** Configuration of the decoders of responses. */
   static final HttpDecoderConfig DECODER =
       new HttpDecoderConfig()
@@ -69,6 +76,7 @@
   private final EventLoop loop;
   private final InetSocketAddress address;
   private final int connectTimeoutMillis;
+  private final ReadShare readShare;
   private final Observer observer;
   private final HeadCheck headCheck;
   private final Deque<HttpConnection> idleConnections = new ArrayDeque<>();
@@ -77,11 +85,13 @@
       EventLoop loop,
       InetSocketAddress address,
       int connectTimeoutMillis,
+      ReadShare readShare,
       Observer observer,
       HeadCheck headCheck) {
     this.loop = loop;
     this.address = address;
     this.connectTimeoutMillis = connectTimeoutMillis;
+    this.readShare = readShare;
     this.observer = observer;
     this.headCheck = headCheck;
   }
@@ -122,6 +132,11 @@
     return headCheck;
   }
 
+  /** Returns what shares the time of the event loop among the connections. */
+  ReadShare readShare() {
+    return readShare;
+  }
+
   /** Reports bytes to the observer that belong to no request. */
   void reportStrayBytes() {
     observer.strayBytesReceived(address);
@@ -165,6 +180,9 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
             .handler(
                 new ChannelInitializer<Channel>() {
                   @Override
--- a/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
@@ -59,6 +59,7 @@
   private final HeadCheck headCheck;
   private final BodyMemory responseMemory;
   private final ConnectionPool.Observer observer;
+  private final ReadShare readShare;
   private final Map<InetSocketAddress, ConnectionPool> pools = new HashMap<>();
 
   /**
@@ -77,6 +78,7 @@
       BodyMemory responseMemory,
       EventLog log) {
     this.loop = loop;
+    this.readShare = new ReadShare(loop);
     this.serverGate = serverGate;
     this.headCheck = headCheck;
     this.responseMemory = responseMemory;
@@ -172,7 +174,9 @@
   private ConnectionPool pool(InetSocketAddress address) {
     return pools.computeIfAbsent(
         address,
-        target -> new ConnectionPool(loop, target, CONNECT_TIMEOUT_MILLIS, observer, headCheck));
+        target ->
+            new ConnectionPool(
+                loop, target, CONNECT_TIMEOUT_MILLIS, readShare, observer, headCheck));
   }
 
   /** Call whose outcome is not known yet. */
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -162,8 +162,7 @@
     if (relay.lacksMemory()) {
       from.failWithoutMemory();
     } else if (relay.isEventTooLong()) {
-      from.cancel();
-      sendFailed(from, SendFailure.BROKEN, "event exceeds the maximum size");
+      from.failInvalid("event exceeds the maximum size");
     }
   }
 
--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -18,6 +18,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.pollenrock.core.response.HeadFault;
 
 /**
@@ -60,15 +61,12 @@
     void requestFailed(Throwable cause);
   }
 
-  /**
-   * Maximum number of bytes that are received for a request before the head of its response is
-   * accepted: informational responses, and responses to other requests.
-   */
-  private static final int MAX_SKIPPED_BYTES = 8 << 20;
+  /** Time in which further bytes that wait in the socket are read. */
+  private static final long NEXT_READ_MILLIS = 1;
 
   private final ConnectionPool pool;
   private final ResponseDecoder decoder = new ResponseDecoder(ConnectionPool.DECODER);
-  private long skippedBytes;
+  private final ReceiveLimits limits = new ReceiveLimits();
   private long requestCount;
   private long skippedResponses;
   private Channel channel;
@@ -79,6 +77,12 @@
   private boolean closing;
   private boolean responseComplete;
   private boolean exceptionSeen;
+  private boolean readingWanted = true;
+  private boolean paused;
+
+  /** Whether the last read filled its buffer, so that the socket may hold further bytes. */
+  private boolean readFilled;
+
   private long idleSinceNanos;
   private long keepAliveNanos = -1;
 
@@ -96,7 +100,7 @@
   void send(FullHttpRequest request, Listener newListener) {
     listener = newListener;
     requestCount++;
-    skippedBytes = 0;
+    limits.reset();
     inResponse = false;
     skippingResponse = false;
     requestWritten = false;
@@ -116,19 +120,27 @@
 
   /**
    * Returns a handler that counts the bytes received before they are decoded. It belongs before the
-   * decoder, because the decoder keeps nothing of the responses and bytes that it skips.
+   * decoder, because the decoder keeps nothing of the responses, framing and bytes that it skips.
    */
   ChannelInboundHandler byteCounter() {
     return new ChannelInboundHandlerAdapter() {
       @Override
       public void channelRead(ChannelHandlerContext context, Object message) {
-        int length = message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
-        context.fireChannelRead(message);
-        if (listener != null && !inResponse && !responseComplete) {
-          skippedBytes += length;
-          if (skippedBytes > MAX_SKIPPED_BYTES) {
-            fail(new TooLongFrameException("no response in " + MAX_SKIPPED_BYTES + " bytes"));
-          }
+        ByteBuf bytes = (ByteBuf) message;
+        if (!isUsable() && listener == null) {
+          bytes.release();
+          return;
+        }
+        int length = bytes.readableBytes();
+        readFilled = !bytes.isWritable();
+        boolean framed = inResponse;
+        long startNanos = readFilled ? System.nanoTime() : 0;
+        context.fireChannelRead(bytes);
+        if (readFilled) {
+          pool.readShare().recordPartialRead(HttpConnection.this, System.nanoTime() - startNanos);
+        }
+        if (listener != null && !responseComplete) {
+          recordReceived(length, framed);
         }
       }
     };
@@ -139,6 +151,21 @@
     return decoder;
   }
 
+  private void recordReceived(int bytes, boolean framed) {
+    if (framed) {
+      limits.recordFramedBytes(bytes);
+    } else if (!inResponse) {
+      limits.recordSkippedBytes(bytes);
+    }
+    failIfExceeded();
+  }
+
+  private void failIfExceeded() {
+    if (limits.isExceeded()) {
+      fail(new TooLongFrameException("bytes without end that are no response"));
+    }
+  }
+
   /** Gives up the request and closes the connection, without notifying the listener. */
   void abandon() {
     listener = null;
@@ -148,7 +175,18 @@
 
   /** Pauses or resumes reading from the connection. */
   void setReading(boolean enabled) {
-    channel.config().setAutoRead(enabled);
+    readingWanted = enabled;
+    updateReading();
+  }
+
+  /** Pauses reading while other connections are read, or ends the pause. */
+  void setPaused(boolean newPaused) {
+    paused = newPaused;
+    updateReading();
+  }
+
+  private void updateReading() {
+    channel.config().setAutoRead(readingWanted && !paused);
   }
 
   /** Puts a new connection into its pool before it has carried a request. */
@@ -201,21 +239,40 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
-    if (responseComplete && listener != null) {
-      listener = null;
-      if (closing || !requestWritten || !channel.isActive() || decoder.hasBytesOfNextResponse()) {
-        close();
-        return;
-      }
-      // Reading may have been paused for a caller who has the whole response now.
-      setReading(true);
-      idleSinceNanos = System.nanoTime();
-      pool.returnIdle(this);
-    } else if (listener == null && isUsable() && decoder.hasBytesOfNextResponse()) {
+    if (listener == null && isUsable() && decoder.hasBytesOfNextResponse()) {
       // They would become the begin of the response to the next request.
       pool.reportStrayBytes();
       close();
+      return;
+    }
+    if (!responseComplete || listener == null) {
+      return;
+    }
+    if (readFilled) {
+      // Bytes that belong to no request may follow in the socket.
+      setReading(true);
+      Listener completed = listener;
+      channel
+          .eventLoop()
+          .schedule(() -> returnToPool(completed), NEXT_READ_MILLIS, TimeUnit.MILLISECONDS);
+    } else {
+      returnToPool(listener);
+    }
+  }
+
+  private void returnToPool(Listener completed) {
+    if (listener != completed) {
+      return;
+    }
+    listener = null;
+    if (closing || !requestWritten || !channel.isActive() || decoder.hasBytesOfNextResponse()) {
+      close();
+      return;
     }
+    // Reading may have been paused for a caller who has the whole response now.
+    setReading(true);
+    idleSinceNanos = System.nanoTime();
+    pool.returnIdle(this);
   }
 
   @Override
@@ -245,8 +302,7 @@
       return;
     }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-      skippedResponses++;
-      skippingResponse = true;
+      skipResponse();
       return;
     }
     HopByHopHeaders.keepAliveTimeout(response.headers())
@@ -258,11 +314,17 @@
     if (listener.headReceived(response)) {
       inResponse = true;
     } else {
-      skippedResponses++;
-      skippingResponse = true;
+      skipResponse();
     }
   }
 
+  private void skipResponse() {
+    skippingResponse = true;
+    skippedResponses++;
+    limits.recordSkippedResponse();
+    failIfExceeded();
+  }
+
   private void handleContent(HttpContent content) {
     boolean lastContent = content instanceof LastHttpContent;
     if (skippingResponse) {
@@ -283,6 +345,7 @@
         return;
       }
     }
+    limits.recordContent(content.content().readableBytes());
     if (content.content().isReadable()) {
       listener.contentReceived(content.content());
     }
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerConnectionPools.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerConnectionPools.java
@@ -19,12 +19,14 @@
   private final EventLoop loop;
   private final ConnectionPool.Observer observer;
   private final HeadCheck headCheck;
+  private final ReadShare readShare;
   private final Map<Backend, ConnectionPool> pools = new HashMap<>();
 
   ServerConnectionPools(EventLoop loop, ConnectionPool.Observer observer, HeadCheck headCheck) {
     this.loop = loop;
     this.observer = observer;
     this.headCheck = headCheck;
+    this.readShare = new ReadShare(loop);
   }
 
   /** Returns the connection pool of a server. */
@@ -32,7 +34,13 @@
     return pools.computeIfAbsent(
         backend,
         server ->
-            new ConnectionPool(loop, address(server), CONNECT_TIMEOUT_MILLIS, observer, headCheck));
+            new ConnectionPool(
+                loop,
+                address(server),
+                CONNECT_TIMEOUT_MILLIS,
+                readShare,
+                observer,
+                headCheck));
   }
 
   /** Returns the address that requests to a server go to. */
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -367,7 +367,7 @@
   }
 
   /** Fails the send because the response is not one that may be passed on. */
-  private void failInvalid(String cause) {
+  void failInvalid(String cause) {
     connection.abandon();
     recordOutcome(false);
     fail(SendFailure.BROKEN, cause);
@@ -444,9 +444,7 @@
     }
     if (plainBody.readableBytes() + bytes.readableBytes() > MAX_PLAIN_BODY_BYTES) {
       failInvalid("response body longer than " + MAX_PLAIN_BODY_BYTES + " bytes");
-      return;
-    }
-    if (!plainBody.append(bytes)) {
+    } else if (!plainBody.append(bytes)) {
       failWithoutMemory();
     }
   }
--- a/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
@@ -14,6 +14,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 import org.pollenrock.core.response.HeadCheck;
 
@@ -24,7 +26,12 @@
   private final EmbeddedChannel channel = new EmbeddedChannel();
   private final ConnectionPool pool =
       new ConnectionPool(
-          channel.eventLoop(), ADDRESS, 100, address -> {}, new HeadCheck(List.of()));
+          channel.eventLoop(),
+          ADDRESS,
+          100,
+          new ReadShare(channel.eventLoop()),
+          address -> {},
+          new HeadCheck(List.of()));
   private final HttpConnection connection = new HttpConnection(pool);
 
   /** Pauses reading with the first bytes of the body, as for a caller who reads slowly. */
@@ -112,7 +119,7 @@
     HttpConnection call =
         new HttpConnection(
             new ConnectionPool(
-                calls.eventLoop(), ADDRESS, 100, address -> {}, new HeadCheck(List.of())));
+                calls.eventLoop(), ADDRESS, 100, new ReadShare(calls.eventLoop()), address -> {}, new HeadCheck(List.of())));
     calls.pipeline().addLast(call.decoder()).addLast(new HttpRequestEncoder()).addLast(call);
     CollectingListener listener = new CollectingListener();
     call.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), listener);
@@ -153,4 +160,58 @@
       assertThat(result.body).hasToString(page);
     }
   }
+
+  // Guards against the next request on a connection whose socket still holds bytes of no request.
+  @Test
+  void connectionIsReusedOnlyAfterAllReceivedBytesWereRead() {
+    channel
+        .pipeline()
+        .addLast(connection.byteCounter())
+        .addLast(connection.decoder())
+        .addLast(new HttpRequestEncoder())
+        .addLast(connection);
+    send();
+    channel.writeInbound(fullBuffer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"));
+    assertThat(isIdle()).isFalse();
+    channel.advanceTimeBy(1, TimeUnit.SECONDS);
+    channel.runScheduledPendingTasks();
+    assertThat(isIdle()).isTrue();
+    send();
+    channel.writeInbound(fullBuffer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"));
+    channel.writeInbound(fullBuffer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny"));
+    channel.advanceTimeBy(1, TimeUnit.SECONDS);
+    channel.runScheduledPendingTasks();
+    assertThat(isIdle()).isFalse();
+    assertThat(connection.isUsable()).isFalse();
+  }
+
+  private void send() {
+    connection.send(
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+        new PausingListener());
+  }
+
+  /** Returns a buffer without room for more, as after a read that left bytes in the socket. */
+  private static ByteBuf fullBuffer(String text) {
+    return Unpooled.wrappedBuffer(text.getBytes(US_ASCII));
+  }
+
+  /** Returns whether the pool has the connection, which it then loses. */
+  private boolean isIdle() {
+    AtomicBoolean idle = new AtomicBoolean();
+    pool.acquire(
+        false,
+        new ConnectionPool.AcquireListener() {
+          @Override
+          public void connected(HttpConnection acquired, boolean reused) {
+            idle.set(reused);
+          }
+
+          @Override
+          public void connectFailed(Throwable cause) {
+            idle.set(false);
+          }
+        });
+    return idle.get();
+  }
 }
