Count the bodies of requests from their first byte

What callers could see: the process ends, and all requests in it with it, when many callers send large bodies at once.

Cause: the same as for responses, a bound for each body without a bound for the sum. The memory of a body was reserved once the request was complete and routed; what is received before that was bounded for each connection only.

Change: `CallerConnection` collects the body in a `ReservedBuffer`. A body for which no memory is left ends its request with 503 and `Retry-After` (it has not run), and the connection. As for responses, a quarter of the memory is left to bodies of up to 64 KiB. The reservation ends with the last reference to the body instead of with the exchange, so that a body that is still being written to a server counts.

--- a/gateway/src/main/java/org/pollenrock/gateway/BodyMemory.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/BodyMemory.java
@@ -26,11 +26,6 @@
     this.limitBytes = limitBytes;
   }
 
-  /** Reserves bytes; returns false, without reserving any, when they would exceed the limit. */
-  boolean tryReserve(long bytes) {
-    return tryReserve(bytes, limitBytes);
-  }
-
   /**
    * Reserves more bytes for a body that grows. A part of the memory is left to small bodies, which
    * large ones could otherwise fail.
@@ -41,7 +36,13 @@
    */
   boolean tryReserveMore(long reservedBytes, long moreBytes) {
     boolean small = reservedBytes + moreBytes <= MAX_SMALL_BYTES;
-    return tryReserve(moreBytes, small ? limitBytes : (long) (LARGE_FRACTION * limitBytes));
+    long limit = small ? limitBytes : (long) (LARGE_FRACTION * limitBytes);
+    if (heldBytes + moreBytes > limit) {
+      failureCount++;
+      return false;
+    }
+    heldBytes += moreBytes;
+    return true;
   }
 
   /** Gives reserved bytes back. */
@@ -57,13 +58,4 @@
   long failureCount() {
     return failureCount;
   }
-
-  private boolean tryReserve(long bytes, long limit) {
-    if (heldBytes + bytes > limit) {
-      failureCount++;
-      return false;
-    }
-    heldBytes += bytes;
-    return true;
-  }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
@@ -51,15 +51,18 @@
    */
   private static final long CROSSING_MILLIS = 1_000;
 
-  /** Retry-After of requests that the connection itself refuses, in seconds. */
+  /** Retry-After of requests that are refused in a stop, in seconds. */
   private static final String RETRY_AFTER =
       String.format(Locale.ROOT, "%.3f", StopPlan.RETRY_AFTER_MILLIS / 1000.0);
 
+  /** Retry-After of a request for whose body this instance has no memory, in seconds. */
+  private static final String RETRY_AFTER_WITHOUT_MEMORY = "0.300";
+
   private final CallerListener listener;
   private final Deque<HttpObject> pendingMessages = new ArrayDeque<>();
   private Channel channel;
   private HttpRequest head;
-  private ByteBuf body;
+  private ReservedBuffer body;
   private Exchange exchange;
   private boolean keepAlive;
   private boolean closing;
@@ -266,21 +269,22 @@
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
     }
-    body = Unpooled.EMPTY_BUFFER;
   }
 
   private void readBody(HttpContent content) {
     ByteBuf bytes = content.content();
-    if (body.readableBytes() + bytes.readableBytes() > listener.bounds().maxBodyBytes()) {
+    int receivedBytes = body == null ? 0 : body.readableBytes();
+    if (receivedBytes + bytes.readableBytes() > listener.bounds().maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large");
       return;
     }
-    if (bytes.isReadable()) {
-      appendToBody(bytes);
+    if (bytes.isReadable() && !appendToBody(bytes)) {
+      reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "memory");
+      return;
     }
     if (content instanceof LastHttpContent) {
       HttpRequest request = head;
-      ByteBuf requestBody = body;
+      ByteBuf requestBody = body == null ? Unpooled.EMPTY_BUFFER : body;
       head = null;
       body = null;
       reading = false;
@@ -308,11 +312,12 @@
     }
   }
 
-  private void appendToBody(ByteBuf bytes) {
-    if (body == Unpooled.EMPTY_BUFFER) {
-      body = channel.alloc().buffer(bytes.readableBytes());
+  /** Appends bytes to the body; returns false if no memory is left for them. */
+  private boolean appendToBody(ByteBuf bytes) {
+    if (body == null) {
+      body = new ReservedBuffer(channel.alloc(), listener.bodyMemory());
     }
-    body.writeBytes(bytes);
+    return body.append(bytes);
   }
 
   private void rejectMalformed(Throwable cause) {
@@ -339,7 +344,8 @@
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-      response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER);
+      String retryAfter = listener.isDraining() ? RETRY_AFTER : RETRY_AFTER_WITHOUT_MEMORY;
+      response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfter);
     }
     channel.writeAndFlush(response);
     // Closing with unread bytes would reset the connection before the caller has read the response.
--- a/gateway/src/main/java/org/pollenrock/gateway/CallerListener.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerListener.java
@@ -29,6 +29,7 @@
   private final ActiveConfig configs;
   private final ExchangeFactory exchangeFactory;
   private final LoopMonitor loopMonitor;
+  private final BodyMemory bodyMemory;
   private final EventLog log;
   private final Set<CallerConnection> connections = new HashSet<>();
   private Channel channel;
@@ -41,12 +42,14 @@
       ActiveConfig configs,
       ExchangeFactory exchangeFactory,
       LoopMonitor loopMonitor,
+      BodyMemory bodyMemory,
       EventLog log) {
     this.loop = loop;
     this.address = address;
     this.configs = configs;
     this.exchangeFactory = exchangeFactory;
     this.loopMonitor = loopMonitor;
+    this.bodyMemory = bodyMemory;
     this.log = log;
   }
 
@@ -129,6 +132,10 @@
     return loopMonitor;
   }
 
+  BodyMemory bodyMemory() {
+    return bodyMemory;
+  }
+
   EventLog log() {
     return log;
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -60,7 +60,6 @@
   private int sendCount;
   private boolean callerDisconnected;
   private boolean finished;
-  private boolean memoryReserved;
   private long firstByteNanos;
 
   Exchange(GatewayComponents components, HttpRequest head, ByteBuf body, CallerResponse response) {
@@ -271,11 +270,6 @@
   }
 
   private void admit() {
-    memoryReserved = components.bodyMemory().tryReserve(body.readableBytes());
-    if (!memoryReserved) {
-      refuse(DispatchResult.Cause.MEMORY);
-      return;
-    }
     long limitMillis =
         Math.min(route.timeoutMillis(), metadata.deadlineMillis().orElse(route.timeoutMillis()));
     request =
@@ -430,9 +424,6 @@
       serverErrorResponse = null;
     }
     relay.release();
-    if (memoryReserved) {
-      components.bodyMemory().free(body.readableBytes());
-    }
     body.release();
     long total = System.nanoTime() - arrivedNanos;
     if (route != null) {
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -124,7 +124,6 @@
             connectionPools,
             log,
             metrics,
-            bodyMemory,
             responseMemory,
             queuedExchanges,
             gossip,
@@ -140,6 +139,7 @@
             configs,
             (head, body, response) -> new Exchange(components, head, body, response),
             loopMonitor,
+            bodyMemory,
             log);
     readinessListener =
         new PageListener(
@@ -206,6 +206,15 @@
     return callerListener.busyConnections();
   }
 
+  /**
+   * Returns the bytes held for bodies of requests.
+   *
+   * @return the number of bytes
+   */
+  public long heldRequestBytes() {
+    return bodyMemory.heldBytes();
+  }
+
   /**
    * Returns the bytes held for responses of servers.
    *
@@ -437,6 +446,10 @@
   private void registerGauges() {
     metrics.registerGauge("pollenrock_waiting", "Requests that wait", dispatcher::waitingRequests);
     metrics.registerGauge("pollenrock_held_bytes", "Bytes of bodies held", bodyMemory::heldBytes);
+    metrics.registerGauge(
+        "pollenrock_requests_over_memory",
+        "Requests that were refused since no memory was left for their bodies",
+        bodyMemory::failureCount);
     metrics.registerGauge(
         "pollenrock_response_held_bytes",
         "Bytes of responses of servers held",
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
@@ -22,7 +22,6 @@
  * @param connectionPools connection pools of the servers
  * @param log the event log
  * @param metrics counters and histograms
- * @param bodyMemory limit on the bytes of request bodies in memory
  * @param responseMemory limit on the bytes of responses in memory
  * @param queuedExchanges exchanges that wait for a server
  * @param gossip gossip with the other instances
@@ -44,7 +43,6 @@
     ServerConnectionPools connectionPools,
     EventLog log,
     GatewayMetrics metrics,
-    BodyMemory bodyMemory,
     BodyMemory responseMemory,
     QueuedExchanges queuedExchanges,
     PeerGossip gossip,
