Fail answers that hold the beginning of another one in the router

A server that wrote the first bytes of a response and then a complete other one was read as one response: status of the first, X-Attempt-Id of the second. Callers of pollenrockd got a success for a 500, or a body made of two answers; an engine's broken off 503 counted as a refusal.

Cause: the decoder accepts a status line inside a reason phrase, a field name or a value, and a body has no other end than its length. Only the identifier was compared, and that is the right one.

ResponseGuard stands behind the decoder of each connection. It checks the head with HeadCheck, searches the body for a head that names the request, and passes the end of a response on when everything received was decoded, so that bytes behind it are seen. The exchange fails with unknown outcome and the connection is closed.

--- a/adapters/src/main/java/org/pollenrock/adapters/http/HttpTransport.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/HttpTransport.java
@@ -65,6 +65,7 @@
                 .setHttpClientCodecMaxInitialLineLength(MAX_LINE_BYTES)
                 .setHttpClientCodecMaxHeaderSize(MAX_HEADER_BYTES)
                 .setHttpClientCodecMaxChunkSize(MAX_CHUNK_BYTES)
+                .setHttpAdditionalChannelInitializer(ResponseGuard::addTo)
                 .build());
   }
 
