Keep only connections whose last answer named its request

A late copy of an earlier answer was read as the answer to the next request on the connection. Answers of the log, the list, reports, cache events and orders name no request at all: a copy of an earlier 200 said that an append was done that never arrived, and a copy of an earlier 429 that one was not done that was. Refusals of engines were not compared with the attempt: a copy of a 400 ended another caller's request with it. Bytes that arrived on an idle connection became the start of the next head.

Cause: the rule for reuse was the library's, keep-alive alone.

Each request now carries X-Attempt-Id. ResponseGuard fails a response that names another request, PeerChannelPool takes a connection back only as ConnectionReuse says, and bytes without a request close it. The rule is that of the connection, so it covers every client of HttpTransport; the stand-ins repeat the identifier, as servers should. Against a server that doesn't, every request has a connection of its own.

--- a/adapters/src/main/java/org/pollenrock/adapters/http/HttpTransport.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/HttpTransport.java
@@ -5,10 +5,13 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClient;
@@ -43,6 +46,9 @@
    */
   public HttpTransport(EventLoopGroup loops, Timer timer, Duration connectTimeout) {
     this.pool = new PeerChannelPool(System::nanoTime, timer, IDLE_LIMIT, CLEANER_PERIOD);
+    String name = UUID.randomUUID().toString();
+    AtomicLong requests = new AtomicLong();
+    Supplier<String> requestIds = () -> name + "/0/" + requests.incrementAndGet();
     this.client =
         new DefaultAsyncHttpClient(
             new DefaultAsyncHttpClientConfig.Builder()
@@ -65,7 +71,8 @@
                 .setHttpClientCodecMaxInitialLineLength(MAX_LINE_BYTES)
                 .setHttpClientCodecMaxHeaderSize(MAX_HEADER_BYTES)
                 .setHttpClientCodecMaxChunkSize(MAX_CHUNK_BYTES)
-                .setHttpAdditionalChannelInitializer(ResponseGuard::addTo)
+                .setHttpAdditionalChannelInitializer(
+                    channel -> ResponseGuard.addTo(channel, requestIds))
                 .build());
   }
 
--- a/adapters/src/main/java/org/pollenrock/adapters/http/PeerChannelPool.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/PeerChannelPool.java
@@ -39,7 +39,7 @@
   @Override
   public boolean offer(Channel channel, Object partitionKey) {
     PoolKey key = (PoolKey) partitionKey;
-    if (key.use().isFresh()) {
+    if (key.use().isFresh() || !ResponseGuard.isReusable(channel)) {
       return false;
     }
     channel.attr(IDLE_SINCE).set(nanoClock.getAsLong());
--- a/adapters/src/main/java/org/pollenrock/adapters/http/ResponseGuard.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/ResponseGuard.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.DecoderResult;
@@ -13,11 +14,14 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.pollenrock.core.dispatch.ConnectionReuse;
 import org.pollenrock.core.response.HeadCheck;
 import org.pollenrock.core.response.HeadFault;
 
@@ -27,9 +31,14 @@
  * <p>The decoder accepts a head into which another response was written, and a body that holds one.
  * Such a response fails the exchange and closes the connection. The end of a response is passed on
  * when all received bytes were decoded, so that bytes behind it are seen first.
+ *
+ * <p>A connection carries another request only after a response that names its request. Requests
+ * without an identifier receive one for this purpose.
  */
 final class ResponseGuard extends ChannelDuplexHandler {
-  static final String ATTEMPT_ID = "X-Attempt-Id";
+  private static final String ATTEMPT_ID = "X-Attempt-Id";
+  private static final AttributeKey<Boolean> REUSABLE =
+      AttributeKey.valueOf(ResponseGuard.class, "reusable");
 
   private static final Logger LOG = LogManager.getLogger(ResponseGuard.class);
   private static final String CODEC = "http";
@@ -44,6 +53,8 @@
               "x-queue-tokens",
               "x-server-state"));
 
+  private final Supplier<String> requestIds;
+  private String requestId = "";
   private EmbeddedResponseScanner scanner = new EmbeddedResponseScanner(ATTEMPT_ID, "");
   private Phase phase = Phase.IDLE;
   private LastHttpContent end;
@@ -58,28 +69,73 @@
     CLOSED
   }
 
-  /** Adds a guard behind the decoder of a new connection. */
-  static void addTo(Channel channel) {
+  private ResponseGuard(Supplier<String> requestIds) {
+    this.requestIds = requestIds;
+  }
+
+  /**
+   * Adds a guard behind the decoder of a new connection.
+   *
+   * @param channel the connection
+   * @param requestIds makes identifiers for requests that have none
+   */
+  static void addTo(Channel channel, Supplier<String> requestIds) {
+    ResponseGuard guard = new ResponseGuard(requestIds);
     ChannelPipeline pipeline = channel.pipeline();
-    pipeline.addAfter(CODEC, "response-guard", new ResponseGuard());
+    pipeline.addBefore(CODEC, "idle-guard", guard.new IdleGuard());
+    pipeline.addAfter(CODEC, "response-guard", guard);
+  }
+
+  /**
+   * Returns whether the connection may carry another request.
+   *
+   * @param channel the connection
+   * @return false if a copy of its last response could be mistaken for the next one
+   */
+  static boolean isReusable(Channel channel) {
+    return Boolean.TRUE.equals(channel.attr(REUSABLE).get());
+  }
+
+  /** Closes an idle connection on which bytes arrive, before the decoder takes them. */
+  private final class IdleGuard extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      if (phase == Phase.IDLE) {
+        ReferenceCountUtil.release(message);
+        fail(context, "bytes without a request");
+      } else if (phase == Phase.CLOSED) {
+        ReferenceCountUtil.release(message);
+      } else {
+        context.fireChannelRead(message);
+      }
+    }
   }
 
   @Override
   public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
     if (message instanceof HttpRequest request && phase != Phase.CLOSED) {
-      phase = Phase.HEAD;
-      scanner = new EmbeddedResponseScanner(ATTEMPT_ID, request.headers().get(ATTEMPT_ID, ""));
+      begin(context, request);
     }
     context.write(message, promise);
   }
 
+  private void begin(ChannelHandlerContext context, HttpRequest request) {
+    phase = Phase.HEAD;
+    if (!request.headers().contains(ATTEMPT_ID)) {
+      request.headers().set(ATTEMPT_ID, requestIds.get());
+    }
+    requestId = request.headers().get(ATTEMPT_ID);
+    scanner = new EmbeddedResponseScanner(ATTEMPT_ID, requestId);
+    context.channel().attr(REUSABLE).set(false);
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     if (!(message instanceof HttpObject object)) {
       context.fireChannelRead(message);
       return;
     }
-    Optional<String> fault = phase == Phase.CLOSED ? Optional.empty() : fault(object);
+    Optional<String> fault = phase == Phase.CLOSED ? Optional.empty() : fault(context, object);
     if (fault.isPresent()) {
       ReferenceCountUtil.release(object);
       fail(context, fault.get());
@@ -102,7 +158,7 @@
     return true;
   }
 
-  private Optional<String> fault(HttpObject object) {
+  private Optional<String> fault(ChannelHandlerContext context, HttpObject object) {
     if (object.decoderResult().isFailure()) {
       return Optional.of(String.valueOf(object.decoderResult().cause().getMessage()));
     }
@@ -110,7 +166,7 @@
       return Optional.of("bytes behind the response");
     }
     if (object instanceof HttpResponse response) {
-      return headFault(response);
+      return headFault(context, response);
     }
     if (object instanceof HttpContent content && phase == Phase.BODY) {
       return bodyFault(content);
@@ -118,7 +174,7 @@
     return Optional.empty();
   }
 
-  private Optional<String> headFault(HttpResponse response) {
+  private Optional<String> headFault(ChannelHandlerContext context, HttpResponse response) {
     if (!response.protocolVersion().protocolName().equals("HTTP")) {
       return Optional.of("not an HTTP response");
     }
@@ -130,6 +186,13 @@
     if (fault.isPresent()) {
       return fault.map(found -> "head: " + found);
     }
+    String named = response.headers().get(ATTEMPT_ID);
+    if (named != null && !named.equals(requestId)) {
+      return Optional.of("names the request " + named);
+    }
+    // An identifier is that of one send, so no later response on the connection names it.
+    boolean reusable = ConnectionReuse.isAllowed(named != null, true);
+    context.channel().attr(REUSABLE).set(reusable);
     boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     phase = interim ? Phase.INTERIM : Phase.BODY;
     return Optional.empty();
--- /dev/null
+++ b/adapters/src/test/java/org/pollenrock/adapters/http/KeptConnectionTest.java
@@ -0,0 +1,139 @@
+package org.pollenrock.adapters.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.pollenrock.adapters.log.HttpLogClient;
+import org.pollenrock.core.error.Result;
+
+/** Guards requests against copies of earlier answers on a connection that is kept. */
+class KeptConnectionTest {
+  private final TransportBed bed = new TransportBed();
+
+  @AfterEach
+  void stop() {
+    bed.close();
+  }
+
+  /** Guards against the copy of an earlier answer as the answer to the next request. */
+  @Test
+  void lateCopyOfAnEarlierAnswerIsBroken() throws IOException {
+    try (ScriptedServer server =
+        new ScriptedServer(
+            (connection, exchange, request, out) -> {
+              TransportBed.write(out, TransportBed.whole(200, "router/1/1"));
+              return true;
+            })) {
+      assertThat(bed.call(server)).isInstanceOf(HttpOutcome.Answered.class);
+      assertThat(bed.call(server)).isInstanceOf(HttpOutcome.Broken.class);
+    }
+  }
+
+  /** Guards against a copy that names no request, which can't be told from the next answer. */
+  @Test
+  void connectionOfAnAnswerWithoutIdentifierCarriesNoOtherRequest() throws IOException {
+    String anonymous = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    try (ScriptedServer server =
+        new ScriptedServer(
+            (connection, exchange, request, out) -> {
+              TransportBed.write(out, anonymous);
+              return true;
+            })) {
+      assertThat(bed.call(server)).isInstanceOf(HttpOutcome.Answered.class);
+      assertThat(bed.call(server)).isInstanceOf(HttpOutcome.Answered.class);
+      assertThat(server.connections()).isEqualTo(2);
+    }
+  }
+
+  /** Guards against bytes behind an answer that become the beginning of the next one. */
+  @Test
+  void connectionWithBytesBehindTheAnswerCarriesNoOtherRequest() throws Exception {
+    try (ScriptedServer server =
+        new ScriptedServer(
+            (connection, exchange, request, out) -> {
+              TransportBed.write(
+                  out, TransportBed.whole(200, ScriptedServer.header(request, TransportBed.ID)));
+              if (exchange == 0) {
+                pause();
+                TransportBed.write(out, "HTTP/1.1 200 OK\r\nContent-Le");
+              }
+              return true;
+            })) {
+      assertThat(bed.call(server)).isInstanceOf(HttpOutcome.Answered.class);
+      Thread.sleep(300);
+      assertThat(bed.call(server)).isInstanceOf(HttpOutcome.Answered.class);
+      assertThat(server.connections()).isEqualTo(2);
+    }
+  }
+
+  /** Shows that a connection whose answers name their requests is kept. */
+  @Test
+  void connectionOfIdentifiedAnswersIsKept() throws IOException {
+    try (ScriptedServer server =
+        new ScriptedServer(
+            (connection, exchange, request, out) -> {
+              TransportBed.write(
+                  out, TransportBed.whole(200, ScriptedServer.header(request, TransportBed.ID)));
+              return true;
+            })) {
+      for (int i = 0; i < 5; i++) {
+        assertThat(bed.call(server)).isInstanceOf(HttpOutcome.Answered.class);
+      }
+      assertThat(server.connections()).isEqualTo(1);
+    }
+  }
+
+  /** Guards against the copy of an earlier append's answer as that of one that never arrived. */
+  @Test
+  void appendIsNotAnsweredByACopyOfAnEarlierAnswer() throws IOException {
+    String appended = "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\n{\"offset\":7,\"time_ms\":1}";
+    try (ScriptedServer server =
+        new ScriptedServer(
+            (connection, exchange, request, out) -> {
+              if (connection == 0) {
+                TransportBed.write(out, appended);
+              }
+              return connection == 0;
+            })) {
+      HttpLogClient log =
+          new HttpLogClient(bed.transport(), server.address(), Duration.ofSeconds(1));
+      assertThat(log.append("claims", new byte[1]).toCompletableFuture().join())
+          .isInstanceOf(Result.Success.class);
+      assertThat(log.append("claims", new byte[1]).toCompletableFuture().join())
+          .isInstanceOf(Result.Failure.class);
+    }
+  }
+
+  /** Guards against requests without an identifier, whose copies look like the next answer. */
+  @Test
+  void everyRequestHasAnIdentifierOfItsOwn() throws IOException {
+    List<String> ids = new CopyOnWriteArrayList<>();
+    try (ScriptedServer server =
+        new ScriptedServer(
+            (connection, exchange, request, out) -> {
+              ids.add(ScriptedServer.header(request, TransportBed.ID));
+              TransportBed.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+              return true;
+            })) {
+      HttpLogClient log =
+          new HttpLogClient(bed.transport(), server.address(), Duration.ofSeconds(1));
+      for (int i = 0; i < 3; i++) {
+        log.append("claims", new byte[1]).toCompletableFuture().join();
+      }
+      assertThat(ids).doesNotContain("").doesNotHaveDuplicates().hasSize(3);
+    }
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(50);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/standin/src/main/java/org/pollenrock/standin/http/StandinExchange.java
+++ b/standin/src/main/java/org/pollenrock/standin/http/StandinExchange.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -20,12 +21,18 @@
 
 /** The answer side of one request; its methods may be called from any thread. */
 public final class StandinExchange {
+  private static final String ATTEMPT_ID = "X-Attempt-Id";
+
   private final Channel channel;
   private final boolean keepAlive;
+  private final Map<String, String> identity;
 
-  StandinExchange(Channel channel, boolean keepAlive) {
+  /** Makes an exchange whose answer names the request when the request has an identifier. */
+  StandinExchange(Channel channel, HttpRequest request) {
     this.channel = channel;
-    this.keepAlive = keepAlive;
+    this.keepAlive = HttpUtil.isKeepAlive(request);
+    String id = request.headers().get(ATTEMPT_ID);
+    this.identity = id == null ? Map.of() : Map.of(ATTEMPT_ID, id);
   }
 
   /**
@@ -40,6 +47,7 @@
     FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
+    identity.forEach((name, value) -> response.headers().set(name, value));
     headers.forEach((name, value) -> response.headers().set(name, value));
     response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
     HttpUtil.setContentLength(response, body.length);
@@ -66,6 +74,7 @@
   public void beginStream(int status, Map<String, String> headers) {
     HttpResponse response =
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+    identity.forEach((name, value) -> response.headers().set(name, value));
     headers.forEach((name, value) -> response.headers().set(name, value));
     response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     HttpUtil.setKeepAlive(response, keepAlive);
--- a/standin/src/main/java/org/pollenrock/standin/http/StandinHttpServer.java
+++ b/standin/src/main/java/org/pollenrock/standin/http/StandinHttpServer.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.GlobalEventExecutor;
@@ -134,8 +133,7 @@
   private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-      StandinExchange exchange =
-          new StandinExchange(context.channel(), HttpUtil.isKeepAlive(request));
+      StandinExchange exchange = new StandinExchange(context.channel(), request);
       handler.handle(StandinRequest.of(request), exchange);
     }
 
