Search bodies for embedded responses in linear time

The search for a second head in a body compared each status line with the 32 KiB behind it. A body that repeats a status line without a line feed kept the event loop busy, and other exchanges ran into their time limit.

The scanner now reads each line once.

--- a/adapters/src/main/java/org/pollenrock/adapters/http/EmbeddedResponseScanner.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/EmbeddedResponseScanner.java
@@ -15,11 +15,14 @@
   /** Bytes of a status line that may still become one with the next part of the body. */
   private static final int STATUS_LINE_REST = "HTTP/1.1 20".length();
 
-  private static final int MAX_HEAD_BYTES = 32 * 1024;
+  /** A longer line cannot be the field with the identifier. */
+  private static final int MAX_LINE_BYTES = 1_024;
 
   private final String field;
   private final String id;
   private final StringBuilder text = new StringBuilder();
+  private boolean inHead;
+  private boolean lineCut;
 
   EmbeddedResponseScanner(String field, String id) {
     this.field = field.toLowerCase(Locale.ROOT) + ":";
@@ -33,47 +36,38 @@
    * @return whether the body holds another response
    */
   boolean isFoundIn(ByteBuf part) {
-    if (id.isEmpty() || !part.isReadable()) {
-      return false;
-    }
     text.append(part.toString(StandardCharsets.ISO_8859_1));
-    int start = HeadCheck.statusLinePosition(text, 0);
-    while (start >= 0) {
-      int end = headEnd(start);
-      int length = (end < 0 ? text.length() : end) - start;
-      if (namesRequest(start, start + length)) {
+    int start = 0;
+    int lineFeed = text.indexOf("\n");
+    while (lineFeed >= 0) {
+      if (namesRequest(text.substring(start, lineFeed))) {
         return true;
       }
-      if (end < 0 && length <= MAX_HEAD_BYTES) {
-        text.delete(0, start);
-        return false;
-      }
-      start = HeadCheck.statusLinePosition(text, start + 1);
+      start = lineFeed + 1;
+      lineFeed = text.indexOf("\n", start);
+    }
+    text.delete(0, start);
+    if (text.length() > MAX_LINE_BYTES) {
+      inHead |= HeadCheck.statusLinePosition(text, 0) >= 0;
+      lineCut = true;
+      text.delete(0, text.length() - STATUS_LINE_REST);
     }
-    text.delete(0, Math.max(0, text.length() - STATUS_LINE_REST));
     return false;
   }
 
-  /** End of the fields below a status line, negative if it is not there yet. */
-  private int headEnd(int start) {
-    int lineFeed = text.indexOf("\n", start);
-    while (lineFeed >= 0) {
-      int next = lineFeed + 1;
-      if (next < text.length() && text.charAt(next) == '\r') {
-        next++;
-      }
-      if (next < text.length() && text.charAt(next) == '\n') {
-        return lineFeed;
-      }
-      lineFeed = text.indexOf("\n", lineFeed + 1);
+  /** Returns whether a line is the field of another head that has the identifier. */
+  private boolean namesRequest(String line) {
+    boolean whole = !lineCut;
+    lineCut = false;
+    if (HeadCheck.statusLinePosition(line, 0) >= 0) {
+      inHead = true;
+      return false;
     }
-    return -1;
-  }
-
-  private boolean namesRequest(int start, int end) {
-    return text.substring(start, end)
-        .lines()
-        .filter(line -> line.toLowerCase(Locale.ROOT).startsWith(field))
-        .anyMatch(line -> line.substring(field.length()).strip().equals(id));
+    if (!inHead || !whole) {
+      return false;
+    }
+    inHead = !line.isBlank();
+    return line.toLowerCase(Locale.ROOT).startsWith(field)
+        && line.substring(field.length()).strip().equals(id);
   }
 }
--- a/adapters/src/test/java/org/pollenrock/adapters/http/TransportBed.java
+++ b/adapters/src/test/java/org/pollenrock/adapters/http/TransportBed.java
@@ -9,6 +9,7 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /** A transport with its event loop, and the responses that tests let servers write. */
@@ -33,6 +34,10 @@
   }
 
   HttpOutcome call(ScriptedServer server, ConnectionUse use) {
+    return start(server, use).join();
+  }
+
+  CompletableFuture<HttpOutcome> start(ScriptedServer server, ConnectionUse use) {
     calls++;
     HttpCall call =
         new HttpCall(
@@ -44,7 +49,7 @@
             LIMIT,
             1 << 20,
             use);
-    return transport.call(call).toCompletableFuture().join();
+    return transport.call(call).toCompletableFuture();
   }
 
   /** A whole response with a body of six bytes. */
