Count collected answers against the bound for held bytes

memory/request-bytes bounds "request bodies and buffered answers together", but only request bodies were counted. Answers had a bound each (limits/body-bytes, 4 MiB for a report, 16 MiB for a page of the log) and none together: servers that send large answers and don't end them could fill the memory of the process, and with it end the requests of others.

Whole answers of plain services and engines now reserve each part in the account of the request bodies (HeldBytes, moved to adapters) and return it when the answer is handed on; without room the exchange fails with unknown outcome. Reports, cache events and orders share an account of 64 MiB, so that large answers don't keep reports from being read; the log, the list and the KV store have one each.

EndlessResponseTest.manyLargeAnswersStayWithinOneBound: 16 answers of 1 MB with room for 4 MiB.

--- a/adapters/src/main/java/org/pollenrock/adapters/engine/EngineAnswerHandler.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/engine/EngineAnswerHandler.java
@@ -1,7 +1,6 @@
 package org.pollenrock.adapters.engine;
 
 import io.netty.handler.codec.http.HttpHeaders;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.Future;
@@ -10,6 +9,8 @@
 import org.asynchttpclient.HttpResponseStatus;
 import org.asynchttpclient.ResponseBodyControl;
 import org.asynchttpclient.netty.request.NettyRequest;
+import org.pollenrock.adapters.http.AnswerBuffer;
+import org.pollenrock.adapters.http.HeldBytes;
 import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.RequestError;
 import org.pollenrock.core.error.Step;
@@ -26,7 +27,7 @@
   private final EngineListener listener;
   private final Runnable postCancel;
   private final SseParser parser;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final AnswerBuffer body;
 
   private final Object lock = new Object();
   private Future<?> future;
@@ -43,10 +44,12 @@
   EngineAnswerHandler(
       EngineRequest request,
       HttpEngineClient.Bounds bounds,
+      HeldBytes held,
       EngineListener listener,
       Runnable postCancel) {
     this.request = request;
     this.bounds = bounds;
+    this.body = new AnswerBuffer(held);
     this.listener = listener;
     this.postCancel = postCancel;
     this.parser = new SseParser(bounds.maxLineBytes(), bounds.maxEventBytes());
@@ -155,12 +158,8 @@
       return readEvents(bytes);
     }
     int limit = status == OK ? bounds.maxBodyBytes() : MAX_ERROR_BYTES;
-    if (body.size() + bytes.length > limit) {
-      boundExceeded = "body exceeds " + limit + " bytes";
-      return State.ABORT;
-    }
-    body.writeBytes(bytes);
-    return State.CONTINUE;
+    boundExceeded = body.append(bytes, limit);
+    return boundExceeded.isEmpty() ? State.CONTINUE : State.ABORT;
   }
 
   private State readEvents(byte[] bytes) {
@@ -180,6 +179,7 @@
 
   @Override
   public Void onCompleted() {
+    byte[] received = body.take();
     if (!end()) {
       return null;
     }
@@ -192,11 +192,11 @@
       return null;
     }
     if (status != OK) {
-      listener.onFailure(refused());
+      listener.onFailure(refused(received));
       return null;
     }
     if (!request.streamed()) {
-      listener.onBody(body.toByteArray());
+      listener.onBody(received);
     }
     listener.onEnd();
     return null;
@@ -204,6 +204,7 @@
 
   @Override
   public void onThrowable(Throwable cause) {
+    body.take();
     if (!end()) {
       return;
     }
@@ -226,14 +227,14 @@
     }
   }
 
-  private EngineFailure refused() {
+  private EngineFailure refused(byte[] received) {
     if (status == CONFLICT) {
       return new EngineFailure.IdentityDiffers(head);
     }
     if (status == UNAVAILABLE && head.leaving()) {
       return new EngineFailure.Leaving(head);
     }
-    return new EngineFailure.Rejected(head, body.toString(StandardCharsets.UTF_8));
+    return new EngineFailure.Rejected(head, new String(received, StandardCharsets.UTF_8));
   }
 
   private EngineFailure notSent(String reason) {
--- a/adapters/src/main/java/org/pollenrock/adapters/engine/HttpEngineClient.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/engine/HttpEngineClient.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Future;
 import org.asynchttpclient.RequestBuilder;
 import org.pollenrock.adapters.http.ConnectionUse;
+import org.pollenrock.adapters.http.HeldBytes;
 import org.pollenrock.adapters.http.HttpCall;
 import org.pollenrock.adapters.http.HttpOutcome;
 import org.pollenrock.adapters.http.HttpTransport;
@@ -23,12 +24,18 @@
 /** {@link EngineClient} over HTTP. */
 public final class HttpEngineClient implements EngineClient {
   private static final int MAX_CONTROL_BYTES = 4 * 1024 * 1024;
+
+  /** Reports of many faulty engines must leave room for those of the others. */
+  private static final long MAX_HELD_CONTROL_BYTES = 16L * MAX_CONTROL_BYTES;
+
   private static final int ACCEPTED = 202;
   private static final int OK = 200;
   private static final int CONFLICT = 409;
 
   private final HttpTransport transport;
   private final Bounds bounds;
+  private final HeldBytes held;
+  private final HeldBytes controlBytes = new HeldBytes(MAX_HELD_CONTROL_BYTES);
   private final JsonCalls json = new JsonCalls(ErrorCode.SERVER_FAILED);
 
   /**
@@ -47,16 +54,18 @@
    *
    * @param transport connections
    * @param bounds limits of answers
+   * @param held account of the bodies of all attempts
    */
-  public HttpEngineClient(HttpTransport transport, Bounds bounds) {
+  public HttpEngineClient(HttpTransport transport, Bounds bounds, HeldBytes held) {
     this.transport = transport;
     this.bounds = bounds;
+    this.held = held;
   }
 
   @Override
   public EngineExchange open(EngineRequest request, EngineListener listener) {
     EngineAnswerHandler handler =
-        new EngineAnswerHandler(request, bounds, listener, () -> postCancel(request));
+        new EngineAnswerHandler(request, bounds, held, listener, () -> postCancel(request));
     RequestBuilder builder =
         transport
             .request(request.engine().address(), "POST", request.path(), request.use())
@@ -119,6 +128,7 @@
             new byte[0],
             bounds.controlTimeout(),
             MAX_CONTROL_BYTES,
+            controlBytes,
             use);
     return transport.call(call).thenApply(outcome -> json.read(outcome, engine.peer(), type));
   }
@@ -133,6 +143,7 @@
             body,
             bounds.controlTimeout(),
             MAX_CONTROL_BYTES,
+            controlBytes,
             ConnectionUse.ANY));
   }
 
--- a/router/src/main/java/org/pollenrock/router/caller/HeldBytes.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/HeldBytes.java
@@ -1,8 +1,8 @@
-package org.pollenrock.router.caller;
+package org.pollenrock.adapters.http;
 
 import java.util.concurrent.atomic.AtomicLong;
 
-/** Bytes of request bodies that the router holds, over all connections. */
+/** Bytes of bodies that are held at once, over all connections. */
 public final class HeldBytes {
   private final long limit;
   private final AtomicLong held = new AtomicLong();
--- a/adapters/src/main/java/org/pollenrock/adapters/http/HttpCall.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/HttpCall.java
@@ -14,6 +14,7 @@
  * @param body the body, empty for none
  * @param timeout longest time to the end of the answer
  * @param maxAnswerBytes bound of the answer's body
+ * @param held account of the answer while it is collected
  * @param use which connections may be used
  */
 public record HttpCall(
@@ -24,6 +25,7 @@
     byte[] body,
     Duration timeout,
     int maxAnswerBytes,
+    HeldBytes held,
     ConnectionUse use) {
   /** Checks that all parts are present. */
   public HttpCall {
@@ -33,6 +35,7 @@
     Objects.requireNonNull(headers, "headers");
     Objects.requireNonNull(body, "body");
     Objects.requireNonNull(timeout, "timeout");
+    Objects.requireNonNull(held, "held");
     Objects.requireNonNull(use, "use");
   }
 }
--- a/adapters/src/main/java/org/pollenrock/adapters/http/HttpTransport.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/HttpTransport.java
@@ -118,7 +118,8 @@
     if (call.body().length > 0) {
       builder.setBody(call.body());
     }
-    return execute(builder.build(), new WholeAnswerHandler(call.maxAnswerBytes(), done));
+    return execute(
+        builder.build(), new WholeAnswerHandler(call.maxAnswerBytes(), call.held(), done));
   }
 
   /**
--- a/adapters/src/main/java/org/pollenrock/adapters/http/WholeAnswerHandler.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/WholeAnswerHandler.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.io.ByteArrayOutputStream;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import org.asynchttpclient.AsyncHandler;
@@ -14,14 +13,15 @@
 final class WholeAnswerHandler implements AsyncHandler<Void> {
   private final int maxBytes;
   private final Consumer<HttpOutcome> done;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final AnswerBuffer body;
   private HttpHeaders headers = new DefaultHttpHeaders();
   private int status;
   private volatile boolean sent;
-  private boolean tooLarge;
+  private String boundExceeded = "";
 
-  WholeAnswerHandler(int maxBytes, Consumer<HttpOutcome> done) {
+  WholeAnswerHandler(int maxBytes, HeldBytes held, Consumer<HttpOutcome> done) {
     this.maxBytes = maxBytes;
+    this.body = new AnswerBuffer(held);
     this.done = done;
   }
 
@@ -44,18 +44,14 @@
 
   @Override
   public State onBodyPartReceived(HttpResponseBodyPart part) {
-    if (body.size() + part.length() > maxBytes) {
-      tooLarge = true;
-      return State.ABORT;
-    }
-    body.writeBytes(part.getBodyPartBytes());
-    return State.CONTINUE;
+    boundExceeded = body.append(part.getBodyPartBytes(), maxBytes);
+    return boundExceeded.isEmpty() ? State.CONTINUE : State.ABORT;
   }
 
   @Override
   public void onThrowable(Throwable cause) {
     String reason = String.valueOf(cause.getMessage());
-    done.accept(
+    end(
         sent
             ? new HttpOutcome.Broken(reason, cause instanceof TimeoutException)
             : new HttpOutcome.NotSent(reason));
@@ -63,11 +59,15 @@
 
   @Override
   public Void onCompleted() {
-    if (tooLarge) {
-      done.accept(new HttpOutcome.Broken("answer exceeds " + maxBytes + " bytes", false));
-      return null;
-    }
-    done.accept(new HttpOutcome.Answered(status, headers, body.toByteArray()));
+    end(
+        boundExceeded.isEmpty()
+            ? new HttpOutcome.Answered(status, headers, body.take())
+            : new HttpOutcome.Broken(boundExceeded, false));
     return null;
   }
+
+  private void end(HttpOutcome outcome) {
+    body.take();
+    done.accept(outcome);
+  }
 }
--- a/adapters/src/main/java/org/pollenrock/adapters/kv/HttpKvStoreClient.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/kv/HttpKvStoreClient.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.pollenrock.adapters.http.ConnectionUse;
+import org.pollenrock.adapters.http.HeldBytes;
 import org.pollenrock.adapters.http.HostPort;
 import org.pollenrock.adapters.http.HttpCall;
 import org.pollenrock.adapters.http.HttpOutcome;
@@ -18,6 +19,7 @@
 /** {@link KvStoreClient} over HTTP. */
 public final class HttpKvStoreClient implements KvStoreClient {
   private static final int MAX_BLOCK_BYTES = 64 * 1024 * 1024;
+  private static final long MAX_HELD_BYTES = 4L * MAX_BLOCK_BYTES;
   private static final int OK = 200;
   private static final int CREATED = 201;
   private static final int NO_CONTENT = 204;
@@ -25,6 +27,7 @@
 
   private final HttpTransport transport;
   private final HostPort address;
+  private final HeldBytes held = new HeldBytes(MAX_HELD_BYTES);
   private final Duration timeout;
   private final Peer peer;
   private final JsonCalls json = new JsonCalls(ErrorCode.SERVER_FAILED);
@@ -86,6 +89,7 @@
             body,
             timeout,
             MAX_BLOCK_BYTES,
+            held,
             ConnectionUse.ANY));
   }
 }
--- a/adapters/src/main/java/org/pollenrock/adapters/list/HttpInstanceListClient.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/list/HttpInstanceListClient.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletionStage;
 import org.pollenrock.adapters.http.ConnectionUse;
+import org.pollenrock.adapters.http.HeldBytes;
 import org.pollenrock.adapters.http.HostPort;
 import org.pollenrock.adapters.http.HttpCall;
 import org.pollenrock.adapters.http.HttpTransport;
@@ -18,6 +19,7 @@
 
   private final HttpTransport transport;
   private final HostPort address;
+  private final HeldBytes held = new HeldBytes(MAX_LIST_BYTES);
   private final Duration timeout;
   private final Peer peer;
   private final JsonCalls json = new JsonCalls(ErrorCode.NO_SERVER);
@@ -47,6 +49,7 @@
             new byte[0],
             timeout,
             MAX_LIST_BYTES,
+            held,
             ConnectionUse.ANY);
     return transport.call(call).thenApply(outcome -> json.read(outcome, peer, InstanceList.class));
   }
--- a/adapters/src/main/java/org/pollenrock/adapters/log/HttpLogClient.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/log/HttpLogClient.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.pollenrock.adapters.http.ConnectionUse;
+import org.pollenrock.adapters.http.HeldBytes;
 import org.pollenrock.adapters.http.HostPort;
 import org.pollenrock.adapters.http.HttpCall;
 import org.pollenrock.adapters.http.HttpOutcome;
@@ -22,6 +23,7 @@
 /** {@link LogClient} over HTTP. */
 public final class HttpLogClient implements LogClient {
   private static final int MAX_PAGE_BYTES = 16 * 1024 * 1024;
+  private static final long MAX_HELD_BYTES = 4L * MAX_PAGE_BYTES;
   private static final int MAX_APPEND_ANSWER_BYTES = 64 * 1024;
   private static final int OK = 200;
   private static final int GONE = 410;
@@ -29,6 +31,7 @@
 
   private final HttpTransport transport;
   private final HostPort address;
+  private final HeldBytes held = new HeldBytes(MAX_HELD_BYTES);
   private final Duration timeout;
   private final Peer peer;
   private final JsonCalls json = new JsonCalls(ErrorCode.CLAIM_UNAVAILABLE);
@@ -73,6 +76,7 @@
         body,
         limit,
         maxAnswerBytes,
+        held,
         ConnectionUse.ANY);
   }
 
--- a/adapters/src/main/java/org/pollenrock/adapters/plain/HttpPlainServiceClient.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/plain/HttpPlainServiceClient.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
+import org.pollenrock.adapters.http.HeldBytes;
 import org.pollenrock.adapters.http.HttpCall;
 import org.pollenrock.adapters.http.HttpOutcome;
 import org.pollenrock.adapters.http.HttpTransport;
@@ -14,6 +15,7 @@
 public final class HttpPlainServiceClient implements PlainServiceClient {
   private final HttpTransport transport;
   private final int maxAnswerBytes;
+  private final HeldBytes held;
   private final JsonCalls json = new JsonCalls(ErrorCode.SERVER_FAILED);
 
   /**
@@ -21,10 +23,12 @@
    *
    * @param transport connections
    * @param maxAnswerBytes largest body of an answer
+   * @param held account of the answers of all calls
    */
-  public HttpPlainServiceClient(HttpTransport transport, int maxAnswerBytes) {
+  public HttpPlainServiceClient(HttpTransport transport, int maxAnswerBytes, HeldBytes held) {
     this.transport = transport;
     this.maxAnswerBytes = maxAnswerBytes;
+    this.held = held;
   }
 
   @Override
@@ -38,6 +42,7 @@
             call.body(),
             call.timeout(),
             maxAnswerBytes,
+            held,
             call.use());
     Peer peer = new Peer(Peer.Kind.PLAIN_SERVICE, call.server().value());
     Future<?> exchange =
--- a/adapters/src/test/java/org/pollenrock/adapters/engine/BrokenStreamTest.java
+++ b/adapters/src/test/java/org/pollenrock/adapters/engine/BrokenStreamTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.pollenrock.adapters.http.ConnectionUse;
+import org.pollenrock.adapters.http.HeldBytes;
 import org.pollenrock.adapters.http.ScriptedServer;
 import org.pollenrock.adapters.http.TransportBed;
 import org.pollenrock.core.model.BackendServerId;
@@ -83,7 +84,9 @@
 
   private HttpEngineClient client() {
     return new HttpEngineClient(
-        bed.transport(), new HttpEngineClient.Bounds(4_096, 4_096, 4_096, Duration.ofSeconds(1)));
+        bed.transport(),
+        new HttpEngineClient.Bounds(4_096, 4_096, 4_096, Duration.ofSeconds(1)),
+        new HeldBytes(1 << 20));
   }
 
   private static EngineRequest request(ScriptedServer server) {
--- a/adapters/src/test/java/org/pollenrock/adapters/http/EndlessResponseTest.java
+++ b/adapters/src/test/java/org/pollenrock/adapters/http/EndlessResponseTest.java
@@ -4,9 +4,13 @@
 
 import io.netty.util.internal.PlatformDependent;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -83,6 +87,35 @@
     }
   }
 
+  /** Guards against a process that ends because many bounded answers are held at once. */
+  @Test
+  void manyLargeAnswersStayWithinOneBound() throws IOException {
+    CountDownLatch refused = new CountDownLatch(12);
+    CountDownLatch release = new CountDownLatch(1);
+    try (ScriptedServer large =
+        new ScriptedServer(
+            (connection, exchange, request, out) -> {
+              TransportBed.write(out, HEAD + "Content-Length: 1000000\r\n\r\n");
+              TransportBed.write(out, "x".repeat(999_999));
+              ScriptedServer.await(release);
+              TransportBed.write(out, "x");
+              return false;
+            })) {
+      List<CompletableFuture<HttpOutcome>> calls = new ArrayList<>();
+      for (int i = 0; i < 16; i++) {
+        CompletableFuture<HttpOutcome> call = bed.start(large, ConnectionUse.ANY);
+        call.thenRun(refused::countDown);
+        calls.add(call);
+      }
+      ScriptedServer.await(refused);
+      assertThat(bed.held().held()).isBetween(1L, 4L << 20);
+      release.countDown();
+      calls.forEach(CompletableFuture::join);
+      assertThat(calls).filteredOn(call -> call.join() instanceof HttpOutcome.Answered).hasSize(4);
+      assertThat(bed.held().held()).isZero();
+    }
+  }
+
   private static long held() {
     return PlatformDependent.usedDirectMemory();
   }
--- a/adapters/src/test/java/org/pollenrock/adapters/http/ScriptedServer.java
+++ b/adapters/src/test/java/org/pollenrock/adapters/http/ScriptedServer.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** A server whose bytes a test writes itself. */
 public final class ScriptedServer implements AutoCloseable {
@@ -63,6 +65,17 @@
         .orElse("");
   }
 
+  /** Waits for a latch for as long as a test may take. */
+  static void await(CountDownLatch latch) {
+    try {
+      if (!latch.await(30, TimeUnit.SECONDS)) {
+        throw new IllegalStateException("not reached");
+      }
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private void accept() {
     try {
       while (true) {
--- a/adapters/src/test/java/org/pollenrock/adapters/http/TransportBed.java
+++ b/adapters/src/test/java/org/pollenrock/adapters/http/TransportBed.java
@@ -21,8 +21,13 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final HashedWheelTimer timer = new HashedWheelTimer();
   private final HttpTransport transport = new HttpTransport(loops, timer, LIMIT);
+  private final HeldBytes held = new HeldBytes(4 << 20);
   private int calls;
 
+  HeldBytes held() {
+    return held;
+  }
+
   /** The transport. */
   public HttpTransport transport() {
     return transport;
@@ -48,6 +53,7 @@
             "{}".getBytes(StandardCharsets.UTF_8),
             LIMIT,
             1 << 20,
+            held,
             use);
     return transport.call(call).toCompletableFuture();
   }
--- a/router/src/main/java/org/pollenrock/router/Router.java
+++ b/router/src/main/java/org/pollenrock/router/Router.java
@@ -22,6 +22,7 @@
 import org.apache.logging.log4j.Logger;
 import org.pollenrock.adapters.engine.EngineAddress;
 import org.pollenrock.adapters.engine.ServerOrderMessage;
+import org.pollenrock.adapters.http.HeldBytes;
 import org.pollenrock.core.connection.ConnectionSettings;
 import org.pollenrock.core.error.Result;
 import org.pollenrock.core.limits.LoanMessage;
@@ -110,7 +111,8 @@
             NioIoHandler.newFactory());
     this.timer = new HashedWheelTimer(new DefaultThreadFactory(name + "-timer", true));
     this.tls = new RouterTls(process.tls(), loops);
-    this.clients = RouterClients.create(config, loops, timer);
+    HeldBytes held = new HeldBytes(CallerLimits.of(process).maxHeldBytes());
+    this.clients = RouterClients.create(config, loops, timer, held);
     DecisionState state =
         new DecisionState(parameters(config), random(config), new Ports(), System::nanoTime);
     this.decisionTask =
@@ -148,6 +150,7 @@
             socket(process.listen().callers()),
             CallerLimits.of(process),
             pipeline(),
+            held,
             tls::callers);
     this.operators =
         new OperatorListener(
--- a/router/src/main/java/org/pollenrock/router/RouterClients.java
+++ b/router/src/main/java/org/pollenrock/router/RouterClients.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import org.pollenrock.adapters.engine.EngineClient;
 import org.pollenrock.adapters.engine.HttpEngineClient;
+import org.pollenrock.adapters.http.HeldBytes;
 import org.pollenrock.adapters.http.HostPort;
 import org.pollenrock.adapters.http.HttpTransport;
 import org.pollenrock.adapters.list.HttpInstanceListClient;
@@ -30,7 +31,8 @@
     PlainServiceClient services,
     InstanceListClient list,
     LogClient log) {
-  static RouterClients create(RouterConfig config, EventLoopGroup loops, Timer timer) {
+  static RouterClients create(
+      RouterConfig config, EventLoopGroup loops, Timer timer, HeldBytes held) {
     ProcessSettings process = config.process();
     HttpTransport transport =
         new HttpTransport(loops, timer, Duration.ofNanos(process.limits().connectTimeoutNanos()));
@@ -41,8 +43,9 @@
         new HttpEngineClient(
             transport,
             new HttpEngineClient.Bounds(
-                eventBytes, eventBytes, bodyBytes, config.times().control())),
-        new HttpPlainServiceClient(transport, bodyBytes),
+                eventBytes, eventBytes, bodyBytes, config.times().control()),
+            held),
+        new HttpPlainServiceClient(transport, bodyBytes, held),
         new HttpInstanceListClient(
             transport,
             address(process.list().address()),
--- a/router/src/main/java/org/pollenrock/router/caller/CallerConnection.java
+++ b/router/src/main/java/org/pollenrock/router/caller/CallerConnection.java
@@ -27,6 +27,7 @@
 import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import org.pollenrock.adapters.http.HeldBytes;
 import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.RequestError;
 import org.pollenrock.core.error.Step;
--- a/router/src/main/java/org/pollenrock/router/caller/CallerListener.java
+++ b/router/src/main/java/org/pollenrock/router/caller/CallerListener.java
@@ -20,6 +20,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.pollenrock.adapters.http.HeldBytes;
 
 /** Accepts connections of callers. */
 public final class CallerListener {
@@ -43,6 +44,7 @@
    * @param address where to listen; port 0 for one that the system chooses
    * @param limits bounds of each connection
    * @param handler serves requests
+   * @param heldBytes account of the bodies that the router holds
    * @param tls the TLS context for each new connection, empty for plain TCP
    */
   public CallerListener(
@@ -50,13 +52,14 @@
       InetSocketAddress address,
       CallerLimits limits,
       RequestHandler handler,
+      HeldBytes heldBytes,
       Supplier<Optional<SslContext>> tls) {
     this.loops = loops;
     this.address = address;
     this.limits = limits;
     this.handler = handler;
     this.tls = tls;
-    this.heldBytes = new HeldBytes(limits.maxHeldBytes());
+    this.heldBytes = heldBytes;
   }
 
   /**
--- a/router/src/test/java/org/pollenrock/router/caller/CallerConnectionTest.java
+++ b/router/src/test/java/org/pollenrock/router/caller/CallerConnectionTest.java
@@ -22,6 +22,7 @@
 import net.jqwik.api.ShrinkingMode;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.pollenrock.adapters.http.HeldBytes;
 
 /** Guards the listener against hostile, slow and impatient callers. */
 class CallerConnectionTest {
