Answer every request that a planned stop of the router meets

In a planned stop, requests were taken and passed on until the last moment, and cut without an answer at the hard limit, among them calls that may not be repeated. Idle connections were closed at the end of the drain delay: a request that crossed the close got nothing.

Router.drain only closed listeners and waited. It now goes through three phases (PlannedStop): during the drain delay requests are served and their connections closed; then requests that have not begun to be served are refused as not run with 503 and Retry-After, and idle connections stay open for it, for at least 1 s; at the hard limit each open call is answered with 504 (503 if nothing was sent), each begun stream is broken off, and the process waits up to 1 s until that is sent.

DrainTest and CallerConnectionTest pass; the latter only implements the new method of ResponseListener.

--- a/router/src/main/java/org/pollenrock/router/Router.java
+++ b/router/src/main/java/org/pollenrock/router/Router.java
@@ -57,12 +57,10 @@
 import org.pollenrock.router.task.ReportTask;
 import org.pollenrock.settings.HostPort;
 import org.pollenrock.settings.ProcessSettings;
-import org.pollenrock.settings.StopSettings;
 
 /** One router: listeners, clients and tasks. Many can run in one process. */
 public final class Router {
   private static final Logger LOG = LogManager.getLogger(Router.class);
-  private static final long DRAIN_POLL_MILLIS = 20;
   private static final int MAILBOX_SIZE = 65_536;
   private static final long TICK_NANOS = 10_000_000L;
   private static final int CUSTOMER_FLOOR = 1_000;
@@ -87,12 +85,12 @@
   private final RouterMetrics metrics = new RouterMetrics();
   private final RouterTls tls;
   private final CallerListener callers;
+  private final PlannedStop plannedStop;
   private final OperatorListener operators;
   private volatile Optional<RouterSettings> settings = Optional.empty();
   private volatile boolean informed;
   private volatile boolean draining;
   private volatile boolean claimsReadable;
-  private volatile boolean hardStopNow;
   private final AtomicBoolean stopped = new AtomicBoolean();
 
   /**
@@ -152,6 +150,7 @@
             pipeline(),
             held,
             tls::callers);
+    this.plannedStop = new PlannedStop(callers, loops.next(), process.stop());
     this.operators =
         new OperatorListener(
             loops,
@@ -263,51 +262,30 @@
   }
 
   /**
-   * Stops without interrupting a request: reports not ready, serves on for the drain delay, accepts
-   * no more connections, and waits for open responses up to the hard limit.
+   * Stops without losing a request: reports not ready, serves on for the drain delay, then refuses
+   * requests, and waits for open responses up to the hard limit. What is still open then is
+   * answered, or broken off if its response has begun.
    *
    * @return number of connections whose response was aborted, 0 when all had ended; the router is
    *     stopped then
    */
   public CompletableFuture<Integer> drain() {
-    CompletableFuture<Integer> aborted = new CompletableFuture<>();
-    StopSettings stop = config.process().stop();
     draining = true;
     peerTask.drain();
     LOG.info("draining");
-    long hardStop = System.nanoTime() + stop.hardStopAfterNanos();
-    loops
-        .next()
-        .schedule(
-            () -> {
-              callers.drain();
-              awaitConnections(hardStop, aborted);
-            },
-            stop.drainDelayNanos(),
-            TimeUnit.NANOSECONDS);
-    return aborted.thenApplyAsync(
-        count -> {
-          stop();
-          LOG.info("stopped, {} responses aborted", count);
-          return count;
-        });
-  }
-
-  private void awaitConnections(long hardStop, CompletableFuture<Integer> aborted) {
-    int open = callers.connections();
-    if (open == 0 || hardStopNow || System.nanoTime() - hardStop >= 0) {
-      aborted.complete(open);
-      return;
-    }
-    loops
-        .next()
-        .schedule(
-            () -> awaitConnections(hardStop, aborted), DRAIN_POLL_MILLIS, TimeUnit.MILLISECONDS);
+    return plannedStop
+        .start()
+        .thenApplyAsync(
+            count -> {
+              stop();
+              LOG.info("stopped, {} responses aborted", count);
+              return count;
+            });
   }
 
   /** Ends a drain at once: the remaining responses are aborted. */
   public void abortDrain() {
-    hardStopNow = true;
+    plannedStop.abort();
   }
 
   /** Stops at once; open connections are closed. Has no effect when called again. */
--- a/router/src/main/java/org/pollenrock/router/caller/CallerConnection.java
+++ b/router/src/main/java/org/pollenrock/router/caller/CallerConnection.java
@@ -52,7 +52,7 @@
   private final Deque<HttpObject> queue = new ArrayDeque<>();
 
   private ChannelHandlerContext context;
-  private State state = State.IDLE;
+  private volatile State state = State.IDLE;
   private HttpRequest head;
   private ByteArrayOutputStream body = new ByteArrayOutputStream();
   private long queuedBytes;
@@ -89,10 +89,26 @@
     waitForRequest();
   }
 
-  /** Closes now when no request is being read or served; otherwise the response closes. */
-  void closeWhenIdle() {
-    if (state == State.IDLE) {
-      state = State.CLOSING;
+  /** Whether a request is being read or served, or its response may not have been sent. */
+  boolean isBusy() {
+    return state != State.IDLE;
+  }
+
+  Channel channel() {
+    return context.channel();
+  }
+
+  /** Whether a response is open. */
+  boolean isServing() {
+    return state == State.SERVING;
+  }
+
+  /** Ends the current response; one that has begun is broken off. */
+  void stopNow() {
+    if (writer != null) {
+      writer.stopping();
+    }
+    if (writer != null) {
       context.close();
     }
   }
@@ -185,6 +201,10 @@
   }
 
   private void serve() {
+    if (drain.refusing()) {
+      refuse(refusal(ErrorCode.OVERLOADED, "the router is stopping"));
+      return;
+    }
     cancel(readDeadline);
     state = State.SERVING;
     CallerRequest request =
--- a/router/src/main/java/org/pollenrock/router/caller/CallerListener.java
+++ b/router/src/main/java/org/pollenrock/router/caller/CallerListener.java
@@ -19,6 +19,9 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.pollenrock.adapters.http.HeldBytes;
 
@@ -115,17 +118,61 @@
     return heldBytes.held();
   }
 
-  /** Accepts no more connections and closes each open one after its current response. */
-  public void drain() {
+  /** Makes each connection close after its next response. */
+  public void announceStop() {
     drain.turnOn();
+  }
+
+  /**
+   * Accepts no more connections and refuses requests that have not begun to be served. Idle
+   * connections stay open, since a request that crosses a close is lost.
+   */
+  public void refuseRequests() {
+    drain.refuse();
     server.close().syncUninterruptibly();
-    connections.forEach(
-        channel -> {
-          CallerConnection connection = channel.pipeline().get(CallerConnection.class);
-          if (connection != null) {
-            channel.eventLoop().execute(connection::closeWhenIdle);
+  }
+
+  /** Ends each open response. */
+  public void stopResponses() {
+    forEachConnection(connection -> connection.channel().eventLoop().execute(connection::stopNow));
+  }
+
+  /**
+   * Counts connections with a request or with a response that may not have been sent.
+   *
+   * @return the number
+   */
+  public int busyConnections() {
+    return count(CallerConnection::isBusy);
+  }
+
+  /**
+   * Counts connections with an open response.
+   *
+   * @return the number
+   */
+  public int openResponses() {
+    return count(CallerConnection::isServing);
+  }
+
+  private int count(Predicate<CallerConnection> wanted) {
+    AtomicInteger count = new AtomicInteger();
+    forEachConnection(
+        connection -> {
+          if (wanted.test(connection)) {
+            count.incrementAndGet();
           }
         });
+    return count.get();
+  }
+
+  private void forEachConnection(Consumer<CallerConnection> action) {
+    for (Channel channel : connections) {
+      CallerConnection connection = channel.pipeline().get(CallerConnection.class);
+      if (connection != null) {
+        action.accept(connection);
+      }
+    }
   }
 
   /** Closes the listener and every connection. */
--- a/router/src/main/java/org/pollenrock/router/caller/ResponseWriter.java
+++ b/router/src/main/java/org/pollenrock/router/caller/ResponseWriter.java
@@ -16,10 +16,13 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.RequestError;
 
 /** Writes the response to one request; ignores everything after its end. */
 final class ResponseWriter implements ResponseSink {
+  private static final int RETRY_AFTER_SECONDS = 1;
+
   private static final ResponseListener NO_LISTENER =
       new ResponseListener() {
         @Override
@@ -31,6 +34,11 @@
         public void disconnected() {
           // Nobody works for the connection yet.
         }
+
+        @Override
+        public void stopping() {
+          // Nobody works for the connection yet.
+        }
       };
 
   private final ChannelHandlerContext context;
@@ -71,6 +79,9 @@
         .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
         .set(HttpHeaderNames.CONTENT_LENGTH, body.length)
         .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    if (error.code() == ErrorCode.OVERLOADED) {
+      response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
+    }
     return context.writeAndFlush(response);
   }
 
@@ -149,6 +160,12 @@
     }
   }
 
+  void stopping() {
+    if (open) {
+      listener.stopping();
+    }
+  }
+
   private void setConnection(HttpResponse response) {
     keepAlive = keepAlive && !drain.draining();
     response
--- a/router/src/main/java/org/pollenrock/router/filter/Errors.java
+++ b/router/src/main/java/org/pollenrock/router/filter/Errors.java
@@ -20,6 +20,17 @@
     };
   }
 
+  /** The router ends: without an attempt nothing ran. */
+  static RequestError stopping(Exchange exchange) {
+    boolean sent = exchange.attempts() > 0;
+    return of(
+        sent ? RunState.UNKNOWN : RunState.NOT_RUN,
+        sent ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.OVERLOADED,
+        exchange.step(),
+        Optional.empty(),
+        "the router is stopping");
+  }
+
   /** The caller's deadline passed: without an attempt nothing ran. */
   static RequestError deadlinePassed(Exchange exchange) {
     RunState state = exchange.attempts() == 0 ? RunState.NOT_RUN : RunState.UNKNOWN;
--- a/router/src/main/java/org/pollenrock/router/filter/Exchange.java
+++ b/router/src/main/java/org/pollenrock/router/filter/Exchange.java
@@ -191,6 +191,15 @@
     finish(new ExchangeEnd.CallerGone());
   }
 
+  @Override
+  public void stopping() {
+    if (stream.started()) {
+      return;
+    }
+    retryAfterSeconds(1);
+    fail(Errors.stopping(this));
+  }
+
   /** Headers that every response of this request carries. */
   HttpHeaders baseHeaders() {
     HttpHeaders headers = new DefaultHttpHeaders();
--- a/router/src/test/java/org/pollenrock/router/TestCluster.java
+++ b/router/src/test/java/org/pollenrock/router/TestCluster.java
@@ -42,10 +42,17 @@
   private final LogStandin log =
       new LogStandin(group, System::currentTimeMillis, Duration.ofHours(1), 1_000);
   private final List<ListedInstance> listed = new ArrayList<>();
+  private final Duration hardStop;
   private final Router router;
   private final HttpClient client = HttpClient.newHttpClient();
 
   TestCluster(int engineCount, RouterTimes times) {
+    this(engineCount, times, Duration.ofSeconds(10), Duration.ZERO);
+  }
+
+  /** Makes a cluster whose router stops within a time, and whose plain services are slow. */
+  TestCluster(int engineCount, RouterTimes times, Duration hardStop, Duration callTime) {
+    this.hardStop = hardStop;
     list.start();
     log.start();
     for (int i = 0; i < engineCount; i++) {
@@ -61,7 +68,7 @@
       listed.add(instance("engine-" + i, "model-server", "", engine.address()));
     }
     for (int i = 0; i < 2; i++) {
-      PlainServiceStandin ledger = new PlainServiceStandin(group, "ledger-" + i, Duration.ZERO);
+      PlainServiceStandin ledger = new PlainServiceStandin(group, "ledger-" + i, callTime);
       ledger.start();
       ledgers.add(ledger);
       listed.add(instance("ledger-" + i, "plain-server", "ledger", ledger.address()));
@@ -113,11 +120,11 @@
             listen: {callers: "127.0.0.1:0", operators: "127.0.0.1:0", peers: "127.0.0.1:0"}
             log: {address: "%s"}
             list: {address: "%s", poll-interval: 20ms}
-            stop: {drain-delay: 0s, hard-stop-after: 10s}
+            stop: {drain-delay: 0s, hard-stop-after: %dms}
             random-seed: 1
             seeds: %s
             """
-                .formatted(name, log.address(), list.address(), seeds))
+                .formatted(name, log.address(), list.address(), hardStop.toMillis(), seeds))
         .orElseThrow();
   }
 
--- a/router/src/test/java/org/pollenrock/router/caller/CallerConnectionTest.java
+++ b/router/src/test/java/org/pollenrock/router/caller/CallerConnectionTest.java
@@ -176,6 +176,11 @@
               public void disconnected() {
                 told[0] = true;
               }
+
+              @Override
+              public void stopping() {
+                // Not part of this test.
+              }
             });
     channel.close();
     assertThat(told[0]).isTrue();
