Wait in a planned stop until given answers are sent

A caller that read slowly lost the rest of an answer that had been given before the stop: its connection counted as idle while megabytes of the answer were in the outbound buffer, and was closed. A second SIGTERM ends without answers, as before.

PlannedStop now takes a connection with unsent bytes for busy, up to the hard limit. DrainTest.drainWaitsForACallerWhoReadsSlowly received 2,810,032 of more than 29,360,128 bytes before and passes now; DrainTest, PlannedStopTest and CallerConnectionTest pass.

--- a/router/src/main/java/org/pollenrock/router/PlannedStop.java
+++ b/router/src/main/java/org/pollenrock/router/PlannedStop.java
@@ -47,7 +47,7 @@
     return ended;
   }
 
-  /** Ends the open responses now. */
+  /** Ends without an answer to what is open. */
   void abort() {
     aborted = true;
   }
@@ -55,7 +55,9 @@
   private void awaitResponses(long hardStop, long busyNanos) {
     long now = System.nanoTime();
     boolean busy = callers.busyConnections() > 0;
-    if (aborted || now - hardStop >= 0) {
+    if (aborted) {
+      ended.complete(callers.openResponses());
+    } else if (now - hardStop >= 0) {
       int open = callers.openResponses();
       callers.stopResponses();
       awaitFlush(open, now + FLUSH_NANOS);
--- a/router/src/main/java/org/pollenrock/router/caller/CallerConnection.java
+++ b/router/src/main/java/org/pollenrock/router/caller/CallerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -91,16 +92,21 @@
 
   /** Whether a request is being read or served, or its response may not have been sent. */
   boolean isBusy() {
-    return state != State.IDLE;
+    return state != State.IDLE || hasUnsentBytes();
   }
 
   Channel channel() {
     return context.channel();
   }
 
-  /** Whether a response is open. */
-  boolean isServing() {
-    return state == State.SERVING;
+  /** Whether a response is open or not yet sent to its end. */
+  boolean isAnswering() {
+    return state == State.SERVING || hasUnsentBytes();
+  }
+
+  private boolean hasUnsentBytes() {
+    ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
+    return unsent != null && unsent.totalPendingWriteBytes() > 0;
   }
 
   /** Ends the current response; one that has begun is broken off. */
--- a/router/src/main/java/org/pollenrock/router/caller/CallerListener.java
+++ b/router/src/main/java/org/pollenrock/router/caller/CallerListener.java
@@ -147,12 +147,12 @@
   }
 
   /**
-   * Counts connections with an open response.
+   * Counts connections with a response that is open or not yet sent.
    *
    * @return the number
    */
   public int openResponses() {
-    return count(CallerConnection::isServing);
+    return count(CallerConnection::isAnswering);
   }
 
   private int count(Predicate<CallerConnection> wanted) {
--- a/router/src/test/java/org/pollenrock/router/DrainTest.java
+++ b/router/src/test/java/org/pollenrock/router/DrainTest.java
@@ -2,8 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.InputStream;
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -11,6 +14,9 @@
 
 /** Guards planned stops against interrupted requests, and operators against wrong health. */
 class DrainTest {
+  /** More than the buffers of the sockets hold. */
+  private static final int ANSWERS = 4;
+
   private TestCluster cluster;
 
   @BeforeEach
@@ -58,6 +64,36 @@
     assertThat(stream).failsWithin(java.time.Duration.ofSeconds(30));
   }
 
+  /** Guards against the cut of an answer that was given before the stop and is read slowly. */
+  @Test
+  void drainWaitsForACallerWhoReadsSlowly() throws Exception {
+    String body = "x".repeat(7 << 20);
+    try (Socket caller = new Socket()) {
+      caller.setReceiveBufferSize(4_096);
+      caller.connect(cluster.router().callerAddress());
+      String head =
+          "POST /ledger/calls HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-1\r\n"
+              + "Content-Length: "
+              + body.length()
+              + "\r\n\r\n";
+      byte[] request = (head + body).getBytes(StandardCharsets.US_ASCII);
+      for (int i = 0; i < ANSWERS; i++) {
+        caller.getOutputStream().write(request);
+      }
+      InputStream in = caller.getInputStream();
+      assertThat(in.read()).isEqualTo('H');
+      TestCluster.await(
+          () ->
+              cluster.ledgers().stream().mapToInt(ledger -> ledger.executions().size()).sum()
+                  == ANSWERS);
+      Thread.sleep(500);
+      CompletableFuture<Integer> drained = cluster.router().drain();
+      Thread.sleep(2_500);
+      assertThat(in.readAllBytes().length).isGreaterThan(ANSWERS * body.length());
+      assertThat(drained.join()).isZero();
+    }
+  }
+
   @Test
   void operatorsSeeHealthStateAndExplanation() throws Exception {
     cluster.send("POST", "/v1/chat/completions", TestCluster.chat(true, 2));
