--- a/ctl/src/main/java/org/pollenrock/ctl/command/HistoryCommand.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/command/HistoryCommand.java
@@ -40,28 +40,27 @@
 
   @Override
   public Integer call() throws Exception {
-    try (LogClient client = logOptions.open()) {
-      SettingsLog log = LogOptions.read(client);
-      SettingsHistory history = log.history();
-      List<AppliedChange> all = log.changes();
-      List<AppliedChange> changes =
-          all.subList(Math.max(0, all.size() - Math.max(0, limit)), all.size());
-      ObjectNode json =
-          output
-              .object()
-              .put("revision", history.revision())
-              .put("digest", history.digest().toString())
-              .put("corrupt_records", history.corruptRecords());
-      ArrayNode array = json.putArray("changes");
-      changes.forEach(change -> addChange(array.addObject(), change));
-      output.print(
-          json,
-          out -> {
-            changes.forEach(change -> print(out, change));
-            out.printf("revision %d digest %s%n", history.revision(), history.digest());
-          });
-      return 0;
-    }
+    LogClient client = logOptions.open();
+    SettingsLog log = LogOptions.read(client);
+    SettingsHistory history = log.history();
+    List<AppliedChange> all = log.changes();
+    List<AppliedChange> changes =
+        all.subList(Math.max(0, all.size() - Math.max(0, limit)), all.size());
+    ObjectNode json =
+        output
+            .object()
+            .put("revision", history.revision())
+            .put("digest", history.digest().toString())
+            .put("corrupt_records", history.corruptRecords());
+    ArrayNode array = json.putArray("changes");
+    changes.forEach(change -> addChange(array.addObject(), change));
+    output.print(
+        json,
+        out -> {
+          changes.forEach(change -> print(out, change));
+          out.printf("revision %d digest %s%n", history.revision(), history.digest());
+        });
+    return 0;
   }
 
   private static void addChange(ObjectNode json, AppliedChange applied) {
--- a/ctl/src/main/java/org/pollenrock/ctl/command/PublishCommand.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/command/PublishCommand.java
@@ -94,14 +94,13 @@
     if ((file == null) == (puts.isEmpty() && removals.isEmpty())) {
       throw new CommandFailure(CommandFailure.USAGE, "give either FILE or --set and --remove");
     }
-    try (LogClient client = logOptions.open()) {
-      SettingsLog log = LogOptions.read(client);
-      UUID changeId = id != null ? id : UUID.randomUUID();
-      Optional<ChangeOutcome> earlier = log.history().outcomeOf(changeId);
-      return earlier.isPresent()
-          ? report(changeId, earlier.get(), true)
-          : publish(client, log, changeId);
-    }
+    LogClient client = logOptions.open();
+    SettingsLog log = LogOptions.read(client);
+    UUID changeId = id != null ? id : UUID.randomUUID();
+    Optional<ChangeOutcome> earlier = log.history().outcomeOf(changeId);
+    return earlier.isPresent()
+        ? report(changeId, earlier.get(), true)
+        : publish(client, log, changeId);
   }
 
   private int publish(LogClient client, SettingsLog log, UUID changeId)
--- a/ctl/src/main/java/org/pollenrock/ctl/command/TreeSource.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/command/TreeSource.java
@@ -30,10 +30,9 @@
       return new Loaded(
           SettingsFiles.tree(file), SettingsHistory.NO_REVISION, SettingsHistory.NO_REVISION);
     }
-    try (LogClient client = log.open()) {
-      SettingsLog read = LogOptions.read(client);
-      SettingsHistory history = read.history();
-      return new Loaded(history.tree(), history.revision(), history.next() - 1);
-    }
+    LogClient client = log.open();
+    SettingsLog read = LogOptions.read(client);
+    SettingsHistory history = read.history();
+    return new Loaded(history.tree(), history.revision(), history.next() - 1);
   }
 }
