--- a/adapters/src/main/java/org/pollenrock/adapters/http/ResponseGuard.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/ResponseGuard.java
@@ -190,8 +190,10 @@
     if (named != null && !named.equals(requestId)) {
       return Optional.of("names the request " + named);
     }
-    // An identifier is that of one send, so no later response on the connection names it.
-    boolean reusable = ConnectionReuse.isAllowed(named != null, true);
+    // An identifier is that of one send, so no later response on the connection names it; a
+    // response
+    // to another request has failed this one.
+    boolean reusable = ConnectionReuse.isAllowed(named != null, true, false);
     context.channel().attr(REUSABLE).set(reusable);
     boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     phase = interim ? Phase.INTERIM : Phase.BODY;
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -13,13 +13,11 @@
 import org.pollenrock.core.dispatch.PrefixDirectory;
 import org.pollenrock.core.dispatch.PrefixStoreView;
 import org.pollenrock.core.dispatch.ServerSelector;
-import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.membership.UnknownInstances;
 import org.pollenrock.core.quarantine.PartQuarantine;
 import org.pollenrock.core.response.HeadCheck;
 import org.pollenrock.core.route.ActiveConfig;
-import org.pollenrock.core.weights.WeightsRollout;
 import org.pollenrock.core.weights.WeightsTargets;
 
 /**
@@ -465,20 +463,7 @@
         "pollenrock_config_version",
         "Configuration in force",
         () -> configs.current().map(config -> config.version()).orElse(0L));
-    metrics.registerGauge(
-        "pollenrock_servers_listed", "Backend servers in the list", () -> fleet.all().size());
-    metrics.registerGauge(
-        "pollenrock_servers_missing",
-        "Backend servers that don't answer",
-        () -> fleet.all().stream().filter(Backend::isMissing).count());
-    metrics.registerGauge(
-        "pollenrock_servers_rate_limited",
-        "Backend servers that name a limit of requests",
-        rateLimits.limits()::limitedServerCount);
-    metrics.registerGauge(
-        "pollenrock_engines_behind",
-        "Engines whose weights are older than the named ones",
-        () -> WeightsRollout.countOutdated(fleet.all(), weightsTargets));
+    FleetGauges.register(metrics, fleet, rateLimits.limits(), weightsTargets);
     metrics.registerGauge(
         "pollenrock_prefixes_known", "Prefixes whose servers are known", directory::size);
     metrics.registerGauge(
--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -43,6 +43,11 @@
       return "";
     }
 
+    /** Returns whether parts of the body are used before its end, once the head was received. */
+    default boolean isBodyRelayed() {
+      return false;
+    }
+
     /** Called when a head is not that of one response, before the request fails. */
     void malformedHeadReceived(MalformedHead head);
 
@@ -105,7 +110,10 @@
     skippingResponse = false;
     requestWritten = false;
     responseComplete = false;
-    decoder.expectResponse(request.method().equals(HttpMethod.HEAD), newListener.requestId());
+    decoder.expectResponse(
+        request.method().equals(HttpMethod.HEAD),
+        newListener.requestId(),
+        newListener::isBodyRelayed);
     channel
         .writeAndFlush(request)
         .addListener(
--- a/gateway/src/main/java/org/pollenrock/gateway/ResponseDecoder.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ResponseDecoder.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.pollenrock.core.response.BodyCheck;
 
 /**
@@ -28,7 +29,7 @@
  */
 final class ResponseDecoder extends HttpResponseDecoder {
   /** Maximum size of the withheld part of a body. */
-  private static final int MAX_WITHHELD_BYTES = 8 << 20;
+  private static final int MAX_WITHHELD_BYTES = EventSplitter.MAX_EVENT_BYTES;
 
   /** Length of the delimiter after a chunk. */
   private static final int DELIMITER_LENGTH = 2;
@@ -37,6 +38,7 @@
   private BodyCheck bodyCheck = new BodyCheck("");
   private String requestId = "";
   private boolean headRequest;
+  private BooleanSupplier relayed = () -> false;
   private boolean insideResponse;
   private boolean chunked;
   private boolean insideChunk;
@@ -53,10 +55,12 @@
    *
    * @param isHead whether the method is HEAD, so that the response has no body
    * @param id identifier that responses to the request carry; empty if none
+   * @param isRelayed whether parts of the body are used before its end, asked after the head
    */
-  void expectResponse(boolean isHead, String id) {
+  void expectResponse(boolean isHead, String id, BooleanSupplier isRelayed) {
     headRequest = isHead;
     requestId = id;
+    relayed = isRelayed;
   }
 
   /** Returns whether bytes were received after the end of the last response. */
@@ -167,7 +171,7 @@
       release(out);
       out.add(content);
       chunked = false;
-    } else if (last || bodyCheck.containsStatusLine()) {
+    } else if (last || bodyCheck.containsStatusLine() && relayed.getAsBoolean()) {
       withheldBytes += content.content().readableBytes();
       withheld.add(content);
       endWithheld = last;
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerConnectionPools.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerConnectionPools.java
@@ -35,12 +35,7 @@
         backend,
         server ->
             new ConnectionPool(
-                loop,
-                address(server),
-                CONNECT_TIMEOUT_MILLIS,
-                readShare,
-                observer,
-                headCheck));
+                loop, address(server), CONNECT_TIMEOUT_MILLIS, readShare, observer, headCheck));
   }
 
   /** Returns the address that requests to a server go to. */
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -123,21 +123,7 @@
   /** Logs the failure of the send, what had been relayed before, and what follows. */
   void logFailure(
       SendFailure failure, String cause, long relayedEvents, NextStep next, String promptParts) {
-    long now = System.nanoTime();
-    components
-        .log()
-        .line("send_failed")
-        .with("id", request.id())
-        .with("server", backend.entry().id())
-        .with("address", backend.entry().address())
-        .with("failure", failure.name())
-        .with("cause", cause)
-        .with("server_load", (long) backend.load(now))
-        .with("server_silent_ms", backend.silentNanos(now) / 1_000_000)
-        .with("events", relayedEvents)
-        .with("next", next.name())
-        .with("parts", promptParts)
-        .write();
+    sendLog.failure(backend, failure, cause, relayedEvents, next, promptParts);
   }
 
   /** Gives up the send without notifying the owner. */
@@ -247,6 +233,11 @@
     return request.id();
   }
 
+  @Override
+  public boolean isBodyRelayed() {
+    return mode == Mode.STREAM;
+  }
+
   @Override
   public void malformedHeadReceived(MalformedHead malformed) {
     sendLog.malformedHead(malformed);
--- a/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
@@ -119,7 +119,12 @@
     HttpConnection call =
         new HttpConnection(
             new ConnectionPool(
-                calls.eventLoop(), ADDRESS, 100, new ReadShare(calls.eventLoop()), address -> {}, new HeadCheck(List.of())));
+                calls.eventLoop(),
+                ADDRESS,
+                100,
+                new ReadShare(calls.eventLoop()),
+                address -> {},
+                new HeadCheck(List.of())));
     calls.pipeline().addLast(call.decoder()).addLast(new HttpRequestEncoder()).addLast(call);
     CollectingListener listener = new CollectingListener();
     call.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), listener);
--- a/gateway/src/test/java/org/pollenrock/gateway/ReadShareTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/ReadShareTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.pollenrock.core.response.HeadCheck;
 
 /** Tests that connections on which bytes arrive without end take turns. */
 class ReadShareTest {
@@ -16,7 +17,12 @@
   private final ReadShare share = new ReadShare(loop.eventLoop());
   private final ConnectionPool pool =
       new ConnectionPool(
-          loop.eventLoop(), new InetSocketAddress("127.0.0.1", 80), 100, share, address -> {});
+          loop.eventLoop(),
+          new InetSocketAddress("127.0.0.1", 80),
+          100,
+          share,
+          address -> {},
+          new HeadCheck(List.of()));
 
   // Guards against an event loop that reads all faulty connections in each of its turns.
   @Test
--- a/soak/src/main/java/org/pollenrock/soak/SoakRun.java
+++ b/soak/src/main/java/org/pollenrock/soak/SoakRun.java
@@ -266,7 +266,7 @@
           gateway.start();
         }
         case STOP_GATEWAY -> {
-          StopCallers callers = new StopCallers(gateway, record, seed);
+          StopCallers callers = new StopCallers(gateway, record, settings.seed());
           callers.start();
           TimeUnit.MILLISECONDS.sleep(millis / 4);
           if (!gateway.terminate()) {
