Stop reading from callers who do not read their responses

What callers could see: the process ends, and all requests in it with it, when a caller pipelines requests without end and reads no response.

Cause: a caller's connection was read on while earlier responses waited to be written, so that these had no bound. Only the stream of an exchange was paused.

Requests go on when the caller has read. The time limit for a slow head does not run for requests that wait; the idle limit does, as for a caller who does not read.

Now the instance pauses, and serves the caller on once it reads.

--- a/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
@@ -110,7 +110,7 @@
       ReferenceCountUtil.release(object);
       return;
     }
-    if (exchange != null || !pendingMessages.isEmpty()) {
+    if (exchange != null || !pendingMessages.isEmpty() || isResponseUnread()) {
       pendingMessages.add(object);
       if (pendingMessages.size() >= MAX_PENDING_MESSAGES) {
         channel.config().setAutoRead(false);
@@ -136,8 +136,13 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
-    if (channel.isWritable() && exchange != null) {
+    if (!channel.isWritable()) {
+      return;
+    }
+    if (exchange != null) {
       exchange.resumeReading();
+    } else if (!pendingMessages.isEmpty()) {
+      channel.eventLoop().execute(this::acceptPending);
     }
   }
 
@@ -173,7 +178,7 @@
     if (closing || exchange != null) {
       return;
     }
-    if (!reading) {
+    if (!reading || !pendingMessages.isEmpty()) {
       if (now - lastActiveNanos > idleTimeoutNanos) {
         // Also a caller who does not read its response must not keep the connection for ever.
         closing = true;
@@ -403,7 +408,7 @@
   }
 
   private void acceptPending() {
-    while (exchange == null && !closing && !pendingMessages.isEmpty()) {
+    while (exchange == null && !closing && !pendingMessages.isEmpty() && !isResponseUnread()) {
       reading = true;
       readingSinceNanos = System.nanoTime();
       accept(pendingMessages.poll());
@@ -413,6 +418,11 @@
     }
   }
 
+  /** Returns whether the caller has to read earlier responses before it gets another one. */
+  private boolean isResponseUnread() {
+    return head == null && !channel.isWritable();
+  }
+
   private void releaseBody() {
     if (body != null) {
       body.release();
