--- a/adapters/src/main/java/org/pollenrock/adapters/http/ResponseGuard.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/ResponseGuard.java
@@ -16,12 +16,14 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.pollenrock.core.dispatch.ConnectionReuse;
+import org.pollenrock.core.response.BodyCheck;
 import org.pollenrock.core.response.HeadCheck;
 import org.pollenrock.core.response.HeadFault;
 
@@ -55,7 +57,7 @@
 
   private final Supplier<String> requestIds;
   private String requestId = "";
-  private EmbeddedResponseScanner scanner = new EmbeddedResponseScanner(ATTEMPT_ID, "");
+  private BodyCheck bodyCheck = new BodyCheck("");
   private Phase phase = Phase.IDLE;
   private LastHttpContent end;
 
@@ -125,7 +127,7 @@
       request.headers().set(ATTEMPT_ID, requestIds.get());
     }
     requestId = request.headers().get(ATTEMPT_ID);
-    scanner = new EmbeddedResponseScanner(ATTEMPT_ID, requestId);
+    bodyCheck = new BodyCheck(requestId);
     context.channel().attr(REUSABLE).set(false);
   }
 
@@ -201,7 +203,8 @@
   }
 
   private Optional<String> bodyFault(HttpContent content) {
-    if (scanner.isFoundIn(content.content())) {
+    bodyCheck.add(content.content().toString(StandardCharsets.ISO_8859_1));
+    if (bodyCheck.containsSecondHead()) {
       return Optional.of("another response in the body");
     }
     if (content instanceof LastHttpContent last) {
