Test that the response to a HEAD request ends with its head

ResponseDecoder takes over what HttpClientCodec knew of the method of the request. The test covers an informational response before the final one.

--- a/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
@@ -115,6 +115,10 @@
   }
 
   private static CollectingListener receive(String... reads) {
+    return receive(HttpMethod.GET, reads);
+  }
+
+  private static CollectingListener receive(HttpMethod method, String... reads) {
     EmbeddedChannel calls = new EmbeddedChannel();
     HttpConnection call =
         new HttpConnection(
@@ -127,7 +131,7 @@
                 new HeadCheck(List.of())));
     calls.pipeline().addLast(call.decoder()).addLast(new HttpRequestEncoder()).addLast(call);
     CollectingListener listener = new CollectingListener();
-    call.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), listener);
+    call.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"), listener);
     for (String read : reads) {
       calls.writeInbound(Unpooled.copiedBuffer(read, US_ASCII));
     }
@@ -219,4 +223,14 @@
         });
     return idle.get();
   }
+
+  /** The length in the response to a HEAD request is that of no body. */
+  @Test
+  void responseToAHeadRequestEndsWithItsHead() {
+    String head = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n";
+    CollectingListener result = receive(HttpMethod.HEAD, "HTTP/1.1 103 Early Hints\r\n\r\n" + head);
+    assertThat(result.status).isEqualTo(200);
+    assertThat(result.ended).isTrue();
+    assertThat(result.body).isEmpty();
+  }
 }
