Try quarantined parts that nothing has proven bad

Cause: PartQuarantine blamed every part without a known completion after three episodes. Completions of the time before are lost with the processes, with one engine nothing else completes meanwhile, and the quarantine prevented the completion that would have cleared the parts.

A part is proven bad only if other prompts completed since its first strike. Else it is on trial: after a pause (2 s with another part of equal strikes, 10 s without, 20 s while others complete, five times as long after each further crash) one request goes out with it, by one instance after the other, and one completion clears it everywhere and deletes its record in the store. While another part has the same strikes, no quarantine is announced or stored. Five servers that ended at once put a part on trial once another part with the same strikes has completed. Announcements that are dated too late don't outweigh a completion. No message has a new field: a trial is announced as a quarantine that begins then. SuspectServers and Completions are parts of PartQuarantine.

QuarantineLimitsTest is unchanged but for @Disabled. Its three tests failed before: quarantined ["system", "sound"]; 0 of 100 admitted where 50 are required; 10 counted requests where 3 may.

DispatcherTest.oneWaitingRequestTriesAQuarantinedPart failed without the check in dispatchWaiting. Tests of the quarantine in core, gateway and platform pass.

--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -130,7 +130,7 @@
             .toList();
     if (selectServer(request, untried, Set.of(), nowNanos) instanceof Selection.Chosen chosen
         && allowance.tryResend(nowNanos)) {
-      recordSend(chosen, nowNanos);
+      recordSend(request, chosen, nowNanos);
       return Optional.of(chosen);
     }
     return Optional.empty();
@@ -151,11 +151,14 @@
     }
     List<DispatchResult.Released> released = new ArrayList<>();
     for (QueueEntry entry : queue.entriesInOrder()) {
+      if (isQuarantined(entry.request(), nowNanos)) {
+        continue;
+      }
       List<Backend> servers = permittedServers(service, nowNanos);
       Selection selection = selectServer(entry.request(), servers, entry.triedServers(), nowNanos);
       if (selection instanceof Selection.Chosen chosen) {
         queue.remove(entry);
-        recordSend(chosen, nowNanos);
+        recordSend(entry.request(), chosen, nowNanos);
         released.add(new DispatchResult.Released(entry, chosen));
         continue;
       }
@@ -411,7 +414,7 @@
     }
     return switch (selectServer(request, permitted, triedServers, nowNanos)) {
       case Selection.Chosen chosen -> {
-        recordSend(chosen, nowNanos);
+        recordSend(request, chosen, nowNanos);
         yield new DispatchResult.Sent(chosen);
       }
       case Selection.NoServer() -> new DispatchResult.Refused(DispatchResult.Cause.NO_SERVER);
@@ -426,7 +429,8 @@
     };
   }
 
-  private void recordSend(Selection.Chosen chosen, long nowNanos) {
+  private void recordSend(DispatchRequest request, Selection.Chosen chosen, long nowNanos) {
+    request.prompt().ifPresent(prompt -> quarantine.recordSend(prompt, nowNanos));
     rateLimits.recordSend(chosen.backend(), nowNanos);
     chosen.backend().notices().recordRequest(nowNanos);
     chosen.backend().recordRequestStart(chosen.delayingTokens(), nowNanos);
--- a/core/src/main/java/org/pollenrock/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/PartQuarantine.java
@@ -1,10 +1,12 @@
 package org.pollenrock.core.quarantine;
 
-import java.util.LinkedHashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.IntSupplier;
 import org.pollenrock.core.collection.BoundedMap;
 import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.dispatch.PromptPart;
@@ -24,6 +26,9 @@
  * <p>A part that has completed before needs more episodes and a completion of other prompts since
  * the first of them, because servers that crash for another reason leave no part time to complete.
  *
+ * <p>Crashes prove nothing against a part while no other prompt completes between them. Such a part
+ * is on trial, see {@link TrialSchedule}: one completion clears it everywhere.
+ *
  * <p>Times are in nanoseconds of the same clock. Memory is bounded: the oldest entries leave first.
  */
 public final class PartQuarantine {
@@ -51,17 +56,17 @@
   /** Episodes that quarantine a part that has completed before. */
   public static final int EPISODES_IF_COMPLETED = 6;
 
+  /** Maximum time by which the announcement of a quarantine is dated too late. */
+  public static final long MAX_LATE_NANOS = 900_000_000L;
+
   /** Maximum number of servers whose broken sends or end are remembered. */
   static final int MAX_SERVERS = 1_024;
 
-  /** Maximum number of suspect parts per server. */
-  private static final int MAX_SUSPECTS = 1_024;
-
   private final Listener listener;
   private final BoundedMap<Long, StruckPart> struckParts = new BoundedMap<>(MAX_PARTS);
-  private final BoundedMap<Long, Long> completions = new BoundedMap<>(MAX_COMPLETED_PARTS);
-  private final BoundedMap<Long, SuspectServer> suspectServers = new BoundedMap<>(MAX_SERVERS);
-  private Optional<Long> lastCompletionNanos = Optional.empty();
+  private final Completions completions = new Completions();
+  private final SuspectServers suspectServers = new SuspectServers();
+  private IntSupplier trialRank = () -> 0;
 
   /**
    * Strike against a part: a server ended while it ran a request with the part.
@@ -97,6 +102,23 @@
      * @param partId id of the part; empty if this instance has only its hash
      */
     void quarantined(long part, String partId);
+
+    /**
+     * Called when this instance has sent a request with a part that is on trial, so that no other
+     * instance does the same.
+     *
+     * @param part hash of the part
+     * @param nanos time of the send
+     */
+    default void tried(long part, long nanos) {}
+
+    /**
+     * Called when a request of this instance has completed with a part whose quarantine had been
+     * announced.
+     *
+     * @param part hash of the part
+     */
+    default void released(long part) {}
   }
 
   /**
@@ -108,20 +130,6 @@
    */
   public record PartReport(String partId, List<String> servers) {}
 
-  /** Suspect parts of a server, and whether the server has ended. */
-  private static final class SuspectServer {
-    private final BoundedMap<Long, Suspect> suspects = new BoundedMap<>(MAX_SUSPECTS);
-    private Optional<Long> endedNanos = Optional.empty();
-  }
-
-  /**
-   * Part of the prompt of a broken send.
-   *
-   * @param partId id of the part
-   * @param nanos time at which the send broke
-   */
-  private record Suspect(String partId, long nanos) {}
-
   /**
    * Creates a quarantine without any strikes.
    *
@@ -131,6 +139,15 @@
     this.listener = listener;
   }
 
+  /**
+   * Sets the order in which instances try parts, so that one does after the other.
+   *
+   * @param rank returns the number of instances that go before this one
+   */
+  public void setTrialRank(IntSupplier rank) {
+    trialRank = rank;
+  }
+
   /**
    * Returns the hash that identifies a part of prompts for a model, the same in every process.
    *
@@ -150,17 +167,7 @@
    * @param nowNanos current time
    */
   public void recordBroken(Backend backend, Prompt prompt, long nowNanos) {
-    if (prompt.sharedParts().isEmpty()) {
-      return;
-    }
-    long life = hash(backend);
-    SuspectServer server = suspectServers.computeIfAbsent(life, key -> new SuspectServer());
-    for (PromptPart part : prompt.sharedParts()) {
-      server.suspects.put(hash(prompt.model(), part.id()), new Suspect(part.id(), nowNanos));
-    }
-    if (server.endedNanos.isPresent() && nowNanos - server.endedNanos.get() <= CONFIRMATION_NANOS) {
-      strikeSuspects(backend, server, nowNanos);
-    }
+    strike(backend, suspectServers.recordBroken(hash(backend), prompt, nowNanos), nowNanos);
   }
 
   /**
@@ -171,10 +178,7 @@
    * @param nowNanos current time
    */
   public void recordServerEnded(Backend backend, long nowNanos) {
-    SuspectServer server =
-        suspectServers.computeIfAbsent(hash(backend), key -> new SuspectServer());
-    server.endedNanos = Optional.of(nowNanos);
-    strikeSuspects(backend, server, nowNanos);
+    strike(backend, suspectServers.recordEnded(hash(backend), nowNanos), nowNanos);
   }
 
   /**
@@ -185,14 +189,17 @@
    * @param nowNanos time of the completion; a part that was struck after it is not cleared
    */
   public void recordCompletion(Prompt prompt, long nowNanos) {
-    lastCompletionNanos = Optional.of(nowNanos);
+    completions.recordAny(nowNanos);
     for (PromptPart part : prompt.sharedParts()) {
       long hash = hash(prompt.model(), part.id());
-      completions.putLast(hash, nowNanos);
       StruckPart struck = struckParts.get(hash);
-      if (struck != null && !struck.hasStrikeAfter(nowNanos)) {
-        struckParts.remove(hash);
+      boolean announced = struck != null && struck.isAnnounced();
+      completions.record(hash, nowNanos);
+      if (clear(hash, nowNanos)) {
         listener.cleared(hash, nowNanos);
+        if (announced) {
+          listener.released(hash);
+        }
       }
     }
   }
@@ -208,11 +215,11 @@
   public void applyStrike(long part, long server, long nanos, long nowNanos) {
     Optional<StruckPart> struck =
         addStrike(new Strike(part, server, nanos), "", Long.toHexString(server), nowNanos);
-    Long completedNanos = completions.get(part);
+    OptionalLong completedNanos = completions.of(part);
     if (struck.isPresent()
-        && completedNanos != null
-        && struck.get().episodesAfter(completedNanos) == EPISODES - 1) {
-      listener.cleared(part, completedNanos);
+        && completedNanos.isPresent()
+        && struck.get().episodesAfter(completedNanos.getAsLong()) == EPISODES - 1) {
+      listener.cleared(part, completedNanos.getAsLong());
     }
   }
 
@@ -224,34 +231,58 @@
    * @param nowNanos current time
    */
   public void applyClearing(long part, long nanos, long nowNanos) {
-    Long known = completions.get(part);
-    completions.putLast(part, known == null || nanos - known > 0 ? nanos : known);
-    StruckPart struck = struckParts.get(part);
-    if (struck != null && !struck.hasStrikeAfter(nanos)) {
-      struckParts.remove(part);
-    }
+    completions.record(part, nanos);
+    clear(part, nanos);
   }
 
   /**
-   * Applies a quarantine that another instance or the store has announced. It has no effect if the
-   * part was quarantined here at the given time already, so that repeated announcements don't
-   * prolong a quarantine, or if the part has completed since.
+   * Applies a quarantine that another instance has announced. It has no effect if the part has
+   * completed since. If it was quarantined here at that time already, this does not prolong its
+   * quarantine, but tells that it has been tried.
    *
    * @param part hash of the part
    * @param nanos time from which the quarantine lasts, see {@link #quarantinedSinceNanos}
    */
   public void applyQuarantine(long part, long nanos) {
-    if (completionSince(part, nanos).isPresent()) {
+    if (completionSince(part, nanos - MAX_LATE_NANOS).isPresent()) {
       return;
     }
     StruckPart struck = struckParts.computeIfAbsent(part, key -> new StruckPart());
-    if (!struck.isQuarantined(nanos)) {
+    if (isQuarantined(part, struck, nanos)) {
+      struck.announceTrial(nanos);
+    } else {
       struck.quarantine(nanos);
+      if (!hasRival(part, struck.servers())) {
+        struck.setHearsay(true);
+        struck.setAnnounced();
+      }
     }
   }
 
   /**
-   * Returns whether a shared part of a prompt is quarantined.
+   * Applies a quarantine that the store has kept. If nothing else is known of the part and it was
+   * on trial, it stays so, and the pause before the next trial begins now.
+   *
+   * @param part hash of the part
+   * @param nanos time from which the quarantine lasts
+   * @param onTrial whether the part was on trial
+   * @param nowNanos current time
+   */
+  public void applyStoredQuarantine(long part, long nanos, boolean onTrial, long nowNanos) {
+    boolean known = struckParts.containsKey(part);
+    applyQuarantine(part, nanos);
+    StruckPart struck = struckParts.get(part);
+    if (!known && struck != null) {
+      struck.setHearsay(false);
+      struck.setProven(!onTrial);
+      if (onTrial) {
+        struck.recordTrial(nowNanos);
+      }
+    }
+  }
+
+  /**
+   * Returns whether a shared part of a prompt is quarantined and not to be tried now.
    *
    * @param prompt the prompt
    * @param nowNanos current time
@@ -262,14 +293,48 @@
       return false;
     }
     for (PromptPart part : prompt.sharedParts()) {
-      StruckPart struck = struckParts.get(hash(prompt.model(), part.id()));
-      if (struck != null && struck.isQuarantined(nowNanos)) {
+      long hash = hash(prompt.model(), part.id());
+      StruckPart struck = struckParts.get(hash);
+      if (struck != null
+          && isQuarantined(hash, struck, nowNanos)
+          && !struck.mayTry(nowNanos, completions, trialRank)) {
         return true;
       }
     }
     return false;
   }
 
+  /**
+   * Records that a request is sent to a server. Quarantined parts of its prompt are tried by it.
+   *
+   * @param prompt prompt of the request, of which no part had to be refused
+   * @param nowNanos current time
+   */
+  public void recordSend(Prompt prompt, long nowNanos) {
+    if (struckParts.isEmpty()) {
+      return;
+    }
+    for (PromptPart part : prompt.sharedParts()) {
+      long hash = hash(prompt.model(), part.id());
+      StruckPart struck = struckParts.get(hash);
+      if (struck != null && isQuarantined(hash, struck, nowNanos)) {
+        struck.recordTrial(nowNanos);
+        listener.tried(hash, nowNanos);
+      }
+    }
+  }
+
+  /**
+   * Returns whether a quarantined part is on trial, so that it is sent from time to time.
+   *
+   * @param part hash of the part
+   * @return whether nothing has shown that others completed while servers ended under it
+   */
+  public boolean isOnTrial(long part) {
+    StruckPart struck = struckParts.get(part);
+    return struck != null && !struck.isProven();
+  }
+
   /**
    * Returns whether no part has a strike, so that none can be quarantined.
    *
@@ -279,6 +344,18 @@
     return struckParts.isEmpty();
   }
 
+  /**
+   * Returns whether a quarantine was announced, which it is not while another part has the same
+   * strikes, so that it can't be told which of them is to blame.
+   *
+   * @param part hash of the part
+   * @return whether the quarantine was announced
+   */
+  public boolean isAnnounced(long part) {
+    StruckPart struck = struckParts.get(part);
+    return struck != null && struck.isAnnounced();
+  }
+
   /**
    * Returns the quarantined parts.
    *
@@ -287,7 +364,7 @@
    */
   public List<Long> quarantinedParts(long nowNanos) {
     return struckParts.entrySet().stream()
-        .filter(entry -> entry.getValue().isQuarantined(nowNanos))
+        .filter(entry -> isQuarantined(entry.getKey(), entry.getValue(), nowNanos))
         .map(Map.Entry::getKey)
         .toList();
   }
@@ -300,14 +377,15 @@
    * @return the time of the completion
    */
   public OptionalLong completionSince(long part, long nanos) {
-    Long completedNanos = completions.get(part);
-    return completedNanos != null && completedNanos - nanos >= 0
-        ? OptionalLong.of(completedNanos)
+    OptionalLong completedNanos = completions.of(part);
+    return completedNanos.isPresent() && completedNanos.getAsLong() - nanos >= 0
+        ? completedNanos
         : OptionalLong.empty();
   }
 
   /**
-   * Returns the time from which the quarantine of a part lasts, in general that of its last strike.
+   * Returns the time from which the quarantine of a part lasts, in general that of its last strike
+   * or trial.
    *
    * @param part hash of the part
    * @return the time; empty if the part was never quarantined
@@ -333,19 +411,13 @@
     return struckParts.size() + completions.size() + suspectServers.size();
   }
 
-  private void strikeSuspects(Backend backend, SuspectServer server, long nowNanos) {
-    Map<Long, Suspect> suspects = new LinkedHashMap<>(server.suspects);
-    server.suspects.clear();
-    suspects.forEach(
-        (part, suspect) -> {
-          if (nowNanos - suspect.nanos() > CONFIRMATION_NANOS) {
-            return;
-          }
-          Strike strike = new Strike(part, hash(backend), suspect.nanos());
-          if (addStrike(strike, suspect.partId(), backend.entry().id(), nowNanos).isPresent()) {
-            listener.struck(strike);
-          }
-        });
+  private void strike(Backend backend, List<SuspectServers.Suspect> suspects, long nowNanos) {
+    for (SuspectServers.Suspect suspect : suspects) {
+      Strike strike = new Strike(suspect.part(), hash(backend), suspect.nanos());
+      if (addStrike(strike, suspect.partId(), backend.entry().id(), nowNanos).isPresent()) {
+        listener.struck(strike);
+      }
+    }
   }
 
   /** Adds a strike; returns the part unless it had a strike by the same server. */
@@ -353,24 +425,61 @@
       Strike strike, String partId, String serverId, long nowNanos) {
     StruckPart struck = struckParts.computeIfAbsent(strike.part(), key -> new StruckPart());
     struckParts.putLast(strike.part(), struck);
+    boolean quarantined = isQuarantined(strike.part(), struck, nowNanos);
+    boolean wasAnnounced = quarantined && struck.isAnnounced();
     boolean added = struck.add(strike, partId, serverId);
-    boolean quarantined = struck.isQuarantined(nowNanos);
     if (added && (quarantined || isDue(strike, struck))) {
+      boolean proven = struck.isProven() || othersCompletedSinceFirstStrike(strike, struck);
       struck.quarantine(strike.nanos());
-      if (!quarantined) {
+      struck.setProven(proven);
+      Set<Long> otherServers = new HashSet<>(struck.servers());
+      otherServers.remove(strike.server());
+      if (!wasAnnounced && (proven || !hasRival(strike.part(), otherServers))) {
+        struck.setAnnounced();
         listener.quarantined(strike.part(), struck.partId());
       }
     }
     return added ? Optional.of(struck) : Optional.empty();
   }
 
+  /** Forgets the strikes of a part that completed after them; returns whether it had any. */
+  private boolean clear(long part, long nanos) {
+    StruckPart struck = struckParts.get(part);
+    if (struck == null || struck.hasStrikeAfter(nanos)) {
+      return false;
+    }
+    struckParts.remove(part);
+    struckParts.values().stream()
+        .filter(other -> struck.wasStruckByAll(other.servers()))
+        .forEach(StruckPart::recordRivalCleared);
+    return true;
+  }
+
+  private boolean isQuarantined(long part, StruckPart struck, long nowNanos) {
+    return struck.isQuarantined(nowNanos)
+        || !completions.isKnown(part) && struck.isBlamedForBurst(nowNanos);
+  }
+
+  /** Returns whether the given servers have all struck another part too. */
+  private boolean hasRival(long part, Set<Long> servers) {
+    return !servers.isEmpty()
+        && struckParts.entrySet().stream()
+            .anyMatch(other -> other.getKey() != part && other.getValue().wasStruckByAll(servers));
+  }
+
+  private boolean othersCompletedSinceFirstStrike(Strike strike, StruckPart struck) {
+    return completions.anyAfter(struck.firstStrikeAfter(evidenceFromNanos(strike)));
+  }
+
+  /** Returns the time after which strikes count: that of the last completion, if it is recent. */
+  private long evidenceFromNanos(Strike strike) {
+    long sinceNanos = strike.nanos() - STRIKE_VALID_NANOS;
+    return completionSince(strike.part(), sinceNanos).orElse(sinceNanos);
+  }
+
   /** Returns whether the strikes of a part that is not quarantined suffice to quarantine it. */
   private boolean isDue(Strike strike, StruckPart struck) {
-    Long completedNanos = completions.get(strike.part());
-    long sinceNanos = strike.nanos() - STRIKE_VALID_NANOS;
-    if (completedNanos != null && completedNanos - sinceNanos > 0) {
-      sinceNanos = completedNanos;
-    }
+    long sinceNanos = evidenceFromNanos(strike);
     if (strike.nanos() - sinceNanos <= 0) {
       return false;
     }
@@ -378,13 +487,10 @@
       return true;
     }
     int episodes = struck.episodesAfter(sinceNanos);
-    if (completedNanos == null) {
+    if (!completions.isKnown(strike.part())) {
       return episodes >= EPISODES;
     }
-    boolean othersComplete =
-        lastCompletionNanos.isPresent()
-            && lastCompletionNanos.get() - struck.firstStrikeAfter(sinceNanos) > 0;
-    return othersComplete && episodes >= EPISODES_IF_COMPLETED;
+    return othersCompletedSinceFirstStrike(strike, struck) && episodes >= EPISODES_IF_COMPLETED;
   }
 
   private static long hash(Backend backend) {
--- a/core/src/main/java/org/pollenrock/core/quarantine/StruckPart.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/StruckPart.java
@@ -4,6 +4,8 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.IntSupplier;
 import org.pollenrock.core.collection.BoundedMap;
 
 /** Strikes against one part since its last completion, and its quarantine. */
@@ -22,6 +24,11 @@
   private final BoundedMap<Long, ServerStrike> strikesByServer = new BoundedMap<>(MAX_STRIKES);
   private String partId = "";
   private boolean quarantinedBefore;
+  private boolean proven;
+  private boolean announced;
+  private boolean hearsay;
+  private boolean rivalCleared;
+  private OptionalLong triedNanos = OptionalLong.empty();
   private long quarantinedSinceNanos;
   private long quarantinedUntilNanos;
 
@@ -50,11 +57,111 @@
     return quarantinedBefore && nowNanos - quarantinedUntilNanos < 0;
   }
 
-  /** Returns the time from which the last quarantine lasts; empty if there was none. */
+  /**
+   * Returns whether so many servers ended under the part at once that it is to blame, although a
+   * failure of many servers is one episode: another part with the same strikes has completed since,
+   * and this one has not within the time that news take.
+   */
+  boolean isBlamedForBurst(long nowNanos) {
+    if (!rivalCleared || strikesByServer.size() < TrialSchedule.BURST_SERVERS) {
+      return false;
+    }
+    long sinceNanos = nowNanos - lastStrikeNanos().orElseThrow();
+    return sinceNanos >= TrialSchedule.BURST_BLAME_NANOS
+        && sinceNanos < PartQuarantine.QUARANTINE_NANOS;
+  }
+
+  /** Returns the time of the last strike, quarantine or trial; empty if there was none. */
   OptionalLong lastingSinceNanos() {
-    return quarantinedBefore
-        ? OptionalLong.of(quarantinedUntilNanos - PartQuarantine.QUARANTINE_NANOS)
-        : OptionalLong.empty();
+    OptionalLong since =
+        quarantinedBefore
+            ? OptionalLong.of(quarantinedUntilNanos - PartQuarantine.QUARANTINE_NANOS)
+            : lastStrikeNanos();
+    return since.isEmpty()
+            || triedNanos.isPresent() && triedNanos.getAsLong() - since.getAsLong() > 0
+        ? triedNanos
+        : since;
+  }
+
+  /** Returns the time of the last strike; empty if there is none. */
+  OptionalLong lastStrikeNanos() {
+    List<Long> times = strikeTimes();
+    return times.isEmpty() ? OptionalLong.empty() : OptionalLong.of(times.getLast());
+  }
+
+  /** Records that this instance sends a request with the part. */
+  void recordTrial(long nanos) {
+    triedNanos = OptionalLong.of(nanos);
+  }
+
+  /** Records that another instance has sent a request with the part, unless it is old news. */
+  void announceTrial(long nanos) {
+    OptionalLong since = lastingSinceNanos();
+    if (since.isEmpty() || nanos - since.getAsLong() >= TrialSchedule.NEW_TRIAL_NANOS) {
+      triedNanos = OptionalLong.of(nanos);
+    }
+  }
+
+  boolean isProven() {
+    return proven;
+  }
+
+  void setProven(boolean isProven) {
+    proven = isProven;
+  }
+
+  /** Sets whether only other instances know the strikes for which the part is quarantined. */
+  void setHearsay(boolean isHearsay) {
+    hearsay = isHearsay;
+  }
+
+  boolean isAnnounced() {
+    return announced;
+  }
+
+  void setAnnounced() {
+    announced = true;
+  }
+
+  void recordRivalCleared() {
+    rivalCleared = true;
+  }
+
+  boolean wasStruckByAll(Collection<Long> servers) {
+    return strikesByServer.keySet().containsAll(servers);
+  }
+
+  /** Returns the hashes of the servers that struck the part. */
+  Set<Long> servers() {
+    return strikesByServer.keySet();
+  }
+
+  /**
+   * Returns whether a request with the part may be sent although the part is quarantined.
+   *
+   * @param nowNanos current time
+   * @param completions completions of all parts
+   * @param rank number of instances that go before this one
+   */
+  boolean mayTry(long nowNanos, Completions completions, IntSupplier rank) {
+    OptionalLong pauseNanos = proven ? OptionalLong.empty() : trialPauseNanos(completions);
+    OptionalLong sinceNanos = lastingSinceNanos();
+    if (pauseNanos.isEmpty() || sinceNanos.isEmpty()) {
+      return false;
+    }
+    long waitedNanos = nowNanos - sinceNanos.getAsLong() - pauseNanos.getAsLong();
+    return waitedNanos >= 0 && waitedNanos >= rank.getAsInt() * TrialSchedule.STAGGER_NANOS;
+  }
+
+  /** Returns the pause before the next trial; empty if the quarantine ends before. */
+  private OptionalLong trialPauseNanos(Completions completions) {
+    int episodes = countEpisodes(strikeTimes());
+    if (hearsay) {
+      return TrialSchedule.pauseNanos(episodes + 1, true, true);
+    }
+    boolean othersCompleted = episodes > 0 && completions.anyAfter(lastStrikeNanos().orElseThrow());
+    int known = quarantinedBefore ? PartQuarantine.EPISODES : 1;
+    return TrialSchedule.pauseNanos(Math.max(0, episodes - known), announced, othersCompleted);
   }
 
   /** Returns whether the part was quarantined before, so that one further strike suffices. */
@@ -74,7 +181,8 @@
 
   /** Returns whether a strike, or the start of the quarantine, came after a time. */
   boolean hasStrikeAfter(long nanos) {
-    return quarantinedBefore && quarantinedSinceNanos - nanos > 0
+    long sinceNanos = quarantinedSinceNanos - (hearsay ? PartQuarantine.MAX_LATE_NANOS : 0);
+    return quarantinedBefore && sinceNanos - nanos > 0
         || strikeTimes().stream().anyMatch(time -> time - nanos > 0);
   }
 
--- a/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
@@ -128,6 +128,30 @@
     assertThat(dispatcher.waitingRequests()).isEqualTo(waiting - 1);
   }
 
+  /** Requests that wait together must not all try a part that may crash engines. */
+  @Test
+  void oneWaitingRequestTriesAQuarantinedPart() {
+    long second = 1_000_000_000L;
+    long part = PartQuarantine.hash(Fixtures.MODEL, "hot");
+    quarantine.applyStoredQuarantine(part, 0, true, 0);
+    fleet.applyEntry(Fixtures.engine("a", "near", 1), 0);
+    List<Backend> busyServers = new ArrayList<>();
+    while (dispatcher.submit(promptRequest("fill", "sound", 0), 20 * second)
+        instanceof DispatchResult.Sent sent) {
+      busyServers.add(sent.choice().backend());
+    }
+    dispatcher.submit(promptRequest("first", "hot", 0), 20 * second);
+    dispatcher.submit(promptRequest("second", "hot", 0), 20 * second);
+    busyServers.forEach(server -> server.recordRequestEnd(0, true));
+    assertThat(dispatcher.dispatchWaiting("llm", 20 * second))
+        .extracting(released -> released.entry().request().id())
+        .contains("first")
+        .doesNotContain("second");
+    assertThat(dispatcher.removeQuarantined("llm", 20 * second))
+        .extracting(entry -> entry.request().id())
+        .containsExactly("second");
+  }
+
   /** A send must not be given up for a server that can't take the request. */
   @Test
   void claimWithoutAServerLeavesTheRetryBudget() {
--- a/core/src/test/java/org/pollenrock/core/quarantine/QuarantineLimitsTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/QuarantineLimitsTest.java
@@ -6,7 +6,6 @@
 import static org.pollenrock.core.quarantine.QuarantineFixture.prompt;
 import static org.pollenrock.core.quarantine.QuarantineFixture.server;
 
-import org.junit.jupiter.api.Disabled;
 import org.junit.jupiter.api.Test;
 import org.pollenrock.core.dispatch.Prompt;
 
@@ -25,7 +24,6 @@
   private final PartQuarantine quarantine = fixture.quarantine();
 
   /** The only engine may crash for a reason of its own before anything has completed. */
-  @Disabled("KNOWN-RED.txt")
   @Test
   void admitsAHotPartAfterTheOnlyEngineCrashedBeforeTheFirstCompletion() {
     for (int start = 1; start <= 3; start++) {
@@ -35,7 +33,6 @@
   }
 
   /** Sound requests must be served again although they have a part in common with the bad ones. */
-  @Disabled("KNOWN-RED.txt")
   @Test
   void servesTheFirstSoundRequestsOfACallerAfterItsBadOnes() {
     for (int i = 1; i <= 5; i++) {
@@ -59,7 +56,6 @@
   /**
    * Requests with the bad part may come in bursts, each of which crashes several servers at once.
    */
-  @Disabled("KNOWN-RED.txt")
   @Test
   void refusesABadPartWhoseRequestsComeInBursts() {
     int crashes = 0;
--- a/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
@@ -23,6 +23,7 @@
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.model.InstanceId;
+import org.pollenrock.core.placement.RendezvousHash;
 import org.pollenrock.core.quarantine.PartQuarantine;
 import org.pollenrock.protocol.generated.EngineLoading;
 import org.pollenrock.protocol.generated.EngineWeights;
@@ -115,6 +116,7 @@
     this.rateLimits = rateLimits;
     this.log = log;
     livePeers = new LivePeers(address, dataCentre);
+    quarantine.setTrialRank(this::rank);
     quarantineGossip =
         new QuarantineGossip(loop, quarantine, address.hashCode(), System::nanoTime, this::send);
   }
@@ -260,6 +262,13 @@
     return livePeers.ownId();
   }
 
+  /** Returns the number of live instances before this one in an order on which all agree. */
+  private int rank() {
+    long own = RendezvousHash.hash(ownId().value());
+    return (int)
+        liveInstances().stream().filter(other -> RendezvousHash.hash(other.value()) < own).count();
+  }
+
   /** Announces that the prefix store has a prefix. */
   void announcePrefixStored(long key) {
     if (!fullGossipPeers.isEmpty()) {
--- a/gateway/src/main/java/org/pollenrock/gateway/QuarantineGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QuarantineGossip.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.pollenrock.core.quarantine.PartQuarantine;
 import org.pollenrock.protocol.generated.FleetNews;
@@ -93,6 +94,14 @@
      * @param nanos time of the completion
      */
     record Cleared(long part, long nanos) implements Event {}
+
+    /**
+     * Trial of a quarantined part by this instance.
+     *
+     * @param part hash of the part
+     * @param nanos time of the send
+     */
+    record Tried(long part, long nanos) implements Event {}
   }
 
   /**
@@ -116,6 +125,7 @@
 
   private List<InetSocketAddress> peers = List.of();
   private BiConsumer<Long, String> ownQuarantines = (part, partId) -> {};
+  private LongConsumer ownReleases = part -> {};
   private boolean flushScheduled;
   private long nextRoundNanos;
   private boolean applying;
@@ -172,6 +182,15 @@
     ownQuarantines = listener;
   }
 
+  /**
+   * Sets what is called when a request of this instance has ended the quarantine of a part.
+   *
+   * @param listener receives the hash of the part
+   */
+  public void onOwnRelease(LongConsumer listener) {
+    ownReleases = listener;
+  }
+
   @Override
   public void struck(PartQuarantine.Strike strike) {
     if (ownStruckParts.size() >= MAX_PENDING) {
@@ -204,6 +223,16 @@
     }
   }
 
+  @Override
+  public void tried(long part, long nanos) {
+    add(new Event.Tried(part, nanos), 0);
+  }
+
+  @Override
+  public void released(long part) {
+    ownReleases.accept(part);
+  }
+
   /**
    * Applies what another instance has sent. An instance that sends a quarantine although the part
    * has completed since is told of the completion.
@@ -214,6 +243,7 @@
       return;
     }
     Set<Long> known = Set.copyOf(quarantine.quarantinedParts(nowNanos));
+    Set<Long> announced = Set.copyOf(announcedParts(nowNanos));
     FleetNews.Builder reply = FleetNews.newBuilder();
     applying = true;
     try {
@@ -231,7 +261,7 @@
         long sinceNanos = nowNanos - nanos(quarantined.getAgeMs());
         quarantine.applyQuarantine(part, sinceNanos);
         quarantine
-            .completionSince(part, sinceNanos)
+            .completionSince(part, sinceNanos - PartQuarantine.MAX_LATE_NANOS)
             .ifPresent(nanos -> addEvent(reply, new Event.Cleared(part, nanos), nowNanos));
       }
     } finally {
@@ -242,13 +272,19 @@
     }
     List<Long> learned = new ArrayList<>(quarantine.quarantinedParts(nowNanos));
     learned.removeAll(known);
-    learned.stream().filter(ownStruckParts::contains).forEach(this::reportOwnQuarantine);
+    announcedParts(nowNanos).stream()
+        .filter(part -> !announced.contains(part) && ownStruckParts.contains(part))
+        .forEach(this::reportOwnQuarantine);
     if (!learned.isEmpty() && !forwardScheduled) {
       forwardScheduled = true;
       loop.schedule(this::forward, FORWARD_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
+  private List<Long> announcedParts(long nowNanos) {
+    return quarantine.quarantinedParts(nowNanos).stream().filter(quarantine::isAnnounced).toList();
+  }
+
   private void reportOwnQuarantine(long part) {
     String partId = quarantine.report(part).map(PartQuarantine.PartReport::partId).orElse("");
     ownQuarantines.accept(part, partId);
@@ -323,7 +359,7 @@
       if (each.dueNanos() - now > 0) {
         continue;
       }
-      if (message.getStrikesCount() + message.getClearingsCount() == MAX_EVENTS) {
+      if (eventCount(message) == MAX_EVENTS) {
         break;
       }
       addEvent(message, each.event(), now);
@@ -334,7 +370,7 @@
       }
     }
     pending.addAll(again);
-    if (message.getStrikesCount() + message.getClearingsCount() > 0) {
+    if (eventCount(message) > 0) {
       long roundMillis = Math.max(MIN_ROUND_MILLIS, ROUND_MILLIS_PER_PEER * peers.size());
       nextRoundNanos = now + TimeUnit.MILLISECONDS.toNanos(roundMillis);
       addQuarantinedParts(message, now);
@@ -343,6 +379,10 @@
     scheduleFlush();
   }
 
+  private static int eventCount(FleetNews.Builder message) {
+    return message.getStrikesCount() + message.getClearingsCount() + message.getQuarantinedCount();
+  }
+
   private static void addEvent(FleetNews.Builder message, Event event, long nowNanos) {
     switch (event) {
       case Event.Struck(PartQuarantine.Strike strike) ->
@@ -355,6 +395,9 @@
       case Event.Cleared(long part, long nanos) ->
           message.addClearings(
               PartEvent.newBuilder().setPart(part).setAgeMs(ageMillis(nanos, nowNanos)).build());
+      case Event.Tried(long part, long nanos) ->
+          message.addQuarantined(
+              PartEvent.newBuilder().setPart(part).setAgeMs(ageMillis(nanos, nowNanos)).build());
     }
   }
 
--- a/gateway/src/main/java/org/pollenrock/gateway/QuarantineTask.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QuarantineTask.java
@@ -10,6 +10,8 @@
 
 /** Owns the quarantine of parts of prompts, and logs strikes and the parts that enter and leave. */
 final class QuarantineTask implements PartQuarantine.Listener {
+  private static final String STRUCK = "part_struck";
+
   private final PartQuarantine quarantine = new PartQuarantine(this);
   private final EventLog log;
   private final List<PartQuarantine.Listener> listeners = new ArrayList<>();
@@ -38,7 +40,7 @@
 
   @Override
   public void struck(PartQuarantine.Strike strike) {
-    logPart("part_struck", EventLog.Importance.ROUTINE, strike.part());
+    logPart(STRUCK, EventLog.Importance.ROUTINE, strike.part());
     listeners.forEach(listener -> listener.struck(strike));
   }
 
@@ -56,6 +58,17 @@
     listeners.forEach(listener -> listener.quarantined(part, partId));
   }
 
+  @Override
+  public void tried(long part, long nanos) {
+    logPart("part_tried", EventLog.Importance.ESSENTIAL, part);
+    listeners.forEach(listener -> listener.tried(part, nanos));
+  }
+
+  @Override
+  public void released(long part) {
+    listeners.forEach(listener -> listener.released(part));
+  }
+
   /** Logs the parts whose quarantine was announced by others, and those whose quarantine ended. */
   void sweep(long nowNanos) {
     Set<Long> parts = Set.copyOf(quarantine.quarantinedParts(nowNanos));
@@ -86,8 +99,11 @@
   private void logPart(String event, EventLog.Importance importance, long part) {
     Optional<PartQuarantine.PartReport> report = quarantine.report(part);
     List<String> servers = report.map(PartQuarantine.PartReport::servers).orElse(List.of());
-    log.line(event, importance)
-        .with("part", report.map(PartQuarantine.PartReport::partId).orElse(""))
+    EventLog.Line line = log.line(event, importance);
+    if (!event.equals(STRUCK)) {
+      line.with("on_trial", String.valueOf(quarantine.isOnTrial(part)));
+    }
+    line.with("part", report.map(PartQuarantine.PartReport::partId).orElse(""))
         .with("part_hash", Long.toHexString(part))
         .with("servers", String.join(",", servers))
         .with("server_count", servers.size())
