Count requests refused for memory as before, and install handlers in one place

The label MEMORY of pollenrock_refusals stays in use: a request whose body finds no memory is refused while it is received now, and was counted nowhere under that label. HttpConnection adds its own handlers to a pipeline, for the pool and for its test alike.

--- a/core/src/main/java/org/pollenrock/core/dispatch/DispatchResult.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/DispatchResult.java
@@ -47,6 +47,8 @@
     NO_CONFIGURATION,
     /** This instance is stopping and accepts no more requests. */
     STOPPING,
+    /** The request bodies in memory exceed their limit in bytes. */
+    MEMORY,
     /** A part of the prompt is quarantined because servers crashed under it. */
     QUARANTINED,
     /** All servers that could take the request have named request rates that are used up. */
--- a/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
@@ -284,6 +284,7 @@
       return;
     }
     if (bytes.isReadable() && !appendToBody(bytes)) {
+      listener.metrics().recordRefusal(DispatchResult.Cause.MEMORY);
       reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "memory");
       return;
     }
--- a/gateway/src/main/java/org/pollenrock/gateway/CallerListener.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerListener.java
@@ -30,6 +30,7 @@
   private final ExchangeFactory exchangeFactory;
   private final LoopMonitor loopMonitor;
   private final BodyMemory bodyMemory;
+  private final GatewayMetrics metrics;
   private final EventLog log;
   private final Set<CallerConnection> connections = new HashSet<>();
   private Channel channel;
@@ -43,6 +44,7 @@
       ExchangeFactory exchangeFactory,
       LoopMonitor loopMonitor,
       BodyMemory bodyMemory,
+      GatewayMetrics metrics,
       EventLog log) {
     this.loop = loop;
     this.address = address;
@@ -50,6 +52,7 @@
     this.exchangeFactory = exchangeFactory;
     this.loopMonitor = loopMonitor;
     this.bodyMemory = bodyMemory;
+    this.metrics = metrics;
     this.log = log;
   }
 
@@ -136,6 +139,10 @@
     return bodyMemory;
   }
 
+  GatewayMetrics metrics() {
+    return metrics;
+  }
+
   EventLog log() {
     return log;
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ConnectionPool.java
@@ -9,7 +9,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -187,12 +186,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    channel
-                        .pipeline()
-                        .addLast(connection.byteCounter())
-                        .addLast(connection.decoder())
-                        .addLast(new HttpRequestEncoder())
-                        .addLast(connection);
+                    connection.addTo(channel.pipeline());
                   }
                 })
             .connect(address);
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -138,6 +138,7 @@
             (head, body, response) -> new Exchange(components, head, body, response),
             loopMonitor,
             bodyMemory,
+            metrics,
             log);
     readinessListener =
         new PageListener(
--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -5,12 +5,14 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -130,7 +132,7 @@
    * Returns a handler that counts the bytes received before they are decoded. It belongs before the
    * decoder, because the decoder keeps nothing of the responses, framing and bytes that it skips.
    */
-  ChannelInboundHandler byteCounter() {
+  private ChannelInboundHandler byteCounter() {
     return new ChannelInboundHandlerAdapter() {
       @Override
       public void channelRead(ChannelHandlerContext context, Object message) {
@@ -154,9 +156,13 @@
     };
   }
 
-  /** Returns the decoder of the responses on this connection. */
-  ChannelInboundHandler decoder() {
-    return decoder;
+  /** Adds the handlers of the connection to the pipeline of a new channel. */
+  void addTo(ChannelPipeline pipeline) {
+    pipeline
+        .addLast(byteCounter())
+        .addLast(decoder)
+        .addLast(new HttpRequestEncoder())
+        .addLast(this);
   }
 
   private void recordReceived(int bytes, boolean framed) {
--- a/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
@@ -7,9 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
@@ -68,7 +66,7 @@
   /** The caller reads on after the response has ended, so that nobody resumes reading. */
   @Test
   void connectionWhoseReadingWasPausedAtTheEndOfAResponseReadsTheNextOne() {
-    channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
+    connection.addTo(channel.pipeline());
     PausingListener listener = new PausingListener();
     connection.send(
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), listener);
@@ -129,7 +127,7 @@
                 new ReadShare(calls.eventLoop()),
                 address -> {},
                 new HeadCheck(List.of())));
-    calls.pipeline().addLast(call.decoder()).addLast(new HttpRequestEncoder()).addLast(call);
+    call.addTo(calls.pipeline());
     CollectingListener listener = new CollectingListener();
     call.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"), listener);
     for (String read : reads) {
@@ -173,12 +171,7 @@
   // Guards against the next request on a connection whose socket still holds bytes of no request.
   @Test
   void connectionIsReusedOnlyAfterAllReceivedBytesWereRead() {
-    channel
-        .pipeline()
-        .addLast(connection.byteCounter())
-        .addLast(connection.decoder())
-        .addLast(new HttpRequestEncoder())
-        .addLast(connection);
+    connection.addTo(channel.pipeline());
     send();
     channel.writeInbound(fullBuffer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"));
     assertThat(isIdle()).isFalse();
