Read a connection to its end before its reuse, also in a late or shared loop

After a response whose last read filled its buffer, a connection returned to its pool a millisecond later. If ReadShare had paused it, or if the loop spent that time in the same turn, nothing had been read meanwhile: bytes behind the response stayed in the socket and were read as the begin of the response to the next request. Such a request fails or, if its responses have no identifier, is given a result that is not its own.

The connection now returns only when it is not paused and a further turn of the loop has passed, which reads what the socket holds.

On the code before, both new tests of HttpConnectionTest fail: the connection is idle while it is paused, and idle in the turn of its last read. The test connectionIsReusedOnlyAfterAllReceivedBytesWereRead lets two turns pass instead of one; its expectations are the same.

--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -265,15 +265,32 @@
     if (readFilled) {
       // Bytes that belong to no request may follow in the socket.
       setReading(true);
-      Listener completed = listener;
-      channel
-          .eventLoop()
-          .schedule(() -> returnToPool(completed), NEXT_READ_MILLIS, TimeUnit.MILLISECONDS);
+      returnAfterNextRead(listener);
     } else {
       returnToPool(listener);
     }
   }
 
+  private void returnAfterNextRead(Listener completed) {
+    channel
+        .eventLoop()
+        .schedule(
+            () -> {
+              if (paused && listener == completed) {
+                returnAfterNextRead(completed);
+              } else {
+                returnInNextTurn(completed);
+              }
+            },
+            NEXT_READ_MILLIS,
+            TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns the connection once the loop, which may be late, has read what the socket holds. */
+  private void returnInNextTurn(Listener completed) {
+    channel.eventLoop().schedule(() -> returnToPool(completed), 0, TimeUnit.NANOSECONDS);
+  }
+
   private void returnToPool(Listener completed) {
     if (listener != completed) {
       return;
--- a/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
@@ -175,16 +175,58 @@
     send();
     channel.writeInbound(fullBuffer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"));
     assertThat(isIdle()).isFalse();
-    channel.advanceTimeBy(1, TimeUnit.SECONDS);
-    channel.runScheduledPendingTasks();
+    passTime();
     assertThat(isIdle()).isTrue();
     send();
     channel.writeInbound(fullBuffer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"));
     channel.writeInbound(fullBuffer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny"));
+    passTime();
+    assertThat(isIdle()).isFalse();
+    assertThat(connection.isUsable()).isFalse();
+  }
+
+  // Guards against the next request on a connection that was paused before it was read to its end.
+  @Test
+  void connectionIsNotReusedWhileItsReadingIsPausedForOthers() {
+    channel
+        .pipeline()
+        .addLast(connection.byteCounter())
+        .addLast(connection.decoder())
+        .addLast(new HttpRequestEncoder())
+        .addLast(connection);
+    send();
+    channel.writeInbound(fullBuffer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"));
+    connection.setPaused(true);
+    passTime();
+    assertThat(isIdle()).isFalse();
+    connection.setPaused(false);
+    passTime();
+    assertThat(isIdle()).isTrue();
+  }
+
+  // Guards against the next request on a connection that a late loop has not read again.
+  @Test
+  void connectionIsNotReusedInTheTurnOfItsLastRead() {
+    channel
+        .pipeline()
+        .addLast(connection.byteCounter())
+        .addLast(connection.decoder())
+        .addLast(new HttpRequestEncoder())
+        .addLast(connection);
+    send();
+    channel.writeInbound(fullBuffer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"));
     channel.advanceTimeBy(1, TimeUnit.SECONDS);
     channel.runScheduledPendingTasks();
     assertThat(isIdle()).isFalse();
-    assertThat(connection.isUsable()).isFalse();
+    channel.runScheduledPendingTasks();
+    assertThat(isIdle()).isTrue();
+  }
+
+  /** Lets two turns of the loop pass, late. */
+  private void passTime() {
+    channel.advanceTimeBy(1, TimeUnit.SECONDS);
+    channel.runScheduledPendingTasks();
+    channel.runScheduledPendingTasks();
   }
 
   private void send() {
