Break streams of the router that hold the head of another response

An engine that breaks off its stream inside an event and then writes a refusal without X-Attempt-Id filled up its chunk with the refusal's head. The parser skipped its fields as unknown ones and took its empty line as the end of the event: callers of pollenrockd got an event that ends with HTTP/1.1 503 Busy. ResponseGuard sees only heads that name the request, and the decoder passes the parts of a chunk on before its delimiter.

An event with a status line and an unknown field now breaks the stream before it is passed on. Events that quote a response have known fields only and pass.

A refusal without any field stays undetected.

--- a/adapters/src/main/java/org/pollenrock/adapters/engine/SseParser.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/engine/SseParser.java
@@ -4,12 +4,17 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.pollenrock.core.response.HeadCheck;
 
 /**
  * Incremental parser of server-sent events with bounds on a line and on an event.
  *
  * <p>Lines end in LF, CR or CRLF. Comments and unknown fields are skipped. After a bound was
  * exceeded the parser accepts nothing more.
+ *
+ * <p>An engine that breaks off its response may write another one into the stream. An event that
+ * contains a status line and an unknown field holds the head of such a response; an event that
+ * quotes a status line has known fields only.
  */
 public final class SseParser {
   private static final byte[] BYTE_ORDER_MARK = {(byte) 0xEF, (byte) 0xBB, (byte) 0xBF};
@@ -22,15 +27,18 @@
   private String type = "";
   private int eventBytes;
   private boolean hasData;
+  private boolean hasStatusLine;
+  private boolean hasUnknownField;
   private boolean afterCarriageReturn;
   private boolean firstLine = true;
   private Status status = Status.OK;
 
-  /** Whether the stream is within its bounds. */
+  /** Whether the stream is within its bounds, and that of one response. */
   public enum Status {
     OK,
     LINE_TOO_LONG,
-    EVENT_TOO_LARGE
+    EVENT_TOO_LARGE,
+    OTHER_RESPONSE
   }
 
   /**
@@ -104,6 +112,7 @@
       dispatch(events);
       return;
     }
+    hasStatusLine |= HeadCheck.statusLinePosition(text, 0) >= 0;
     int colon = text.indexOf(':');
     if (colon == 0) {
       return;
@@ -144,18 +153,28 @@
       }
       case "id" -> id = value.indexOf('\0') < 0 ? Optional.of(value) : id;
       case "event" -> type = value;
+      case "retry" -> {
+        // The time after which a caller would connect again has no meaning here.
+      }
       default -> {
         // Unknown fields are skipped, as the event stream format demands.
+        hasUnknownField = true;
       }
     }
   }
 
   private void dispatch(Consumer<SseEvent> events) {
+    if (hasStatusLine && hasUnknownField) {
+      status = Status.OTHER_RESPONSE;
+      return;
+    }
     if (hasData) {
       events.accept(new SseEvent(id, type.isEmpty() ? "message" : type, data.toString()));
     }
     data.setLength(0);
     hasData = false;
+    hasStatusLine = false;
+    hasUnknownField = false;
     id = Optional.empty();
     type = "";
     eventBytes = 0;
--- a/adapters/src/test/java/org/pollenrock/adapters/engine/BrokenStreamTest.java
+++ b/adapters/src/test/java/org/pollenrock/adapters/engine/BrokenStreamTest.java
@@ -57,6 +57,16 @@
     }
   }
 
+  /** Guards against events that end with the head of a refusal which names no request. */
+  @Test
+  void streamFollowedByAnAnonymousRefusalBreaksBehindItsOwnEvents() throws IOException {
+    String first = stream();
+    String refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+    for (int cut = 1; cut < first.length(); cut++) {
+      assertOwnEventsAndABreak(cut, first.substring(0, cut) + refusal);
+    }
+  }
+
   /** Guards against the end of a connection as the end of a stream. */
   @Test
   void streamCutByACloseBreaksBehindItsOwnEvents() throws IOException {
--- a/adapters/src/test/java/org/pollenrock/adapters/engine/SseParserTest.java
+++ b/adapters/src/test/java/org/pollenrock/adapters/engine/SseParserTest.java
@@ -89,4 +89,17 @@
     assertThat(parse(stream, cuts)).isEqualTo(whole);
     assertThat(whole).allSatisfy(event -> assertThat(event.data().length()).isLessThan(MAX_EVENT));
   }
+
+  /** Guards against sound events that count as the head of another response. */
+  @Test
+  void eventsThatQuoteAResponseArePassedOn() {
+    List<String> data = new ArrayList<>();
+    SseParser parser = new SseParser(1_000, 1_000);
+    String stream =
+        "id: 1\nretry: 5\ndata: HTTP/1.1 200 OK\n: comment\n\nextra: x\ndata: y\n\n"
+            + "data: HTTP/1.1 404 Not Found\ndata: Server: z\n\n";
+    assertThat(parser.feed(bytes(stream), event -> data.add(event.data())))
+        .isEqualTo(SseParser.Status.OK);
+    assertThat(data).containsExactly("HTTP/1.1 200 OK", "y", "HTTP/1.1 404 Not Found\nServer: z");
+  }
 }
