--- a/soak/src/test/java/org/pollenrock/soak/SoakRunTest.java
+++ b/soak/src/test/java/org/pollenrock/soak/SoakRunTest.java
@@ -15,14 +15,14 @@
   @ParameterizedTest
   @CsvSource({"101, 8, 2", "102, 8, 2"})
   void promisesHold(long seed, int seconds, int gateways) throws Exception {
-    play(seed, seconds, gateways, false);
+    play(new SoakSettings(seed, seconds, gateways, false, false));
   }
 
   /** The store comes back from older copies beside all other faults. */
   @ParameterizedTest
   @CsvSource({"201, 10, 2"})
   void promisesHoldWhenTheStoreReturnsOlder(long seed, int seconds, int gateways) throws Exception {
-    play(seed, seconds, gateways, true);
+    play(new SoakSettings(seed, seconds, gateways, true, false));
   }
 
   /**
@@ -32,20 +32,27 @@
   @ParameterizedTest
   @CsvSource({"42, 10, 3", "45, 10, 3"})
   void seedsThatFailedOnceHold(long seed, int seconds, int gateways) throws Exception {
-    play(seed, seconds, gateways, false);
+    play(new SoakSettings(seed, seconds, gateways, false, false));
   }
 
-  /** Requests were cut without a response at the end of a stop (issue 37); the seed plays stops. */
+  /** Requests were cut without a response at the end of a stop; the seed plays stops. */
   @ParameterizedTest
   @CsvSource({"301, 8, 2"})
   void requestsThatRanAreAnsweredInAStop(long seed, int seconds, int gateways) throws Exception {
-    play(seed, seconds, gateways, false);
+    play(new SoakSettings(seed, seconds, gateways, false, false));
   }
 
-  private void play(long seed, int seconds, int gateways, boolean returns) throws Exception {
-    System.out.println("soak seed " + seed);
-    SoakReport report =
-        new SoakRun(new SoakSettings(seed, seconds, gateways, returns, false), directory).play();
+  /** Callers got successes with the body of a failure, and requests ran twice. */
+  @ParameterizedTest
+  @CsvSource({"303, 8, 2"})
+  void responsesOfServersThatBeginTwiceAreNotMixed(long seed, int seconds, int gateways)
+      throws Exception {
+    play(new SoakSettings(seed, seconds, gateways, false, true));
+  }
+
+  private void play(SoakSettings settings) throws Exception {
+    System.out.println("soak seed " + settings.seed());
+    SoakReport report = new SoakRun(settings, directory).play();
     assertThat(report.violations()).as(report.text()).isEmpty();
     assertThat(report.completed()).isPositive();
   }
