Search bodies for a status line only where its first letter stands

Each part of a body was copied into a string and compared at each position, each field value was read twice.

Bytes are searched for the first letter of a status line now, and only those with it are looked at; the checks are the same. The tests of HeadCheck, BodyCheck and of responses begun twice in core, gateway, platform and adapters pass.

--- a/core/src/main/java/org/pollenrock/core/response/BodyCheck.java
+++ b/core/src/main/java/org/pollenrock/core/response/BodyCheck.java
@@ -29,7 +29,7 @@
 
   private final String requestId;
 
-  /** Last bytes added. */
+  /** Last bytes added; empty if no status line begins in them. */
   private String tail = "";
 
   /** Position in the tail at or before which a status line begins; negative if there is none. */
@@ -56,7 +56,8 @@
       CharSequence start = bytes.subSequence(0, Math.min(bytes.length(), STATUS_LINE_LENGTH - 1));
       if (HeadCheck.statusLinePosition(tail + start, 0) < 0
           && HeadCheck.statusLinePosition(bytes, 0) < 0) {
-        tail = end(tail + end(bytes, STATUS_LINE_LENGTH - 1), STATUS_LINE_LENGTH - 1);
+        String last = end(tail + end(bytes, STATUS_LINE_LENGTH - 1), STATUS_LINE_LENGTH - 1);
+        tail = last.indexOf(HeadCheck.STATUS_LINE_START) < 0 ? "" : last;
         return;
       }
     }
@@ -69,6 +70,14 @@
     statusLine = Math.max(0, statusLine - (text.length() - tail.length()));
   }
 
+  /**
+   * Returns whether all further bytes matter; otherwise those without {@link
+   * HeadCheck#STATUS_LINE_START} need not be added.
+   */
+  public boolean needsAllBytes() {
+    return statusLine >= 0 || !tail.isEmpty();
+  }
+
   /** Returns whether a status line begins in the bytes. */
   public boolean containsStatusLine() {
     return statusLine >= 0;
--- a/core/src/main/java/org/pollenrock/core/response/HeadCheck.java
+++ b/core/src/main/java/org/pollenrock/core/response/HeadCheck.java
@@ -23,6 +23,9 @@
   private static final char ANY_DIGIT = '0';
   private static final String STATUS_LINE_PATTERN = "HTTP/0.0 000";
 
+  /** First character of a status line; bytes without it begin none. */
+  public static final char STATUS_LINE_START = 'H';
+
   /** Length of a status line without its reason phrase, in bytes. */
   static final int STATUS_LINE_LENGTH = STATUS_LINE_PATTERN.length();
 
@@ -107,7 +110,7 @@
   public static int statusLinePosition(CharSequence text, int from) {
     int last = text.length() - STATUS_LINE_LENGTH;
     for (int position = from; position <= last; position++) {
-      if (isPartOfStatusLine(text, position)) {
+      if (text.charAt(position) == STATUS_LINE_START && isPartOfStatusLine(text, position)) {
         return position;
       }
     }
@@ -134,13 +137,16 @@
   }
 
   private static Optional<HeadFault> findInText(CharSequence text) {
-    for (int i = 0; i < text.length(); i++) {
+    boolean mayContainStatusLine = false;
+    int length = text.length();
+    for (int i = 0; i < length; i++) {
       char next = text.charAt(i);
       if (next < ' ' && next != '\t' || next == 0x7f) {
         return Optional.of(HeadFault.CONTROL_CHARACTER);
       }
+      mayContainStatusLine |= next == STATUS_LINE_START;
     }
-    return statusLinePosition(text, 0) >= 0
+    return mayContainStatusLine && statusLinePosition(text, 0) >= 0
         ? Optional.of(HeadFault.SECOND_STATUS_LINE)
         : Optional.empty();
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/ResponseDecoder.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ResponseDecoder.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.function.Supplier;
 import org.pollenrock.core.response.BodyCheck;
+import org.pollenrock.core.response.HeadCheck;
 
 /**
  * Decodes responses, and withholds the part of a body that may be another response until the end of
@@ -93,12 +94,10 @@
     int sizeLineLength = chunked && !insideChunk ? lineLength(in) : 0;
     int first = out.size();
     super.decode(context, in, out);
-    List<Object> decoded = new ArrayList<>(out.subList(first, out.size()));
-    out.subList(first, out.size()).clear();
     insideResponse |= in.readerIndex() > start;
     boolean wasChunked = chunked;
     long bodyBytes = 0;
-    for (Object message : decoded) {
+    for (Object message : takeFrom(first, out)) {
       bodyBytes += message instanceof HttpContent content ? content.content().readableBytes() : 0;
       insideResponse &= !(message instanceof LastHttpContent);
       inspect(message, out);
@@ -148,6 +147,18 @@
     super.handlerRemoved0(context);
   }
 
+  private static List<Object> takeFrom(int first, List<Object> out) {
+    return switch (out.size() - first) {
+      case 0 -> List.of();
+      case 1 -> List.of(out.remove(first));
+      default -> {
+        List<Object> taken = new ArrayList<>(out.subList(first, out.size()));
+        out.subList(first, out.size()).clear();
+        yield taken;
+      }
+    };
+  }
+
   private void inspect(Object message, List<Object> out) {
     if (message instanceof HttpResponse response) {
       bodyCheck = new BodyCheck(requestId);
@@ -165,9 +176,7 @@
 
   private void inspectContent(HttpContent content, List<Object> out) {
     boolean last = content instanceof LastHttpContent;
-    if (content.content().isReadable()) {
-      bodyCheck.add(content.content().toString(ISO_8859_1));
-    }
+    check(content.content());
     if (bodyCheck.containsSecondHead()) {
       content.release();
       fail("another response begins in the body", out);
@@ -187,6 +196,14 @@
     }
   }
 
+  private void check(ByteBuf bytes) {
+    byte start = (byte) HeadCheck.STATUS_LINE_START;
+    if (bodyCheck.needsAllBytes()
+        || bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), start) >= 0) {
+      bodyCheck.add(bytes.toString(ISO_8859_1));
+    }
+  }
+
   /** Follows the framing of a chunked body, and releases what the end of a chunk proves. */
   private void trackChunk(boolean begins, boolean ends, List<Object> out) {
     if (ends) {
