Count the end of a request in the router before releasing what it held

Cause: FinishFilter released the placement, which the decision thread may take up at once, before it counted the end, so that an operator could see neither the request nor its end.

FinishFilterTest reads the counter from an end action: 0 before, 1 now.

--- a/router/src/main/java/org/pollenrock/router/filter/FinishFilter.java
+++ b/router/src/main/java/org/pollenrock/router/filter/FinishFilter.java
@@ -21,6 +21,8 @@
 
   @Override
   public void apply(Exchange exchange) {
+    // Counted first, so that whoever sees the effects of the end finds it in the metrics.
+    metrics.requestEnded(route(exchange), result(exchange.end()));
     if (exchange.attempt() != null) {
       exchange.attempt().cancel();
     }
@@ -28,7 +30,6 @@
       answer(exchange, error);
     }
     exchange.runEndActions();
-    metrics.requestEnded(route(exchange), result(exchange.end()));
   }
 
   private static String route(Exchange exchange) {
--- a/router/src/main/java/org/pollenrock/router/operator/RouterMetrics.java
+++ b/router/src/main/java/org/pollenrock/router/operator/RouterMetrics.java
@@ -92,7 +92,12 @@
         .register(registry);
   }
 
-  PrometheusRegistry registry() {
+  /**
+   * The registry of these metrics.
+   *
+   * @return the registry, which a scrape reads
+   */
+  public PrometheusRegistry registry() {
     return registry;
   }
 }
