Build the metrics without exemplars

Counters and histograms sampled exemplars, which no scrape reads: the text format that the operator page writes has none. The library starts a thread for the sampler, which schedules a task with each sample, and keeps the exemplars of each bucket.

The library uses that thread for nothing else here: its other task, the reset of native histograms, needs an interval that is not set. Without exemplars the thread is not started.

--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayMetrics.java
@@ -67,6 +67,7 @@
           .help("Time by which the event loop runs periodic work late")
           .classicOnly()
           .classicUpperBounds(BUCKET_BOUNDS_SECONDS)
+          .withoutExemplars()
           .register(registry);
 
   /** Creates the metrics with all values at zero. */
@@ -176,7 +177,12 @@
   }
 
   private Counter counter(String name, String help, String... labels) {
-    return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
+    return Counter.builder()
+        .name(name)
+        .help(help)
+        .labelNames(labels)
+        .withoutExemplars()
+        .register(registry);
   }
 
   private Histogram histogram(String name, String help) {
@@ -186,6 +192,7 @@
         .classicOnly()
         .classicUpperBounds(BUCKET_BOUNDS_SECONDS)
         .labelNames("kind")
+        .withoutExemplars()
         .register(registry);
   }
 }
