Send no round of gossip that tells nothing

Unchanged work is repeated each 500 ms, so most rounds of a steady load were empty, and each cost every receiver a datagram.

Evidence: WorkGossipRoundTest failed before: of the first four messages while one request was being read, one told of the work and three were {data_centre: "dc"} alone. All four tell of it after.

An empty round is no longer sent. Its only effect was that the sender counted as live for 4 s; the repetitions of the work do that too. The first message to a new peer, which is empty, is sent as before.

CacheGossipTest passes unchanged.

--- a/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
@@ -334,11 +334,7 @@
   }
 
   private void scheduleFlush() {
-    int entryCount =
-        pending.getReadsCount()
-            + pending.getEvictedCount()
-            + pending.getStoredCount()
-            + outcomeCounts.size();
+    int entryCount = entryCount(pending) + outcomeCounts.size();
     if (entryCount >= MAX_BATCH_ENTRIES) {
       flush();
     } else if (!flushScheduled && (entryCount > 0 || workGossip.hasTrackedServers())) {
@@ -349,10 +345,7 @@
   }
 
   private void schedulePrefixFlush() {
-    int entryCount =
-        pendingPrefixes.getReadsCount()
-            + pendingPrefixes.getEvictedCount()
-            + pendingPrefixes.getStoredCount();
+    int entryCount = entryCount(pendingPrefixes);
     if (entryCount >= MAX_BATCH_ENTRIES) {
       flushPrefixes();
     } else if (!prefixFlushScheduled && entryCount > 0) {
@@ -364,6 +357,10 @@
     }
   }
 
+  private static int entryCount(FleetNews.Builder message) {
+    return message.getReadsCount() + message.getEvictedCount() + message.getStoredCount();
+  }
+
   private void flushPrefixes() {
     prefixFlushScheduled = false;
     FleetNews.Builder message = pendingPrefixes;
@@ -390,7 +387,11 @@
       followedServers.forEach(server -> message.addFollowed(server.idHash()));
     }
     quarantineGossip.addQuarantinedParts(message, now);
-    send(message, fullGossipPeers);
+    int reports = message.getWorkCount() + message.getOutcomesCount() + message.getFollowedCount();
+    // Work that has not changed is repeated often enough to show that this instance lives.
+    if (reports + message.getQuarantinedCount() + entryCount(message) > 0) {
+      send(message, fullGossipPeers);
+    }
     scheduleFlush();
   }
 
