Fail a stream without length whose event contains another response

A stream that ends with its connection was cut inside an event and followed by a refusal, which names no request. Callers got the bytes of both as a whole event, and a stream that ended as if it were complete. The decoder withholds such a stream from the status line on, but released it at the end of the connection unless the body was that of a refusal.

ResponseDecoder now looks at the withheld bytes when the connection ends: an event with a status line, behind which a line stands that is no field of events, holds the head of another response, and the stream fails.

ResponseDecoderTest.eventsThatQuoteAStatusLineArePassedOnAtTheEndOfTheConnection passes before and after.

Not detected: a second response without any field.

--- a/core/src/main/java/org/pollenrock/core/response/BodyCheck.java
+++ b/core/src/main/java/org/pollenrock/core/response/BodyCheck.java
@@ -78,6 +78,11 @@
     return statusLine >= 0 || !tail.isEmpty();
   }
 
+  /** Returns the last bytes added; empty if no status line begins in them. */
+  public String lastBytes() {
+    return tail;
+  }
+
   /** Returns whether a status line begins in the bytes. */
   public boolean containsStatusLine() {
     return statusLine >= 0;
--- a/gateway/src/main/java/org/pollenrock/gateway/ResponseDecoder.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ResponseDecoder.java
@@ -37,6 +37,10 @@
 
   private final List<HttpContent> withheld = new ArrayList<>();
   private BodyCheck bodyCheck = new BodyCheck("");
+
+  /** Bytes before those with the first status line, in which it may have begun. */
+  private String bytesBeforeStatusLine = "";
+
   private String requestId = "";
   private boolean headRequest;
   private Supplier<BodyUse> bodyUse = () -> BodyUse.COLLECTED;
@@ -118,7 +122,7 @@
             && end.decoderResult().isSuccess();
     if (ended) {
       Object end = out.remove(out.size() - 1);
-      if (bodyCheck.containsStatusLine() && bodyUse.get() == BodyUse.IGNORED) {
+      if (bodyCheck.containsStatusLine() && isDoubtedAtEndOfConnection()) {
         fail("another response begins in the body", out);
         return;
       }
@@ -147,6 +151,22 @@
     super.handlerRemoved0(context);
   }
 
+  /** Returns whether a body that contains a status line may be that of two responses. */
+  private boolean isDoubtedAtEndOfConnection() {
+    return switch (bodyUse.get()) {
+      case IGNORED -> true;
+      case RELAYED -> EventHeads.contains(withheldText());
+      case COLLECTED -> false;
+    };
+  }
+
+  /** Returns the withheld bytes, after those in which their status line may have begun. */
+  private String withheldText() {
+    StringBuilder text = new StringBuilder(bytesBeforeStatusLine);
+    withheld.forEach(content -> text.append(content.content().toString(ISO_8859_1)));
+    return text.toString();
+  }
+
   private static List<Object> takeFrom(int first, List<Object> out) {
     return switch (out.size() - first) {
       case 0 -> List.of();
@@ -200,6 +220,9 @@
     byte start = (byte) HeadCheck.STATUS_LINE_START;
     if (bodyCheck.needsAllBytes()
         || bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), start) >= 0) {
+      if (!bodyCheck.containsStatusLine()) {
+        bytesBeforeStatusLine = bodyCheck.lastBytes();
+      }
       bodyCheck.add(bytes.toString(ISO_8859_1));
     }
   }
--- a/gateway/src/test/java/org/pollenrock/gateway/ResponseDecoderTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/ResponseDecoderTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpContent;
@@ -12,6 +13,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.pollenrock.core.response.HeadCheck;
 
@@ -19,6 +21,8 @@
 class ResponseDecoderTest {
   private static final String STREAM_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+  private static final String UNSIZED_HEAD = "HTTP/1.1 200 OK\r\nX: y\r\n\r\n";
+
   /** What a decoder passed on. */
   private static final class Result {
     private final StringBuilder body = new StringBuilder();
@@ -182,4 +186,56 @@
     String unsized = head + "\r\nHTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n";
     assertThat(decode(false, true, BodyUse.IGNORED, unsized).failures).isEqualTo(1);
   }
+
+  // Guards against an event that is made of two responses.
+  @Test
+  void eventOfAStreamWithoutLengthIsNotFilledUpByARefusal() {
+    String refusal = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    String first = "id: 1\ndata: one\n\n";
+    String events = first + "id: 2\ndata: two\n\n";
+    for (int cut = 0; cut < events.length(); cut++) {
+      String all = UNSIZED_HEAD + events.substring(0, cut) + refusal;
+      for (int read = UNSIZED_HEAD.length(); read <= all.length(); read++) {
+        Result result =
+            decode(false, true, BodyUse.RELAYED, all.substring(0, read), all.substring(read));
+        assertThat(result.failures).as("cut %s, read %s", cut, read).isEqualTo(1);
+        assertThat(events).as("cut %s, read %s", cut, read).startsWith(events(result));
+      }
+    }
+  }
+
+  /** Events of a stream without length may quote a status line beside any other fields. */
+  @Test
+  void eventsThatQuoteAStatusLineArePassedOnAtTheEndOfTheConnection() {
+    for (String events :
+        List.of(
+            "data: HTTP/1.1 200 OK\n\nweight-versions: 3\ndata: a\n\n",
+            "weight-versions: 3\ndata: HTTP/1.1 200 OK\n\n",
+            "data: HTTP/1.1 200 OK\r\ndata: Attempt-Id: other\r\ndata\r\n\r\ndata: a\n\n",
+            ": HTTP/1.1 200 OK\n: x\nid: 1\nevent: a\nretry: 5\ndata:b\n\n",
+            "data: HTTP/1.1 200 OK\n\ndata: HTTP/1.1 503 Busy\n\nx: y\n\n")) {
+      String all = UNSIZED_HEAD + events;
+      for (int read = UNSIZED_HEAD.length(); read <= all.length(); read++) {
+        Result result =
+            decode(false, true, BodyUse.RELAYED, all.substring(0, read), all.substring(read));
+        assertThat(result.failures).as("%s, read %s", events, read).isZero();
+        assertThat(result.body).hasToString(events);
+        assertThat(result.ends).isEqualTo(1);
+      }
+    }
+  }
+
+  /** Returns the whole events of a stream. */
+  private static String events(Result stream) {
+    BodyMemory memory = new BodyMemory(Long.MAX_VALUE);
+    EventSplitter splitter =
+        new EventSplitter(ByteBufAllocator.DEFAULT, memory, OptionalLong.empty());
+    String events =
+        splitter
+            .push(Unpooled.copiedBuffer(stream.body, ISO_8859_1))
+            .map(passed -> passed.toString(ISO_8859_1))
+            .orElse("");
+    splitter.release();
+    return events;
+  }
 }
