Count the withheld part of a response as content, not as framing

The caller of a stream got its first event and then a break when a sound server sent an event of 400,024 bytes that quotes a status line, although an event may have 1 MiB.

Cause: the decoder withholds such a part until the end of its chunk proves it. Meanwhile its bytes were counted as received, but not as content, so that they looked like framing without end.

Withheld bytes count as content; their own bound of 1 MiB stays.

--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -173,7 +173,7 @@
   }
 
   private void failIfExceeded() {
-    if (limits.isExceeded()) {
+    if (limits.isExceeded(decoder.withheldBytes())) {
       fail(new TooLongFrameException("bytes without end that are no response"));
     }
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/ReceiveLimits.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ReceiveLimits.java
@@ -47,10 +47,16 @@
     contentBytes += bytes;
   }
 
-  /** Returns whether the server has sent more than a sound one would. */
-  boolean isExceeded() {
+  /**
+   * Returns whether the server has sent more than a sound one would.
+   *
+   * @param withheldBytes bytes of the content that were received but not recorded yet
+   */
+  boolean isExceeded(long withheldBytes) {
+    long receivedContentBytes = contentBytes + withheldBytes;
     return skippedResponses > MAX_SKIPPED_RESPONSES
         || skippedBytes > MAX_SKIPPED_BYTES
-        || framedBytes - contentBytes > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * contentBytes;
+        || framedBytes - receivedContentBytes
+            > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * receivedContentBytes;
   }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/ResponseDecoder.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ResponseDecoder.java
@@ -73,6 +73,11 @@
     return insideResponse || actualReadableBytes() > 0;
   }
 
+  /** Returns the number of bytes of the body that have been received and are withheld. */
+  long withheldBytes() {
+    return withheldBytes;
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     boolean informational =
