Believe no refusal that breaks off inside another response

A request that may have run counted as not run: its caller got 503 with Retry-After.

Cause: a refusal stands if the connection ends in it. The part of its body that had arrived was not asked whether another response begins in it; that was done for whole bodies and for bodies that end with the connection only. A server that begins a refusal, runs the request, begins the true response and closes or resets the connection before its identifier was sent showed only the former.

ResponseCopyTest.refusalThatBreaksOffInsideAnotherResponseDoesNotMakeItsRequestRunTwice: 503 instead of 502 before, at its first step (a length, one byte of the other response); passes now, with lengths and chunks, closes and resets. Such a refusal counts as unknown; one that is cut without the begin of a status line stands as before.

--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -392,7 +392,11 @@
     listener = null;
     close();
     if (failed != null) {
-      failed.requestFailed(cause);
+      // A refusal that the connection's end cuts off stands only if nothing else has begun in it.
+      boolean mixed =
+          inResponse && failed.bodyUse() == BodyUse.IGNORED && decoder.mayContainAnotherResponse();
+      failed.requestFailed(
+          mixed ? new MixedResponseException("another response begins before: " + cause) : cause);
     }
   }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/ResponseDecoder.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ResponseDecoder.java
@@ -78,6 +78,11 @@
     return withheldBytes;
   }
 
+  /** Returns whether another response may have begun in the part of the body received so far. */
+  boolean mayContainAnotherResponse() {
+    return insideResponse && bodyCheck.isInDoubt();
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     boolean informational =
