Refuse requests that pollenrockd is still reading when it stops

A caller whose request had arrived in part at the end of a planned stop of the router got no response; the connection was closed.

Cause: at the hard limit the router ended open responses only, not requests that were being read, although it had waited for them as busy.

PlannedStopTest.requestThatIsReceivedAtTheEndOfTheStopIsRefusedAsNotRun: no byte before, 503 "not run" now; the other four tests of the class and DrainTest passed.

--- a/router/src/main/java/org/pollenrock/router/caller/CallerConnection.java
+++ b/router/src/main/java/org/pollenrock/router/caller/CallerConnection.java
@@ -109,8 +109,15 @@
     return unsent != null && unsent.totalPendingWriteBytes() > 0;
   }
 
-  /** Ends the current response; one that has begun is broken off. */
+  /**
+   * Ends the current response, of which one that has begun is broken off, or refuses the request
+   * that is being read.
+   */
   void stopNow() {
+    if (state == State.READING) {
+      refuse(refusal(ErrorCode.OVERLOADED, "the router is stopping"));
+      return;
+    }
     if (writer != null) {
       writer.stopping();
     }
--- a/router/src/test/java/org/pollenrock/router/PlannedStopTest.java
+++ b/router/src/test/java/org/pollenrock/router/PlannedStopTest.java
@@ -103,6 +103,19 @@
     }
   }
 
+  /** Guards against a request that was received in part and is cut without an answer. */
+  @Test
+  void requestThatIsReceivedAtTheEndOfTheStopIsRefusedAsNotRun() throws Exception {
+    try (Socket caller = connect()) {
+      String head = "POST /ledger/refunds HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n123";
+      caller.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+      Thread.sleep(200);
+      CompletableFuture<Integer> drained = cluster.router().drain();
+      assertThat(rest(caller)).startsWith("HTTP/1.1 503 ").contains("\"run\":\"not_run\"");
+      drained.join();
+    }
+  }
+
   /** Guards against a stream that seems to have ended with the router. */
   @Test
   void streamThatRunsAtTheEndOfTheStopBreaksVisibly() throws Exception {
