Answer requests that pollenrockd has read before a stop closes their connection

The second of two pipelined requests got no response if a planned stop of the router began while the first one was served: the first response said Connection: close, and what was queued behind it was dropped.

Cause: each response announced the close during a stop, without asking for requests that had been read already.

CallerConnectionTest.pipelinedRequestsAreServedAlthoughAStopBegins: one request handled before, both now; the last response announces the close.

--- a/router/src/main/java/org/pollenrock/router/caller/CallerConnection.java
+++ b/router/src/main/java/org/pollenrock/router/caller/CallerConnection.java
@@ -223,11 +223,16 @@
     CallerRequest request =
         new CallerRequest(head.method(), head.uri(), head.headers(), body.toByteArray());
     body = new ByteArrayOutputStream();
-    writer = new ResponseWriter(context, head, drain, this::responseEnded);
+    writer = new ResponseWriter(context, head, this::closesAfterResponse, this::responseEnded);
     head = null;
     handler.handle(request, writer);
   }
 
+  /** Requests that were read already are answered before a stop closes the connection. */
+  private boolean closesAfterResponse() {
+    return drain.draining() && queue.isEmpty();
+  }
+
   private void responseEnded(boolean keepAlive) {
     writer = null;
     cancel(stallDeadline);
--- a/router/src/main/java/org/pollenrock/router/caller/ResponseWriter.java
+++ b/router/src/main/java/org/pollenrock/router/caller/ResponseWriter.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.function.BooleanSupplier;
 import org.pollenrock.core.error.ErrorCode;
 import org.pollenrock.core.error.RequestError;
 
@@ -42,7 +43,7 @@
       };
 
   private final ChannelHandlerContext context;
-  private final DrainSwitch drain;
+  private final BooleanSupplier closing;
   private final EndListener endListener;
   private final boolean oldVersion;
   private boolean keepAlive;
@@ -54,13 +55,21 @@
     void ended(boolean keepAlive);
   }
 
+  /**
+   * Creates a writer.
+   *
+   * @param context the connection
+   * @param request head of the request
+   * @param closing whether the connection closes after this response although its caller keeps it
+   * @param endListener hears of the end of the response
+   */
   ResponseWriter(
       ChannelHandlerContext context,
       HttpRequest request,
-      DrainSwitch drain,
+      BooleanSupplier closing,
       EndListener endListener) {
     this.context = context;
-    this.drain = drain;
+    this.closing = closing;
     this.endListener = endListener;
     this.oldVersion = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0;
     this.keepAlive = HttpUtil.isKeepAlive(request);
@@ -167,7 +176,7 @@
   }
 
   private void setConnection(HttpResponse response) {
-    keepAlive = keepAlive && !drain.draining();
+    keepAlive = keepAlive && !closing.getAsBoolean();
     response
         .headers()
         .set(
@@ -178,6 +187,6 @@
   private void end() {
     open = false;
     // The drain may have begun after the head of a streamed response was sent.
-    endListener.ended(keepAlive && !drain.draining());
+    endListener.ended(keepAlive && !closing.getAsBoolean());
   }
 }
--- a/router/src/test/java/org/pollenrock/router/caller/CallerConnectionTest.java
+++ b/router/src/test/java/org/pollenrock/router/caller/CallerConnectionTest.java
@@ -115,6 +115,20 @@
     assertThat(written(channel)).containsSubsequence("first", "second", "third");
   }
 
+  /** Guards against the loss of requests that were received before the stop was announced. */
+  @Test
+  void pipelinedRequestsAreServedAlthoughAStopBegins() {
+    EmbeddedChannel channel = channel(false);
+    write(channel, GET + GET.replace("/a", "/b"));
+    drain.turnOn();
+    answer("first");
+    channel.runPendingTasks();
+    assertThat(requests).isEqualTo(2);
+    answer("second");
+    assertThat(written(channel)).containsSubsequence("keep-alive", "first", "close", "second");
+    assertThat(channel.isOpen()).isFalse();
+  }
+
   @Test
   void pipelinedFloodStopsReadingAtItsBound() {
     EmbeddedChannel channel = channel(false);
