Read the bytes of a relayed event once

Each part of a stream was copied into the buffer of the unfinished event, scanned there for the ends of lines, scanned again for the identifier, which was read by way of a string, and copied into the buffer that is passed on; the rest was copied a third time.

EventScanner now finds the ends of events and their numbers in one pass over the received bytes, wherever they are divided, and keeps its state between parts, so that nothing is scanned twice. The complete events of a part are copied once into the buffer that is passed on, which stays reserved in BodyMemory until its last reference is released; only the bytes of an unfinished event are buffered. A slice of the received buffer is not passed on, since it would hold up to 16 KiB for an event of 120 bytes.

Memory: the space for complete events is reserved before any of them counts, as before. If none is left for the unfinished rest, the complete events before it are passed on now and the send fails as before.

--- a/gateway/src/main/java/org/pollenrock/gateway/EventSplitter.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/EventSplitter.java
@@ -3,7 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
-import java.nio.charset.StandardCharsets;
+import io.netty.util.concurrent.FastThreadLocal;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -18,15 +18,22 @@
   /** Maximum size of an event; a server that sends a larger one is treated as faulty. */
   static final int MAX_EVENT_BYTES = 1 << 20;
 
-  private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+  private static final int WINDOW_BYTES = 4_096;
 
+  /** Bytes of the stream while they are scanned, as an array is read faster than a buffer. */
+  private static final FastThreadLocal<byte[]> WINDOW =
+      new FastThreadLocal<>() {
+        @Override
+        protected byte[] initialValue() {
+          return new byte[WINDOW_BYTES];
+        }
+      };
+
+  private final EventScanner scanner = new EventScanner();
   private final ByteBufAllocator allocator;
   private final BodyMemory memory;
   private ByteBuf partialEvent = Unpooled.EMPTY_BUFFER;
 
-  /** Number of bytes of the incomplete event that form whole lines. */
-  private int scannedBytes;
-
   private long lastNumber;
   private boolean hasNumber;
   private long passedEvents;
@@ -47,44 +54,41 @@
    * @return the events that are complete now and not repeated; the caller has to release them
    */
   Optional<ByteBuf> push(ByteBuf bytes) {
-    if (!tryGrow(bytes.readableBytes())) {
-      lacksMemory = true;
-      return Optional.empty();
-    }
-    int searchStart = partialEvent.writerIndex();
-    partialEvent.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
-    ByteBuf buffered = partialEvent;
+    byte[] window = WINDOW.get();
     ReservedBuffer events = null;
-    int eventStart = buffered.readerIndex();
-    int lineStart = eventStart + scannedBytes;
-    while (true) {
-      int lineEnd = buffered.indexOf(searchStart, buffered.writerIndex(), (byte) '\n');
-      if (lineEnd < 0) {
-        break;
-      }
-      boolean blank =
-          lineEnd == lineStart || lineEnd == lineStart + 1 && buffered.getByte(lineStart) == '\r';
-      lineStart = lineEnd + 1;
-      searchStart = lineStart;
-      if (blank) {
+    int end = bytes.writerIndex();
+    int eventStart = bytes.readerIndex();
+    int copyStart = eventStart;
+    for (int start = eventStart; start < end; start += window.length) {
+      int length = Math.min(window.length, end - start);
+      bytes.getBytes(start, window, 0, length);
+      for (int next = scanner.skipEvent(window, 0, length);
+          next >= 0;
+          next = scanner.skipEvent(window, next, length)) {
         if (events == null) {
           events = new ReservedBuffer(allocator, memory);
-          if (!events.tryGrow(buffered.readableBytes())) {
+          if (!events.tryGrow(partialEvent.readableBytes() + bytes.readableBytes())) {
             events.release();
             lacksMemory = true;
             return Optional.empty();
           }
         }
-        ByteBuf event = buffered.slice(eventStart, lineStart - eventStart);
-        if (acceptIfNew(event)) {
-          events.writeBytes(event);
+        boolean accepted = acceptIfNew();
+        if (accepted && partialEvent.isReadable()) {
+          events.writeBytes(partialEvent);
+        } else if (!accepted) {
+          events.writeBytes(bytes, copyStart, eventStart - copyStart);
+          copyStart = start + next;
         }
-        eventStart = lineStart;
+        releasePartialEvent();
+        eventStart = start + next;
       }
     }
-    scannedBytes = lineStart - eventStart;
-    if (eventStart > buffered.readerIndex()) {
-      keepFrom(eventStart);
+    if (events != null) {
+      events.writeBytes(bytes, copyStart, eventStart - copyStart);
+    }
+    if (eventStart < end) {
+      keepFrom(bytes, eventStart);
     }
     if (events != null && !events.isReadable()) {
       events.release();
@@ -125,25 +129,29 @@
 
   /** Releases the buffered bytes. */
   void release() {
+    releasePartialEvent();
+    scanner.reset();
+    lacksMemory = false;
+  }
+
+  private void releasePartialEvent() {
+    if (reservedBytes == 0) {
+      return;
+    }
     partialEvent.release();
     partialEvent = Unpooled.EMPTY_BUFFER;
-    scannedBytes = 0;
-    lacksMemory = false;
     memory.free(reservedBytes);
     reservedBytes = 0;
   }
 
-  /** Keeps only the buffered bytes from an index on, in a buffer of their size. */
-  private void keepFrom(int index) {
-    ByteBuf buffered = partialEvent;
-    buffered.readerIndex(index);
-    partialEvent =
-        buffered.isReadable()
-            ? allocator.buffer(buffered.readableBytes()).writeBytes(buffered)
-            : Unpooled.EMPTY_BUFFER;
-    buffered.release();
-    memory.free(reservedBytes - partialEvent.readableBytes());
-    reservedBytes = partialEvent.readableBytes();
+  /** Keeps the received bytes from an index on as bytes of the incomplete event. */
+  private void keepFrom(ByteBuf bytes, int index) {
+    int length = bytes.writerIndex() - index;
+    if (tryGrow(length)) {
+      partialEvent.writeBytes(bytes, index, length);
+    } else {
+      lacksMemory = true;
+    }
   }
 
   /** Makes room for further bytes of the incomplete event; returns false if no memory is left. */
@@ -166,54 +174,17 @@
     return true;
   }
 
-  private boolean acceptIfNew(ByteBuf event) {
-    OptionalLong number = parseNumber(event);
-    if (number.isPresent()) {
-      if (hasNumber && number.getAsLong() <= lastNumber) {
+  /** Ends an event; returns whether it is passed on. */
+  private boolean acceptIfNew() {
+    // A stream can't be resumed after an event without a valid number.
+    if (scanner.hasNumber()) {
+      if (hasNumber && scanner.number() <= lastNumber) {
         return false;
       }
       hasNumber = true;
-      lastNumber = number.getAsLong();
+      lastNumber = scanner.number();
     }
     passedEvents++;
     return true;
   }
-
-  private static OptionalLong parseNumber(ByteBuf event) {
-    int lineStart = event.readerIndex();
-    int end = event.writerIndex();
-    while (lineStart < end) {
-      int lineEnd = event.indexOf(lineStart, end, (byte) '\n');
-      int lineStop = lineEnd < 0 ? end : lineEnd;
-      if (startsWithId(event, lineStart, lineStop)) {
-        return parseLong(
-            event
-                .toString(lineStart + 3, lineStop - lineStart - 3, StandardCharsets.US_ASCII)
-                .trim());
-      }
-      lineStart = lineStop + 1;
-    }
-    return OptionalLong.empty();
-  }
-
-  private static boolean startsWithId(ByteBuf event, int lineStart, int lineStop) {
-    if (lineStop - lineStart < ID_FIELD.length) {
-      return false;
-    }
-    for (int i = 0; i < ID_FIELD.length; i++) {
-      if (event.getByte(lineStart + i) != ID_FIELD[i]) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  private static OptionalLong parseLong(String text) {
-    try {
-      return OptionalLong.of(Long.parseLong(text));
-    } catch (NumberFormatException e) {
-      // An event without a valid number is passed on, but a stream can't be resumed after it.
-      return OptionalLong.empty();
-    }
-  }
 }
