Break an answer to the router that the first part of another one fills up

Callers of pollenrockd got a 200 whose last bytes were the first of another answer's head, if the rest of that head came in a later read.

Cause: the guard of the adapters asked what follows a body only for whole messages; an unfinished line behind it stays in the decoder. Now such bytes are judged by BodyCheck, as in the gateway; bodies with chunks have proof of their end.

BrokenResponseTest.answerThatIsFilledUpByTheFirstPartOfAnotherIsBroken: all cases whose missing and surplus bytes divide the second head inside a line were taken as 200 before (5+1, 5+5, 5+12, ..., 25+12); none now.

--- a/adapters/src/main/java/org/pollenrock/adapters/http/AnswerDecoder.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/AnswerDecoder.java
@@ -1,11 +1,14 @@
 package org.pollenrock.adapters.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import java.nio.charset.StandardCharsets;
+import org.pollenrock.core.response.BodyCheck;
 
 /**
  * Decodes the responses on one connection, and tells whether bytes stand behind the end of one.
@@ -33,6 +36,13 @@
     return actualReadableBytes() > 0;
   }
 
+  /** Returns the first of the bytes that are not decoded yet, as far as a verdict needs them. */
+  String furtherBytes() {
+    ByteBuf bytes = internalBuffer();
+    int length = Math.min(bytes.readableBytes(), BodyCheck.STATUS_LINE_LENGTH);
+    return bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1);
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     boolean interim =
--- a/adapters/src/main/java/org/pollenrock/adapters/http/ResponseGuard.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/ResponseGuard.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
@@ -64,6 +65,7 @@
   private String requestId = "";
   private BodyCheck bodyCheck = new BodyCheck("");
   private Phase phase = Phase.IDLE;
+  private boolean chunked;
   private LastHttpContent end;
 
   /** Whether bytes were received behind the end of the response. */
@@ -209,12 +211,12 @@
       return Optional.of("names the request " + named);
     }
     // An identifier is that of one send, so no later response on the connection names it; a
-    // response
-    // to another request has failed this one.
+    // response to another request has failed this one.
     boolean reusable = ConnectionReuse.isAllowed(named != null, true, false);
     context.channel().attr(REUSABLE).set(reusable);
     boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     phase = interim ? Phase.INTERIM : Phase.BODY;
+    chunked = HttpUtil.isTransferEncodingChunked(response);
     return Optional.empty();
   }
 
@@ -262,7 +264,12 @@
       LastHttpContent passed = end;
       end = null;
       if (hasBytesBehindEnd) {
-        passAsLast(context, passed);
+        if (isFilledUp()) {
+          end = passed;
+          fail(context, "another response begins in the body");
+        } else {
+          passAsLast(context, passed);
+        }
         return;
       }
       phase = Phase.IDLE;
@@ -270,6 +277,11 @@
     }
   }
 
+  /** Returns whether the body may have its length only with the first bytes of another response. */
+  private boolean isFilledUp() {
+    return !chunked && bodyCheck.judge(decoder.furtherBytes()) != BodyCheck.Verdict.WHOLE;
+  }
+
   private void passAsLast(ChannelHandlerContext context, LastHttpContent passed) {
     LOG.warn("connection to {} closed: bytes behind a response", context.channel().remoteAddress());
     phase = Phase.CLOSED;
--- a/adapters/src/test/java/org/pollenrock/adapters/http/BrokenResponseTest.java
+++ b/adapters/src/test/java/org/pollenrock/adapters/http/BrokenResponseTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -80,6 +81,38 @@
     assertThat(taken(id -> TransportBed.whole(503, id), BrokenResponseTest::success)).isEmpty();
   }
 
+  /** Guards against a body that the first part of another answer fills up to its length. */
+  @Test
+  void answerThatIsFilledUpByTheFirstPartOfAnotherIsBroken() throws IOException {
+    List<String> taken = new ArrayList<>();
+    for (int missing : new int[] {5, 18, 25}) {
+      for (int surplus : new int[] {1, 5, 12}) {
+        try (ScriptedServer server =
+            new ScriptedServer(
+                (connection, exchange, request, out) -> {
+                  String id = ScriptedServer.header(request, TransportBed.ID);
+                  String first = success(id);
+                  String second =
+                      "HTTP/1.1 500 Oops\r\nContent-Type: text/plain\r\nX-Attempt-Id: "
+                          + id
+                          + "\r\nContent-Length: 0\r\n\r\n";
+                  int written = missing + surplus;
+                  TransportBed.write(
+                      out,
+                      first.substring(0, first.length() - missing) + second.substring(0, written));
+                  LockSupport.parkNanos(50_000_000);
+                  TransportBed.write(out, second.substring(written));
+                  return false;
+                })) {
+          if (bed.call(server) instanceof HttpOutcome.Answered answer) {
+            taken.add(missing + "+" + surplus + ":" + answer.status());
+          }
+        }
+      }
+    }
+    assertThat(taken).isEmpty();
+  }
+
   /** Guards against an empty or short body of a server that closed within its answer. */
   @Test
   void answerCutByACloseIsBroken() throws IOException {
