Read what the socket of a kept connection holds before the next request

A request of the adapters on a kept connection was written although bytes of a stray response waited in its socket. They were then taken as the begin of the response to this request.

Cause: ResponseGuard closes an idle connection when bytes are read. A write that was queued while the event loop was busy ran before the read of the same bytes, and ended the idle time.

Evidence, KeptConnectionTest.bytesThatWaitInTheSocketAreNotTakenForTheAnswer on the code before: for the stray byte H, "Expecting AtomicInteger(1) to have value: 0", which counts requests behind the stray bytes.

Change: RequestGate holds a request, other than the first of a connection, for one turn of the event loop, which reads first. The request then ends as broken without being sent, as it did for a connection closed while idle. The delay of one turn was not measured.

--- a/adapters/src/main/java/org/pollenrock/adapters/http/ResponseGuard.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/ResponseGuard.java
@@ -101,6 +101,7 @@
         CODEC, CODEC, new CombinedChannelDuplexHandler<>(decoder, new HttpRequestEncoder()));
     pipeline.addBefore(CODEC, "idle-guard", guard.new IdleGuard());
     pipeline.addAfter(CODEC, "response-guard", guard);
+    pipeline.addAfter("response-guard", "request-gate", new RequestGate());
   }
 
   /**
--- a/adapters/src/test/java/org/pollenrock/adapters/http/KeptConnectionTest.java
+++ b/adapters/src/test/java/org/pollenrock/adapters/http/KeptConnectionTest.java
@@ -5,8 +5,10 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.pollenrock.adapters.log.HttpLogClient;
@@ -183,6 +185,45 @@
     }
   }
 
+  /** Guards against a stray answer that waits in the socket when the next request is made. */
+  @Test
+  void bytesThatWaitInTheSocketAreNotTakenForTheAnswer() throws Exception {
+    for (String stray : STRAYS) {
+      for (int length = 1; length <= stray.length(); length++) {
+        String waiting = stray.substring(0, length);
+        AtomicInteger requestsBehindIt = new AtomicInteger();
+        CountDownLatch answered = new CountDownLatch(1);
+        CountDownLatch written = new CountDownLatch(1);
+        CountDownLatch released = new CountDownLatch(1);
+        try (ScriptedServer server =
+            new ScriptedServer(
+                (connection, exchange, request, out) -> {
+                  TransportBed.write(
+                      out,
+                      TransportBed.whole(200, ScriptedServer.header(request, TransportBed.ID)));
+                  if (connection + exchange == 0) {
+                    ScriptedServer.await(answered);
+                    TransportBed.write(out, waiting);
+                    written.countDown();
+                  } else if (connection == 0) {
+                    requestsBehindIt.incrementAndGet();
+                  }
+                  return true;
+                })) {
+          assertThat(bed.call(server)).as(waiting).isInstanceOf(HttpOutcome.Answered.class);
+          bed.holdLoopUntil(released);
+          answered.countDown();
+          ScriptedServer.await(written);
+          CompletableFuture<HttpOutcome> next = bed.start(server, ConnectionUse.ANY);
+          released.countDown();
+          assertThat(next.join()).as(waiting).isInstanceOf(HttpOutcome.Broken.class);
+          assertThat(bed.call(server)).as(waiting).isInstanceOf(HttpOutcome.Answered.class);
+          assertThat(requestsBehindIt).as(waiting).hasValue(0);
+        }
+      }
+    }
+  }
+
   /** Shows that a connection whose answers name their requests is kept. */
   @Test
   void connectionOfIdentifiedAnswersIsKept() throws IOException {
--- a/adapters/src/test/java/org/pollenrock/adapters/http/TransportBed.java
+++ b/adapters/src/test/java/org/pollenrock/adapters/http/TransportBed.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 /** A transport with its event loop, and the responses that tests let servers write. */
@@ -33,6 +34,17 @@
     return transport;
   }
 
+  /** Keeps the event loop from reading and writing until a latch is released. */
+  void holdLoopUntil(CountDownLatch released) {
+    CountDownLatch held = new CountDownLatch(1);
+    loops.execute(
+        () -> {
+          held.countDown();
+          ScriptedServer.await(released);
+        });
+    ScriptedServer.await(held);
+  }
+
   /** Makes a call with an identifier of its own, {@code router/1/1} for the first one. */
   HttpOutcome call(ScriptedServer server) {
     return call(server, ConnectionUse.ANY);
