Keep the loop variable of the event scanner for its loop

The loop counter was changed inside its loop, which the linter reports. No change of behaviour; EventSplitterTest and EventSplitterStreamTest pass.

--- a/gateway/src/main/java/org/pollenrock/gateway/EventScanner.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/EventScanner.java
@@ -59,19 +59,21 @@
     if (ended) {
       reset();
     }
-    for (int i = from; i < to; i++) {
+    int position = from;
+    while (position < to) {
       if (line == Line.OTHER) {
-        i = lineEnd(bytes, i, to);
-        if (i == to) {
-          return -1;
+        position = lineEnd(bytes, position, to);
+        if (position == to) {
+          break;
         }
       }
-      byte next = bytes[i];
+      byte next = bytes[position];
+      position++;
       if (next != '\n') {
         readByte(next);
       } else if (line == Line.EMPTY || line == Line.CARRIAGE_RETURN) {
         ended = true;
-        return i + 1;
+        return position;
       } else {
         line = Line.EMPTY;
       }
