Read what an idle connection holds before a call is sent on it

A call of ControlClient (store, probes, reports, cache events) was sent on an idle connection in the turn of the loop in which it was made. A response that had arrived since the loop last read its sockets, and belongs to no call, was then taken as the response to the call; responses to calls name none. A call on a connection that the service had closed in that time failed.

A call on an idle connection is now sent after the loop has read its sockets once more. Bytes that waited there close the connection, as before between responses, and the call is made on another one. The rule of server connections (LoopMonitor.runAfterInput) acts only while the loop is late and delays by a millisecond; here two turns of the loop pass, without a wait. One is not enough for a call that is made while input is handled: with one turn ControlClientTest.responseThatArrivesWhileInputIsHandledIsNotThatToTheNextCall still failed. New connections are opened only where the idle one could not be used. Orders have new connections and are sent at once, as before.

Evidence, ControlClientTest before the change:

responseThatWaitsInTheSocketIsNotThatToTheNextCall: expected "/two" but was "stray" responseThatArrivesWhileInputIsHandledIsNotThatToTheNextCall: expected "/two" but was "stray" callIsMadeOnAnotherConnectionIfTheIdleOneIsClosed: expected "/two" but was "Failed[step=RELAY, ..., cause=java.io.IOException: connection closed, sent=true]"

They pass now; idleConnectionIsUsedAgain passes before and after. The processor time of the two turns was not measured.

Open: a response to no call that arrives after this read can't be told apart.

--- a/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
@@ -179,6 +179,15 @@
                 loop, target, CONNECT_TIMEOUT_MILLIS, readShare, observer, headCheck));
   }
 
+  /**
+   * Runs an action after the loop has read what its sockets hold now. A task that is scheduled
+   * while input is handled runs before the next input is read, but one scheduled by a task runs
+   * after it.
+   */
+  private void runInNextTurn(Runnable action) {
+    loop.schedule(() -> loop.schedule(action, 0, TimeUnit.NANOSECONDS), 0, TimeUnit.NANOSECONDS);
+  }
+
   /** Call whose outcome is not known yet. */
   private final class PendingCall
       implements ConnectionPool.AcquireListener, HttpConnection.Listener {
@@ -212,6 +221,24 @@
 
     @Override
     public void connected(HttpConnection opened, boolean reused) {
+      if (reused) {
+        // What waits in the socket is not the response to this call, and has to be read before.
+        runInNextTurn(() -> sendOnIdle(opened));
+      } else {
+        sendOn(opened);
+      }
+    }
+
+    private void sendOnIdle(HttpConnection idle) {
+      if (result == null || idle.isUsable()) {
+        sendOn(idle);
+      } else {
+        // The service has closed the connection, or has sent what belongs to no call.
+        pool(address).acquire(false, this);
+      }
+    }
+
+    private void sendOn(HttpConnection opened) {
       if (result == null) {
         opened.close();
         return;
