--- a/gateway/src/main/java/org/pollenrock/gateway/QuarantineTask.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QuarantineTask.java
@@ -71,6 +71,9 @@
 
   /** Logs the parts whose quarantine was announced by others, and those whose quarantine ended. */
   void sweep(long nowNanos) {
+    if (quarantine.hasNoStrikes() && loggedParts.isEmpty()) {
+      return;
+    }
     Set<Long> parts = Set.copyOf(quarantine.quarantinedParts(nowNanos));
     parts.forEach(this::logBegin);
     loggedParts
