Return a connection after the next turn even if the clock stands still

Cause: a task scheduled without a delay is due at the current reading of the clock. The test's loop runs all tasks due at the reading with which it began its turn, so that the task ran in the same turn if the clock had not advanced between the two readings. The loop of the process collects its due tasks once at the begin of a turn, so that callers were not affected.

The test now stops the clock, and fails each time on the code before. With a delay of 1 ns the task is never due in the turn that schedules it.

--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -286,7 +286,8 @@
 
   /** Returns the connection once the loop, which may be late, has read what the socket holds. */
   private void returnInNextTurn(Listener completed) {
-    channel.eventLoop().schedule(() -> returnToPool(completed), 0, TimeUnit.NANOSECONDS);
+    // Without a delay the task could run in this turn if the clock has not advanced.
+    channel.eventLoop().schedule(() -> returnToPool(completed), 1, TimeUnit.NANOSECONDS);
   }
 
   private void returnToPool(Listener completed) {
--- a/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/HttpConnectionTest.java
@@ -202,13 +202,14 @@
   // Guards against the next request on a connection that a late loop has not read again.
   @Test
   void connectionIsNotReusedInTheTurnOfItsLastRead() {
+    channel.freezeTime();
     connection.addTo(channel.pipeline());
     send();
     channel.writeInbound(fullBuffer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"));
     channel.advanceTimeBy(1, TimeUnit.SECONDS);
     channel.runScheduledPendingTasks();
     assertThat(isIdle()).isFalse();
-    channel.runScheduledPendingTasks();
+    runNextTurn();
     assertThat(isIdle()).isTrue();
   }
 
@@ -216,6 +217,12 @@
   private void passTime() {
     channel.advanceTimeBy(1, TimeUnit.SECONDS);
     channel.runScheduledPendingTasks();
+    runNextTurn();
+  }
+
+  /** Lets a turn of the loop pass, at a later reading of the clock than the one before. */
+  private void runNextTurn() {
+    channel.advanceTimeBy(1, TimeUnit.NANOSECONDS);
     channel.runScheduledPendingTasks();
   }
 
