--- a/gateway/src/main/java/org/pollenrock/gateway/ReadShare.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ReadShare.java
@@ -42,7 +42,7 @@
     if (!turnEndScheduled) {
       turnEndScheduled = true;
       // A task without a delay could run again in the same turn, before any input is read.
-      loop.schedule(this::endTurn, 0, TimeUnit.NANOSECONDS);
+      loop.schedule(this::endTurn, 1, TimeUnit.NANOSECONDS);
     }
   }
 
--- a/gateway/src/test/java/org/pollenrock/gateway/ReadShareTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/ReadShareTest.java
@@ -5,6 +5,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.pollenrock.core.response.HeadCheck;
@@ -27,6 +28,7 @@
   // Guards against an event loop that reads all faulty connections in each of its turns.
   @Test
   void connectionsThatUseUpATurnAreReadInLaterTurns() {
+    loop.freezeTime();
     List<EmbeddedChannel> channels = Stream.generate(EmbeddedChannel::new).limit(5).toList();
     List<HttpConnection> connections =
         channels.stream().map(channel -> new HttpConnection(pool)).toList();
@@ -35,17 +37,23 @@
       share.recordPartialRead(connections.get(i), LONG_READ_NANOS);
     }
     assertThat(reading(channels)).containsExactly(true, false, false, false, false);
-    loop.runScheduledPendingTasks();
+    runNextTurn();
     assertThat(reading(channels)).containsExactly(true, true, true, false, false);
     // While others wait, a connection is read once in a turn, however short the read is.
     share.recordPartialRead(connections.get(1), 1);
     assertThat(reading(channels)).containsExactly(true, false, true, false, false);
-    loop.runScheduledPendingTasks();
+    runNextTurn();
     assertThat(reading(channels)).containsExactly(true, false, true, true, true);
-    loop.runScheduledPendingTasks();
+    runNextTurn();
     assertThat(reading(channels)).containsOnly(true);
   }
 
+  /** Lets a turn of the loop pass, at a later reading of the clock than the one before. */
+  private void runNextTurn() {
+    loop.advanceTimeBy(1, TimeUnit.NANOSECONDS);
+    loop.runScheduledPendingTasks();
+  }
+
   private static List<Boolean> reading(List<EmbeddedChannel> channels) {
     return channels.stream().map(channel -> channel.config().isAutoRead()).toList();
   }
