Let one function run tasks in the next turn of the event loop

Connections that return to their pool, the share of reads and calls on idle connections each scheduled such a task in their own way, and only two of the three with the delay that keeps it out of the current turn. NextTurn does it for all of them. Calls on idle connections now use that delay too. HttpConnectionTest, ReadShareTest, ControlClientTest and ResponseDecoderTest pass.

--- a/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ControlClient.java
@@ -180,12 +180,11 @@
   }
 
   /**
-   * Runs an action after the loop has read what its sockets hold now. A task that is scheduled
-   * while input is handled runs before the next input is read, but one scheduled by a task runs
-   * after it.
+   * Runs an action after the loop has read what its sockets hold now. The first task may run before
+   * that, if this method is called while input is handled.
    */
-  private void runInNextTurn(Runnable action) {
-    loop.schedule(() -> loop.schedule(action, 0, TimeUnit.NANOSECONDS), 0, TimeUnit.NANOSECONDS);
+  private void runAfterNextRead(Runnable action) {
+    NextTurn.run(loop, () -> NextTurn.run(loop, action));
   }
 
   /** Call whose outcome is not known yet. */
@@ -223,7 +222,7 @@
     public void connected(HttpConnection opened, boolean reused) {
       if (reused) {
         // What waits in the socket is not the response to this call, and has to be read before.
-        runInNextTurn(() -> sendOnIdle(opened));
+        runAfterNextRead(() -> sendOnIdle(opened));
       } else {
         sendOn(opened);
       }
--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -286,8 +286,7 @@
 
   /** Returns the connection once the loop, which may be late, has read what the socket holds. */
   private void returnInNextTurn(Listener completed) {
-    // Without a delay the task could run in this turn if the clock has not advanced.
-    channel.eventLoop().schedule(() -> returnToPool(completed), 1, TimeUnit.NANOSECONDS);
+    NextTurn.run(channel.eventLoop(), () -> returnToPool(completed));
   }
 
   private void returnToPool(Listener completed) {
--- a/gateway/src/main/java/org/pollenrock/gateway/ReadShare.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ReadShare.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Shares the time of the event loop among connections whose sockets hold more bytes than one read
@@ -41,8 +40,7 @@
   private void scheduleTurnEnd() {
     if (!turnEndScheduled) {
       turnEndScheduled = true;
-      // A task without a delay could run again in the same turn, before any input is read.
-      loop.schedule(this::endTurn, 1, TimeUnit.NANOSECONDS);
+      NextTurn.run(loop, this::endTurn);
     }
   }
 
