Write Retry-After in one place

The connections of callers formatted the header as Exchange did, and had a copy of the delay that the dispatcher names for requests refused before it. The values are the same. SlowCallerTest, StopCrossingTest, StopAnswerTest, ResponseMemoryTest and EndToEndRequestTest pass.

--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -20,7 +20,7 @@
  */
 public final class Dispatcher {
   /** Retry-After of a request that was refused before it was dispatched, in milliseconds. */
-  private static final long EARLY_RETRY_AFTER_MILLIS = 300;
+  public static final long EARLY_RETRY_AFTER_MILLIS = 300;
 
   private final Fleet fleet;
   private final ServerSelector selector;
--- a/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
@@ -32,6 +32,7 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.pollenrock.core.dispatch.DispatchResult;
+import org.pollenrock.core.dispatch.Dispatcher;
 import org.pollenrock.core.dispatch.StopPlan;
 
 /** Server side of a connection of a caller, which receives and answers its requests in sequence. */
@@ -52,11 +53,11 @@
   private static final long CROSSING_MILLIS = 1_000;
 
   /** Retry-After of requests that are refused in a stop, in seconds. */
-  private static final String RETRY_AFTER =
-      String.format(Locale.ROOT, "%.3f", StopPlan.RETRY_AFTER_MILLIS / 1000.0);
+  private static final String RETRY_AFTER = retryAfter(StopPlan.RETRY_AFTER_MILLIS);
 
   /** Retry-After of a request for whose body this instance has no memory, in seconds. */
-  private static final String RETRY_AFTER_WITHOUT_MEMORY = "0.300";
+  private static final String RETRY_AFTER_WITHOUT_MEMORY =
+      retryAfter(Dispatcher.EARLY_RETRY_AFTER_MILLIS);
 
   private final CallerListener listener;
   private final Deque<HttpObject> pendingMessages = new ArrayDeque<>();
@@ -435,4 +436,9 @@
   static HttpHeaders emptyHeaders() {
     return new DefaultHttpHeaders();
   }
+
+  /** Returns the value of a Retry-After header, in seconds. */
+  static String retryAfter(long millis) {
+    return String.format(Locale.ROOT, "%.3f", millis / 1000.0);
+  }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -391,8 +390,7 @@
             .dispatcher()
             .retryAfterMillis(Optional.ofNullable(request), cause, System.nanoTime());
     HttpHeaders headers = CallerConnection.emptyHeaders();
-    headers.set(
-        HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterMillis / 1000.0));
+    headers.set(HttpHeaderNames.RETRY_AFTER, CallerConnection.retryAfter(retryAfterMillis));
     reply(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, "refused", cause.name());
   }
 
