Search bodies of answers to the router only where a status line may begin

The guard of the adapters made a string of each part of a body and searched it; the decoder of the gateway does so only for parts with the first letter of a status line. The guard now asks BodyCheck the same question. The end of an answer is also decided without taking it away and putting it back. BrokenResponseTest and KeptConnectionTest pass.

--- a/adapters/src/main/java/org/pollenrock/adapters/http/ResponseGuard.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/ResponseGuard.java
@@ -1,5 +1,6 @@
 package org.pollenrock.adapters.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -222,7 +223,12 @@
   }
 
   private Optional<String> bodyFault(HttpContent content) {
-    bodyCheck.add(content.content().toString(StandardCharsets.ISO_8859_1));
+    ByteBuf bytes = content.content();
+    byte start = (byte) HeadCheck.STATUS_LINE_START;
+    if (bodyCheck.needsAllBytes()
+        || bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), start) >= 0) {
+      bodyCheck.add(bytes.toString(StandardCharsets.ISO_8859_1));
+    }
     if (bodyCheck.containsSecondHead()) {
       return Optional.of("another response in the body");
     }
@@ -261,18 +267,18 @@
   }
 
   private void passEnd(ChannelHandlerContext context) {
-    if (end != null) {
-      LastHttpContent passed = end;
-      end = null;
-      if (hasBytesBehindEnd) {
-        if (isFilledUp()) {
-          end = passed;
-          fail(context, "another response begins in the body");
-        } else {
-          passAsLast(context, passed);
-        }
-        return;
-      }
+    if (end == null) {
+      return;
+    }
+    if (hasBytesBehindEnd && isFilledUp()) {
+      fail(context, "another response begins in the body");
+      return;
+    }
+    LastHttpContent passed = end;
+    end = null;
+    if (hasBytesBehindEnd) {
+      passAsLast(context, passed);
+    } else {
       phase = Phase.IDLE;
       context.fireChannelRead(passed);
     }
