--- a/adapters/src/test/java/org/pollenrock/adapters/http/KeptConnectionTest.java
+++ b/adapters/src/test/java/org/pollenrock/adapters/http/KeptConnectionTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.pollenrock.adapters.log.HttpLogClient;
@@ -104,27 +105,34 @@
     }
   }
 
+  /** Returns the begins of the stray answers, from the first byte to the whole. */
+  private static List<String> begins() {
+    return STRAYS.stream()
+        .flatMap(
+            stray ->
+                IntStream.rangeClosed(1, stray.length())
+                    .mapToObj(length -> stray.substring(0, length)))
+        .toList();
+  }
+
   /** Guards against each begin of a stray answer that was received with the end of the last one. */
   @Test
   void noByteBehindTheAnswerIsTakenForTheNextOne() throws Exception {
-    for (String stray : STRAYS) {
-      for (int length = 1; length <= stray.length(); length++) {
-        String behind = stray.substring(0, length);
-        try (ScriptedServer server =
-            new ScriptedServer(
-                (connection, exchange, request, out) -> {
-                  String answer =
-                      TransportBed.whole(200, ScriptedServer.header(request, TransportBed.ID));
-                  TransportBed.write(out, connection + exchange == 0 ? answer + behind : answer);
-                  return true;
-                })) {
-          HttpOutcome first = bed.call(server);
-          if (!behind.contains("\r\n\r\n")) {
-            assertThat(first).as(behind).isInstanceOf(HttpOutcome.Answered.class);
-          }
-          assertThat(bed.call(server)).as(behind).isInstanceOf(HttpOutcome.Answered.class);
-          assertThat(server.connections()).as(behind).isEqualTo(2);
+    for (String behind : begins()) {
+      try (ScriptedServer server =
+          new ScriptedServer(
+              (connection, exchange, request, out) -> {
+                String answer =
+                    TransportBed.whole(200, ScriptedServer.header(request, TransportBed.ID));
+                TransportBed.write(out, connection + exchange == 0 ? answer + behind : answer);
+                return true;
+              })) {
+        HttpOutcome first = bed.call(server);
+        if (!behind.contains("\r\n\r\n")) {
+          assertThat(first).as(behind).isInstanceOf(HttpOutcome.Answered.class);
         }
+        assertThat(bed.call(server)).as(behind).isInstanceOf(HttpOutcome.Answered.class);
+        assertThat(server.connections()).as(behind).isEqualTo(2);
       }
     }
   }
@@ -157,30 +165,26 @@
   /** Guards against each begin of a stray answer that arrives while the connection is idle. */
   @Test
   void noByteOfAnIdleConnectionIsTakenForTheNextAnswer() throws Exception {
-    for (String stray : STRAYS) {
-      for (int length = 1; length <= stray.length(); length++) {
-        String late = stray.substring(0, length);
-        CountDownLatch answered = new CountDownLatch(1);
-        CountDownLatch closed = new CountDownLatch(1);
-        try (ScriptedServer server =
-            new ScriptedServer(
-                (connection, exchange, request, out) -> {
-                  TransportBed.write(
-                      out,
-                      TransportBed.whole(200, ScriptedServer.header(request, TransportBed.ID)));
-                  if (connection == 0) {
-                    ScriptedServer.await(answered);
-                    TransportBed.write(out, late);
-                  }
-                  return true;
-                },
-                closed::countDown)) {
-          assertThat(bed.call(server)).as(late).isInstanceOf(HttpOutcome.Answered.class);
-          answered.countDown();
-          ScriptedServer.await(closed);
-          assertThat(bed.call(server)).as(late).isInstanceOf(HttpOutcome.Answered.class);
-          assertThat(server.connections()).as(late).isEqualTo(2);
-        }
+    for (String late : begins()) {
+      CountDownLatch answered = new CountDownLatch(1);
+      CountDownLatch closed = new CountDownLatch(1);
+      try (ScriptedServer server =
+          new ScriptedServer(
+              (connection, exchange, request, out) -> {
+                TransportBed.write(
+                    out, TransportBed.whole(200, ScriptedServer.header(request, TransportBed.ID)));
+                if (connection == 0) {
+                  ScriptedServer.await(answered);
+                  TransportBed.write(out, late);
+                }
+                return true;
+              },
+              closed::countDown)) {
+        assertThat(bed.call(server)).as(late).isInstanceOf(HttpOutcome.Answered.class);
+        answered.countDown();
+        ScriptedServer.await(closed);
+        assertThat(bed.call(server)).as(late).isInstanceOf(HttpOutcome.Answered.class);
+        assertThat(server.connections()).as(late).isEqualTo(2);
       }
     }
   }
@@ -188,38 +192,34 @@
   /** Guards against a stray answer that waits in the socket when the next request is made. */
   @Test
   void bytesThatWaitInTheSocketAreNotTakenForTheAnswer() throws Exception {
-    for (String stray : STRAYS) {
-      for (int length = 1; length <= stray.length(); length++) {
-        String waiting = stray.substring(0, length);
-        AtomicInteger requestsBehindIt = new AtomicInteger();
-        CountDownLatch answered = new CountDownLatch(1);
-        CountDownLatch written = new CountDownLatch(1);
-        CountDownLatch released = new CountDownLatch(1);
-        try (ScriptedServer server =
-            new ScriptedServer(
-                (connection, exchange, request, out) -> {
-                  TransportBed.write(
-                      out,
-                      TransportBed.whole(200, ScriptedServer.header(request, TransportBed.ID)));
-                  if (connection + exchange == 0) {
-                    ScriptedServer.await(answered);
-                    TransportBed.write(out, waiting);
-                    written.countDown();
-                  } else if (connection == 0) {
-                    requestsBehindIt.incrementAndGet();
-                  }
-                  return true;
-                })) {
-          assertThat(bed.call(server)).as(waiting).isInstanceOf(HttpOutcome.Answered.class);
-          bed.holdLoopUntil(released);
-          answered.countDown();
-          ScriptedServer.await(written);
-          CompletableFuture<HttpOutcome> next = bed.start(server, ConnectionUse.ANY);
-          released.countDown();
-          assertThat(next.join()).as(waiting).isInstanceOf(HttpOutcome.Broken.class);
-          assertThat(bed.call(server)).as(waiting).isInstanceOf(HttpOutcome.Answered.class);
-          assertThat(requestsBehindIt).as(waiting).hasValue(0);
-        }
+    for (String waiting : begins()) {
+      AtomicInteger requestsBehindIt = new AtomicInteger();
+      CountDownLatch answered = new CountDownLatch(1);
+      CountDownLatch written = new CountDownLatch(1);
+      CountDownLatch released = new CountDownLatch(1);
+      try (ScriptedServer server =
+          new ScriptedServer(
+              (connection, exchange, request, out) -> {
+                TransportBed.write(
+                    out, TransportBed.whole(200, ScriptedServer.header(request, TransportBed.ID)));
+                if (connection + exchange == 0) {
+                  ScriptedServer.await(answered);
+                  TransportBed.write(out, waiting);
+                  written.countDown();
+                } else if (connection == 0) {
+                  requestsBehindIt.incrementAndGet();
+                }
+                return true;
+              })) {
+        assertThat(bed.call(server)).as(waiting).isInstanceOf(HttpOutcome.Answered.class);
+        bed.holdLoopUntil(released);
+        answered.countDown();
+        ScriptedServer.await(written);
+        CompletableFuture<HttpOutcome> next = bed.start(server, ConnectionUse.ANY);
+        released.countDown();
+        assertThat(next.join()).as(waiting).isInstanceOf(HttpOutcome.Broken.class);
+        assertThat(bed.call(server)).as(waiting).isInstanceOf(HttpOutcome.Answered.class);
+        assertThat(requestsBehindIt).as(waiting).hasValue(0);
       }
     }
   }
