Split files that several parts of the work grow

Change: the load estimate and the pause while an engine loads are types of their own, gossip has parts that add and apply their own news, and the log line of a request and the gauges have files. A request names its customer. No behaviour changes.

--- a/core/src/main/java/org/pollenrock/core/dispatch/DispatchRequest.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/DispatchRequest.java
@@ -8,6 +8,7 @@
  * @param id identity of the request, for logs
  * @param service name of the service that serves the request
  * @param prompt prompt of the request; empty for a plain request
+ * @param customer name of the customer; empty if the request has none
  * @param cacheScope cache scope, which identifies the customers that share cache entries
  * @param urgency urgency from 0, which is dispatched first, to 9
  * @param repeatable whether the request may run more than once
@@ -19,6 +20,7 @@
     String id,
     String service,
     Optional<Prompt> prompt,
+    Optional<String> customer,
     String cacheScope,
     int urgency,
     boolean repeatable,
--- a/core/src/main/java/org/pollenrock/core/fleet/Backend.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Backend.java
@@ -14,15 +14,9 @@
  * the newest response of the server, which decays with its age.
  */
 public final class Backend {
-  /** Half-life of the load of other instances that a server reported in a response. */
-  public static final long LOAD_HALF_LIFE_NANOS = 500_000_000L;
-
   /** Pause without new requests after a server refused one because it was full. */
   private static final long REFUSAL_PAUSE_NANOS = 120_000_000L;
 
-  /** Pause without new requests for an engine that loads weights, unless it finishes sooner. */
-  private static final long LOADING_PAUSE_NANOS = 450_000_000L;
-
   /** Time that a slow engine needs to prefill one token of a prompt. */
   private static final long PREFILL_NANOS_PER_TOKEN = 20_000L;
 
@@ -42,24 +36,16 @@
   private final ServerNotices notices;
   private final long idHash;
   private final Map<String, Long> weightsVersions = new HashMap<>();
-  private final PeerWork peerWork = new PeerWork();
+  private final LoadEstimate loadEstimate;
+  private final LoadingPause loadingPause = new LoadingPause();
   private int inFlightCount;
   private long unreadTokens;
   private int awaitingResponse;
   private long lastReceivedNanos;
   private long busySinceNanos;
 
-  /** Running and queued requests of other instances according to the newest load report. */
-  private double reportedPeerLoad;
-
-  /** Queued requests of other instances according to the newest load report. */
-  private double reportedPeerWaiting;
-
-  private long loadReportNanos;
   private int slots;
   private long refusalPauseUntilNanos = Long.MIN_VALUE;
-  private long loadingUntilNanos = Long.MIN_VALUE;
-  private long silenceToleratedUntilNanos = Long.MIN_VALUE;
   private boolean missing;
   private int unreachableCount;
   private long probeDueNanos;
@@ -89,7 +75,7 @@
     this.idHash = RendezvousHash.hash(entry.id());
     this.slots = entry.slots();
     this.lastReceivedNanos = nowNanos;
-    this.loadReportNanos = nowNanos;
+    this.loadEstimate = new LoadEstimate(nowNanos);
     this.failureRate = new FailureRate(nowNanos);
     weightsVersions.putAll(entry.weightsVersions());
   }
@@ -166,9 +152,7 @@
     if (report.slots() > 0) {
       slots = report.slots();
     }
-    reportedPeerLoad = Math.max(0, report.running() + report.waiting() - inFlightCount);
-    reportedPeerWaiting = Math.max(0, report.waiting() - awaitingResponse);
-    loadReportNanos = nowNanos;
+    loadEstimate.recordReport(report, inFlightCount, awaitingResponse, nowNanos);
   }
 
   /**
@@ -182,7 +166,7 @@
     Long known = weightsVersions.get(model);
     if (known == null || known < version) {
       weightsVersions.put(model, version);
-      loadingUntilNanos = Long.MIN_VALUE;
+      loadingPause.end();
     }
   }
 
@@ -211,11 +195,7 @@
    * @return whether the server was not already recorded as loading
    */
   public boolean recordLoading(long nowNanos) {
-    boolean newlyLoading = nowNanos >= loadingUntilNanos;
-    loadingUntilNanos = nowNanos + LOADING_PAUSE_NANOS;
-    // An engine does not respond while it loads weights, so its silence is not a fault.
-    silenceToleratedUntilNanos = loadingUntilNanos;
-    return newlyLoading;
+    return loadingPause.begin(nowNanos);
   }
 
   /**
@@ -330,7 +310,7 @@
    * @return the estimate, in requests
    */
   public double load(long nowNanos) {
-    return inFlightCount + Math.max(peerWork.requests(), decayed(reportedPeerLoad, nowNanos));
+    return inFlightCount + loadEstimate.requests(nowNanos);
   }
 
   /**
@@ -342,8 +322,7 @@
    * @return the estimate, in tokens
    */
   public double unreadTokens(double meanTokens, long nowNanos) {
-    double waiting = decayed(reportedPeerWaiting, nowNanos);
-    return unreadTokens + Math.max(peerWork.unreadTokens(), waiting * meanTokens);
+    return unreadTokens + loadEstimate.unreadTokens(meanTokens, nowNanos);
   }
 
   /**
@@ -364,7 +343,7 @@
    * @param nowNanos current time
    */
   public void applyPeerWork(long peer, int requests, long unread, long nowNanos) {
-    peerWork.update(peer, Math.max(0, requests), Math.max(0, unread), nowNanos);
+    loadEstimate.peerWork().update(peer, Math.max(0, requests), Math.max(0, unread), nowNanos);
   }
 
   /**
@@ -373,7 +352,7 @@
    * @param nowNanos current time
    */
   public void expirePeerWork(long nowNanos) {
-    peerWork.expire(nowNanos);
+    loadEstimate.peerWork().expire(nowNanos);
   }
 
   /**
@@ -388,8 +367,10 @@
     if (inFlightCount == 0) {
       return 0;
     }
-    long since = Math.max(Math.max(lastReceivedNanos, busySinceNanos), silenceToleratedUntilNanos);
-    long unread = unreadTokens + peerWork.unreadTokens();
+    long since =
+        Math.max(
+            Math.max(lastReceivedNanos, busySinceNanos), loadingPause.silenceToleratedUntilNanos());
+    long unread = unreadTokens + loadEstimate.peerWork().unreadTokens();
     return Math.max(0, nowNanos - since - unread * PREFILL_NANOS_PER_TOKEN);
   }
 
@@ -402,7 +383,7 @@
    */
   public boolean isPaused(long nowNanos) {
     return nowNanos < refusalPauseUntilNanos
-        || nowNanos < loadingUntilNanos
+        || loadingPause.isActive(nowNanos)
         || notices.isTrialPending(nowNanos);
   }
 
@@ -487,13 +468,4 @@
   public int slots() {
     return slots;
   }
-
-  /** Returns what is left of a figure of the newest load report. */
-  private double decayed(double reported, long nowNanos) {
-    if (reported == 0) {
-      return 0;
-    }
-    double ageNanos = Math.max(0, nowNanos - loadReportNanos);
-    return reported * Math.pow(0.5, ageNanos / LOAD_HALF_LIFE_NANOS);
-  }
 }
--- a/core/src/main/java/org/pollenrock/core/fleet/FailureRate.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/FailureRate.java
@@ -9,7 +9,7 @@
   private static final double OUTCOME_WEIGHT = 0.12;
 
   /** Time in which the average falls by half, so that an avoided server gets requests again. */
-  private static final double HALF_LIFE_NANOS = 4.0 * Backend.LOAD_HALF_LIFE_NANOS;
+  private static final double HALF_LIFE_NANOS = 4.0 * LoadEstimate.HALF_LIFE_NANOS;
 
   private double rate;
   private long updatedNanos;
--- a/core/src/test/java/org/pollenrock/core/dispatch/StopPlanTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/StopPlanTest.java
@@ -28,6 +28,7 @@
         "r",
         "ledger",
         Optional.empty(),
+        Optional.empty(),
         "shared",
         5,
         repeatable,
--- a/core/src/test/java/org/pollenrock/core/fleet/BackendTest.java
+++ b/core/src/test/java/org/pollenrock/core/fleet/BackendTest.java
@@ -19,7 +19,7 @@
     backend.recordRequestStart(100, 0);
     backend.recordLoad(new LoadReport(4, 1, 8), 0);
     assertThat(backend.load(0)).isEqualTo(5);
-    assertThat(backend.load(Backend.LOAD_HALF_LIFE_NANOS)).isCloseTo(3, within(0.001));
+    assertThat(backend.load(LoadEstimate.HALF_LIFE_NANOS)).isCloseTo(3, within(0.001));
     backend.recordRequestEnd(100, false);
     assertThat(backend.load(Long.MAX_VALUE / 4)).isCloseTo(0, within(0.001));
   }
--- a/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
+++ b/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
@@ -188,6 +188,7 @@
               "r" + requestCount++,
               prompt.isPresent() ? "llm" : "ledger",
               prompt,
+              Optional.empty(),
               "shared",
               3,
               true,
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -276,6 +276,7 @@
             metadata.id(),
             route.serviceFor(metadata.id()),
             route.prefixAffinity() ? metadata.prompt() : Optional.empty(),
+            customerAccess.map(CustomerAccess::name),
             CustomerAccess.cacheScope(customerAccess),
             route.urgency(
                 customerAccess.map(CustomerAccess::priority).orElse(OptionalInt.empty()),
@@ -436,51 +437,23 @@
   }
 
   private void logRequest(String outcome, int status, String cause, long totalNanos) {
-    boolean routine = cause == null && sendCount == 1 && metadata.unreadableHeaders().isEmpty();
-    components
-        .log()
-        .line("request", routine ? EventLog.Importance.ROUTINE : EventLog.Importance.ESSENTIAL)
-        .with("id", metadata.id())
-        .with("route", route == null ? null : route.name())
-        .with("customer", customerAccess.map(CustomerAccess::name).orElse(null))
-        .with("service", request == null ? null : request.service())
-        .with("config", configVersion)
-        .with("urgency", request == null ? -1 : request.urgency())
-        .with("outcome", outcome)
-        .with("status", status)
-        .with("cause", cause)
-        .with("sends", sendCount)
-        .with("server", lastServerId())
-        .with("placement", choice == null ? null : choice.reason().name())
-        .with("fetched_from", fetchedFrom())
-        .with("deferred", choice != null && choice.deferred() ? "true" : null)
-        .with(
-            "prompt",
-            metadata.prompt().map(Prompt::affinityHash).map(Long::toHexString).orElse(null))
-        .with("weights", servedWeightsVersion())
-        .with("cache_scope", request == null ? null : request.cacheScope())
-        .with("prompt_tokens", request == null ? 0 : request.promptTokens())
-        .with("shared_tokens", metadata.sharedTokens())
-        .with("waited_ms", waitedNanos / 1_000_000)
-        .with("events", relay.eventCount())
-        .with("first_byte_ms", firstByteNanos / 1_000_000)
-        .with("total_ms", totalNanos / 1_000_000)
-        .with("unreadable_headers", metadata.unreadableHeaderNames().orElse(null))
-        .write();
-  }
-
-  private String lastServerId() {
-    return choice == null ? null : choice.backend().entry().id();
-  }
-
-  private long servedWeightsVersion() {
-    if (choice == null || metadata.prompt().isEmpty()) {
-      return 0;
-    }
-    return choice.backend().weightsVersion(metadata.prompt().get().model()).orElse(0);
-  }
-
-  private String fetchedFrom() {
-    return choice == null ? null : choice.fetchFrom().orElse(null);
+    RequestLog.write(
+        components.log(),
+        metadata,
+        new RequestLog.Handling(
+            Optional.ofNullable(route).map(Route::name),
+            customerAccess.map(CustomerAccess::name),
+            Optional.ofNullable(request),
+            Optional.ofNullable(choice),
+            configVersion,
+            sendCount),
+        new RequestLog.Ending(
+            outcome,
+            status,
+            Optional.ofNullable(cause),
+            waitedNanos,
+            firstByteNanos,
+            totalNanos,
+            relay.eventCount()));
   }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.membership.UnknownInstances;
 import org.pollenrock.core.quarantine.PartQuarantine;
+import org.pollenrock.core.ratelimit.ServerRateLimits;
 import org.pollenrock.core.response.HeadCheck;
 import org.pollenrock.core.route.ActiveConfig;
 import org.pollenrock.core.weights.WeightsTargets;
@@ -147,7 +148,7 @@
     operatorListener =
         settings.operatorAddress().map(address -> new PageListener(loop, address, pages));
     addSuspensionListener(weightsTargets::recordSuspension);
-    registerGauges();
+    GatewayGauges.register(metrics, this, log);
   }
 
   /**
@@ -214,6 +215,26 @@
     return bodyMemory.heldBytes();
   }
 
+  /** Returns how often a request was refused since no memory was left for its body. */
+  long failedRequestReservations() {
+    return bodyMemory.failureCount();
+  }
+
+  /** Returns the number of open connections of callers. */
+  long openCallerConnections() {
+    return callerListener.openConnections();
+  }
+
+  /** Returns the request rates that servers have named. */
+  ServerRateLimits serverRates() {
+    return rateLimits.limits();
+  }
+
+  /** Returns the number of parts of prompts whose requests are refused. */
+  long quarantinedParts() {
+    return quarantineTask.quarantinedParts();
+  }
+
   /**
    * Returns the bytes held for responses of servers.
    *
@@ -442,41 +463,6 @@
         gossipAddress);
   }
 
-  private void registerGauges() {
-    metrics.registerGauge("pollenrock_waiting", "Requests that wait", dispatcher::waitingRequests);
-    metrics.registerGauge("pollenrock_held_bytes", "Bytes of bodies held", bodyMemory::heldBytes);
-    metrics.registerGauge(
-        "pollenrock_requests_over_memory",
-        "Requests that were refused since no memory was left for their bodies",
-        bodyMemory::failureCount);
-    metrics.registerGauge(
-        "pollenrock_response_held_bytes",
-        "Bytes of responses of servers held",
-        responseMemory::heldBytes);
-    metrics.registerGauge(
-        "pollenrock_responses_over_memory",
-        "Responses of servers that ended since no memory was left",
-        responseMemory::failureCount);
-    metrics.registerGauge("pollenrock_log_dropped", "Log lines dropped", log::droppedLines);
-    metrics.registerGauge(
-        "pollenrock_callers", "Open connections of callers", callerListener::openConnections);
-    metrics.registerGauge(
-        "pollenrock_config_version",
-        "Configuration in force",
-        () -> configs.current().map(config -> config.version()).orElse(0L));
-    FleetGauges.register(metrics, fleet, rateLimits.limits(), weightsTargets);
-    metrics.registerGauge(
-        "pollenrock_prefixes_known", "Prefixes whose servers are known", directory::size);
-    metrics.registerGauge(
-        "pollenrock_parts_quarantined",
-        "Parts of prompts whose requests are refused",
-        quarantineTask::quarantinedParts);
-    metrics.registerGauge(
-        "pollenrock_resends_left",
-        "Further sends that the retry budgets of this instance leave",
-        () -> dispatcher.remainingResends(System.nanoTime()));
-  }
-
   private void sweep() {
     long now = System.nanoTime();
     for (String serverId : fleet.applyPendingRemovals(now)) {
--- a/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
@@ -29,8 +29,6 @@
 import org.pollenrock.protocol.generated.EngineWeights;
 import org.pollenrock.protocol.generated.FleetNews;
 import org.pollenrock.protocol.generated.PrefixRead;
-import org.pollenrock.protocol.generated.ServerOutcomes;
-import org.pollenrock.protocol.generated.ServerWork;
 
 /**
  * Exchanges observations about servers with the other instances, by gossip messages.
@@ -75,14 +73,13 @@
   private final EventLoop loop;
   private final InetSocketAddress address;
   private final String dataCentre;
-  private final Fleet fleet;
-  private final PrefixDirectory directory;
-  private final PrefixStoreView prefixStore;
   private final EventLog log;
   private final LivePeers livePeers;
   private Consumer<InetAddress> unknownSenders = sender -> {};
   private final QuarantineGossip quarantineGossip;
   private final RateLimitTask rateLimits;
+  private final FleetNewsApplier newsApplier;
+  private final List<NewsPart> newsParts = new ArrayList<>();
   private List<InetSocketAddress> peers = List.of();
   private List<InetSocketAddress> fullGossipPeers = List.of();
   private List<InetSocketAddress> prefixGossipPeers = List.of();
@@ -110,10 +107,8 @@
     this.loop = loop;
     this.address = address;
     this.dataCentre = dataCentre;
-    this.fleet = fleet;
-    this.directory = directory;
-    this.prefixStore = prefixStore;
     this.rateLimits = rateLimits;
+    newsApplier = new FleetNewsApplier(dataCentre, fleet, directory, prefixStore, rateLimits);
     this.log = log;
     livePeers = new LivePeers(address, dataCentre);
     quarantine.setTrialRank(this::rank);
@@ -130,6 +125,36 @@
     return quarantineGossip;
   }
 
+  /**
+   * Adds a kind of news that is sent with full gossip.
+   *
+   * @param part supplies and applies the news
+   */
+  void addPart(NewsPart part) {
+    newsParts.add(part);
+  }
+
+  /**
+   * Sends a message to one instance, at once.
+   *
+   * @param message the message
+   * @param recipient the instance; nothing is sent if it is not known
+   */
+  void sendTo(FleetNews.Builder message, InstanceId recipient) {
+    send(
+        message,
+        peers.stream().filter(peer -> Peer.id(peer.getAddress()).equals(recipient)).toList());
+  }
+
+  /**
+   * Sends a message to all other instances, at once.
+   *
+   * @param message the message
+   */
+  void sendToAll(FleetNews.Builder message) {
+    send(message, peers);
+  }
+
   /** Binds the gossip address and starts to receive messages. */
   void start() throws InterruptedException {
     channel =
@@ -387,6 +412,7 @@
       followedServers.forEach(server -> message.addFollowed(server.idHash()));
     }
     quarantineGossip.addQuarantinedParts(message, now);
+    newsParts.forEach(part -> part.addNews(message, now));
     int reports = message.getWorkCount() + message.getOutcomesCount() + message.getFollowedCount();
     // Work that has not changed is repeated often enough to show that this instance lives.
     if (reports + message.getQuarantinedCount() + entryCount(message) > 0) {
@@ -403,65 +429,6 @@
     channel.flush();
   }
 
-  private void apply(FleetNews message, InetAddress sender) {
-    long now = System.nanoTime();
-    for (ServerWork work : message.getWorkList()) {
-      fleet
-          .findByIdHash(work.getServer())
-          .ifPresent(
-              backend ->
-                  backend.applyPeerWork(
-                      sender.hashCode(), work.getRequests(), work.getUnreadTokens(), now));
-    }
-    if (message.getDataCentre().equals(dataCentre)) {
-      applyFromSameDataCentre(message, now);
-    }
-    for (PrefixRead read : message.getReadsList()) {
-      fleet
-          .findByIdHash(read.getServer())
-          .ifPresent(backend -> directory.recordPeerRead(read.getPrefix(), backend, now));
-    }
-    for (PrefixRead evicted : message.getEvictedList()) {
-      fleet
-          .findByIdHash(evicted.getServer())
-          .ifPresent(backend -> directory.recordEviction(evicted.getPrefix(), backend));
-    }
-    for (long server : message.getFollowedList()) {
-      fleet.findByIdHash(server).ifPresent(backend -> directory.recordFollowed(backend, now));
-    }
-    message.getStoredList().forEach(prefixStore::markStored);
-    rateLimits.apply(message, now);
-    for (EngineLoading loading : message.getLoadingList()) {
-      fleet.findByIdHash(loading.getServer()).ifPresent(backend -> backend.recordLoading(now));
-    }
-    for (EngineWeights weights : message.getWeightsList()) {
-      fleet
-          .findByIdHash(weights.getServer())
-          .ifPresent(
-              backend -> backend.recordWeightsVersion(weights.getModel(), weights.getVersion()));
-    }
-  }
-
-  /**
-   * Applies reports of reachability and failures. These are valid only for instances on the same
-   * network as the sender.
-   */
-  private void applyFromSameDataCentre(FleetNews message, long now) {
-    for (long server : message.getMissingList()) {
-      fleet.findByIdHash(server).ifPresent(backend -> backend.applyPeerMissing(now));
-    }
-    for (long server : message.getReturnedList()) {
-      fleet.findByIdHash(server).ifPresent(Backend::markReachable);
-    }
-    for (ServerOutcomes outcomes : message.getOutcomesList()) {
-      fleet
-          .findByIdHash(outcomes.getServer())
-          .ifPresent(
-              backend ->
-                  backend.applyPeerOutcomes(outcomes.getSuccesses(), outcomes.getFailures(), now));
-    }
-  }
-
   private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
@@ -473,8 +440,10 @@
       }
       try {
         FleetNews message = FleetNews.parseFrom(ByteBufUtil.getBytes(packet.content()));
-        apply(message, sender);
-        quarantineGossip.apply(message, packet.sender(), System.nanoTime());
+        long now = System.nanoTime();
+        newsApplier.apply(message, sender, now);
+        newsParts.forEach(part -> part.apply(message, Peer.id(sender), now));
+        quarantineGossip.apply(message, packet.sender(), now);
       } catch (InvalidProtocolBufferException e) {
         log.line("news_unreadable")
             .with("peer", packet.sender().toString())
--- /dev/null
+++ b/gateway/src/main/java/org/pollenrock/gateway/RequestLog.java
@@ -0,0 +1,98 @@
+package org.pollenrock.gateway;
+
+import java.util.Optional;
+import org.pollenrock.core.dispatch.DispatchRequest;
+import org.pollenrock.core.dispatch.Prompt;
+import org.pollenrock.core.dispatch.Selection;
+
+/** Writes the log line of a request that has ended. */
+final class RequestLog {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private RequestLog() {}
+
+  /**
+   * How a request was handled.
+   *
+   * @param route name of its route, if it matched one
+   * @param customer name of its customer, if it has one
+   * @param request properties for server selection, if it got that far
+   * @param choice the last choice of a server, if there was one
+   * @param configVersion version of the configuration that applied
+   * @param sendCount number of sends
+   */
+  record Handling(
+      Optional<String> route,
+      Optional<String> customer,
+      Optional<DispatchRequest> request,
+      Optional<Selection.Chosen> choice,
+      long configVersion,
+      int sendCount) {}
+
+  /**
+   * How a request ended.
+   *
+   * @param outcome outcome of the request
+   * @param status status of the response; 0 if there is none
+   * @param cause cause of a refusal or failure
+   * @param waitedNanos time from the arrival to the first send
+   * @param firstByteNanos time from the arrival to the first byte of a stream; 0 if there is none
+   * @param totalNanos time from the arrival to the end
+   * @param events number of relayed events
+   */
+  record Ending(
+      String outcome,
+      int status,
+      Optional<String> cause,
+      long waitedNanos,
+      long firstByteNanos,
+      long totalNanos,
+      long events) {}
+
+  /** Writes the line. A request that was answered at the first send is routine. */
+  static void write(
+      EventLog log, CallerRequestMetadata metadata, Handling handling, Ending ending) {
+    boolean routine =
+        ending.cause().isEmpty()
+            && handling.sendCount() == 1
+            && metadata.unreadableHeaders().isEmpty();
+    Optional<DispatchRequest> request = handling.request();
+    Optional<Selection.Chosen> choice = handling.choice();
+    log.line("request", routine ? EventLog.Importance.ROUTINE : EventLog.Importance.ESSENTIAL)
+        .with("id", metadata.id())
+        .with("route", handling.route().orElse(null))
+        .with("customer", handling.customer().orElse(null))
+        .with("service", request.map(DispatchRequest::service).orElse(null))
+        .with("config", handling.configVersion())
+        .with("urgency", request.map(DispatchRequest::urgency).orElse(-1))
+        .with("outcome", ending.outcome())
+        .with("status", ending.status())
+        .with("cause", ending.cause().orElse(null))
+        .with("sends", handling.sendCount())
+        .with("server", choice.map(chosen -> chosen.backend().entry().id()).orElse(null))
+        .with("placement", choice.map(chosen -> chosen.reason().name()).orElse(null))
+        .with("fetched_from", choice.flatMap(Selection.Chosen::fetchFrom).orElse(null))
+        .with("deferred", choice.filter(Selection.Chosen::deferred).map(yes -> "true").orElse(null))
+        .with(
+            "prompt",
+            metadata.prompt().map(Prompt::affinityHash).map(Long::toHexString).orElse(null))
+        .with("weights", weightsVersion(metadata, choice))
+        .with("cache_scope", request.map(DispatchRequest::cacheScope).orElse(null))
+        .with("prompt_tokens", request.map(DispatchRequest::promptTokens).orElse(0L))
+        .with("shared_tokens", metadata.sharedTokens())
+        .with("waited_ms", ending.waitedNanos() / NANOS_PER_MILLI)
+        .with("events", ending.events())
+        .with("first_byte_ms", ending.firstByteNanos() / NANOS_PER_MILLI)
+        .with("total_ms", ending.totalNanos() / NANOS_PER_MILLI)
+        .with("unreadable_headers", metadata.unreadableHeaderNames().orElse(null))
+        .write();
+  }
+
+  private static long weightsVersion(
+      CallerRequestMetadata metadata, Optional<Selection.Chosen> choice) {
+    if (choice.isEmpty() || metadata.prompt().isEmpty()) {
+      return 0;
+    }
+    return choice.get().backend().weightsVersion(metadata.prompt().get().model()).orElse(0);
+  }
+}
