Break answers that a reset cuts off or that have no status code

Cause: a server that answers 200 without a length and resets the connection gave the router's transport the part received as a complete answer: the decoder ends such a body when the channel closes, and the HTTP client takes a reset for an orderly end. EarlyAnswerTest failed before the repair in 5 of 6 cases (2, 300 and 3,000,000 bytes of upload, at once and after 100 ms) and for the status +200, which a parser of numbers accepts. Statuses 000, 099, 600, 20, 2000, 2x0, -200 and 101, and resets in chunks and trailers, were broken already. Change: the guard fails the exchange on an error of the connection. Both decoders, of the router and of the gateway, accept three digits only as a status code. Measured: EarlyAnswerTest and the other transport and decoder tests of adapters and gateway pass.

--- a/adapters/src/main/java/org/pollenrock/adapters/http/AnswerDecoder.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/AnswerDecoder.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.nio.charset.StandardCharsets;
 import org.pollenrock.core.response.BodyCheck;
+import org.pollenrock.core.response.HeadCheck;
 
 /**
  * Decodes the responses on one connection, and tells whether bytes stand behind the end of one.
@@ -43,6 +44,14 @@
     return bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1);
   }
 
+  @Override
+  protected HttpMessage createMessage(String[] initialLine) {
+    if (!HeadCheck.isStatusCode(initialLine[1])) {
+      throw new IllegalArgumentException("not a status code");
+    }
+    return super.createMessage(initialLine);
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     boolean interim =
--- a/adapters/src/main/java/org/pollenrock/adapters/http/ResponseGuard.java
+++ b/adapters/src/main/java/org/pollenrock/adapters/http/ResponseGuard.java
@@ -254,6 +254,16 @@
     context.close();
   }
 
+  /** Fails the exchange after a reset: the decoder would take the part received for the whole. */
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (phase == Phase.IDLE || phase == Phase.CLOSED) {
+      context.fireExceptionCaught(cause);
+    } else {
+      fail(context, String.valueOf(cause.getMessage()));
+    }
+  }
+
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
     passEnd(context);
--- a/core/src/main/java/org/pollenrock/core/response/HeadCheck.java
+++ b/core/src/main/java/org/pollenrock/core/response/HeadCheck.java
@@ -29,6 +29,7 @@
   /** Length of a status line without its reason phrase, in bytes. */
   static final int STATUS_LINE_LENGTH = STATUS_LINE_PATTERN.length();
 
+  private static final int STATUS_CODE_DIGITS = 3;
   private static final int MIN_STATUS = 100;
   private static final int SWITCHING_PROTOCOLS = 101;
   private static final int MAX_STATUS = 599;
@@ -100,6 +101,18 @@
     return Optional.empty();
   }
 
+  /**
+   * Returns whether a text is the status code of a status line. Parsers of numbers also accept a
+   * sign, and more or fewer digits.
+   *
+   * @param text the second word of the status line
+   * @return whether the text consists of three digits
+   */
+  public static boolean isStatusCode(CharSequence text) {
+    return text.length() == STATUS_CODE_DIGITS
+        && text.chars().allMatch(next -> isDigit((char) next));
+  }
+
   /**
    * Returns the position at which a status line begins in a text.
    *
--- a/gateway/src/main/java/org/pollenrock/gateway/ResponseDecoder.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ResponseDecoder.java
@@ -83,6 +83,14 @@
     return insideResponse && bodyCheck.isInDoubt();
   }
 
+  @Override
+  protected HttpMessage createMessage(String[] initialLine) {
+    if (!HeadCheck.isStatusCode(initialLine[1])) {
+      throw new IllegalArgumentException("not a status code");
+    }
+    return super.createMessage(initialLine);
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     boolean informational =
