Review settings before they are published

Operators asked for a check of a configuration before it is sent. The command prints errors, kinds, customers, callers and rules that no request matches, limits above those of their customer, bursts without a rate, deadlines without time for a retry, and the edits against the log or a file.

--- a/ctl/src/main/java/org/pollenrock/ctl/Pollenrockctl.java
+++ b/ctl/src/main/java/org/pollenrock/ctl/Pollenrockctl.java
@@ -9,6 +9,7 @@
 import org.pollenrock.ctl.command.HistoryCommand;
 import org.pollenrock.ctl.command.LoadCommand;
 import org.pollenrock.ctl.command.PublishCommand;
+import org.pollenrock.ctl.command.ReviewCommand;
 import org.pollenrock.ctl.command.ShowCommand;
 import org.pollenrock.ctl.command.StateCommand;
 import org.pollenrock.ctl.command.TraceCommand;
@@ -36,6 +37,7 @@
       CheckCommand.class,
       ShowCommand.class,
       DiffCommand.class,
+      ReviewCommand.class,
       PublishCommand.class,
       HistoryCommand.class,
       StateCommand.class,
--- a/ctl/src/test/java/org/pollenrock/ctl/SettingsCommandsTest.java
+++ b/ctl/src/test/java/org/pollenrock/ctl/SettingsCommandsTest.java
@@ -53,6 +53,63 @@
     assertThat(Invocation.run("check").code()).isEqualTo(2);
   }
 
+  /** Guards against entries without effect that go unnoticed, and against false alarms. */
+  @Test
+  void reviewPrintsEntriesThatCanNeverTakeEffect() {
+    Invocation sound = Invocation.run("review", EXAMPLE, "--file", EXAMPLE);
+    assertThat(sound.out()).contains("findings: 0", "in force: 0");
+    assertThat(sound.code()).isZero();
+    Path reviewed =
+        write(
+            "reviewed.yaml",
+            """
+            root:
+              retry: {backoff-base: 2s, backoff-max: 2s}
+            models:
+              m: {version: v1}
+            services:
+              ledger:
+                path: /ledger
+                backend: ledger
+                rules:
+                - {method: "*", path: "/**", idempotent: true}
+                - {method: GET, path: /a, idempotent: false}
+            kinds:
+              first: {match: {models: [m], max-tokens-at-most: 32}}
+              later: {match: {models: [m], max-tokens-at-most: 16}}
+              larger: {match: {models: [m], max-tokens-at-most: 64}}
+              mixed: {match: {models: [m], services: [ledger]}, deadline: 1s}
+            customers:
+              silent: {limits: {burst: 5}}
+              busy:
+                limits: {requests-per-second: 5, burst: 9}
+                api-keys:
+                  "1311f8fc80a7ea28d78dd7723f09c44c1754cd35160ca8e7133ae3d7f636a19a": desk
+                callers:
+                  desk: {limits: {requests-per-second: 6}}
+                  app: {limits: {requests-per-second: 4}}
+            """);
+    Invocation review =
+        Invocation.run("review", "--output=json", reviewed.toString(), "--file", EXAMPLE);
+    assertThat(review.code()).isEqualTo(1);
+    assertThat(review.json().at("/findings").findValuesAsText("path"))
+        .containsExactly(
+            "kinds/later/match",
+            "kinds/mixed/match",
+            "kinds/mixed/deadline",
+            "customers/busy/callers/app",
+            "customers/busy/callers/desk/limits/requests-per-second",
+            "customers/silent",
+            "customers/silent/limits/burst",
+            "services/ledger/rules");
+    assertThat(review.json().at("/edits").findValuesAsText("path")).contains("customers/busy");
+    Path wrong = write("wrong.yaml", "root:\n  wieght: 1\n");
+    assertThat(Invocation.run("review", wrong.toString(), "--file", EXAMPLE).code()).isEqualTo(1);
+    assertThat(Invocation.run("review", EXAMPLE).code()).as("nothing to compare").isEqualTo(2);
+    withLog("publish", EXAMPLE);
+    assertThat(withLog("review", EXAMPLE).out()).contains("in force: 0");
+  }
+
   /** Guards against a published tree that differs from the file. */
   @Test
   void publishedFileIsInForce() {
