Read the pace of the machine in load reports

Cause: a load report may have a fourth figure, how long work takes on the server's machine now. The codec asked for exactly three figures, so the whole report of such a server was lost.

Change: the three counts are read on their own. The fourth figure, 1 to 10,000 percent, becomes the pace; any other value costs the pace alone, is counted (pollenrock_paces_unreadable) and logged once for a server. Figures behind the fourth are ignored. ServerPace keeps the pace relative to the usual one of the server, with a half-life of 200 ms. Reports in responses to probes count too.

--- a/core/src/main/java/org/pollenrock/core/fleet/Backend.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Backend.java
@@ -50,6 +50,7 @@
   private int unreachableCount;
   private long probeDueNanos;
   private final FailureRate failureRate;
+  private final ServerPace pace = new ServerPace();
   private long lastTrialNanos = Long.MIN_VALUE;
 
   /**
@@ -153,6 +154,7 @@
       slots = report.slots();
     }
     loadEstimate.recordReport(report, inFlightCount, awaitingResponse, nowNanos);
+    pace.record(report, nowNanos);
   }
 
   /**
@@ -442,6 +444,15 @@
     return notices;
   }
 
+  /**
+   * Returns the pace that the server reports.
+   *
+   * @return the pace
+   */
+  public ServerPace pace() {
+    return pace;
+  }
+
   /**
    * Returns the hash of the server's identifier, for rendezvous hashing.
    *
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -109,7 +109,8 @@
     serverGate = createServerGate(settings.gossipAddress(), serverProtocol);
     controlClient = new ControlClient(loop, serverGate, headCheck, responseMemory, log);
     loopMonitor = new LoopMonitor(loop, metrics, log);
-    reachability = createReachabilityMonitor(settings.gossipAddress());
+    LoadReports loadReports = new LoadReports(serverProtocol, metrics, log);
+    reachability = createReachabilityMonitor(settings.gossipAddress(), loadReports);
     GatewayComponents components =
         new GatewayComponents(
             loop,
@@ -128,6 +129,7 @@
             gossip,
             reachability,
             rateLimits,
+            loadReports,
             serverGate,
             loopMonitor,
             () -> refusingRequests);
@@ -448,7 +450,8 @@
         log);
   }
 
-  private ReachabilityMonitor createReachabilityMonitor(InetSocketAddress gossipAddress) {
+  private ReachabilityMonitor createReachabilityMonitor(
+      InetSocketAddress gossipAddress, LoadReports loadReports) {
     return new ReachabilityMonitor(
         loop,
         fleet,
@@ -457,6 +460,7 @@
         connectionPools,
         quarantineTask.quarantine(),
         rateLimits,
+        loadReports,
         gossip,
         log,
         metrics,
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayMetrics.java
@@ -40,6 +40,9 @@
   private final Counter serverHolds =
       counter("pollenrock_server_holds", "Responses in which servers asked for a pause");
 
+  private final Counter unreadablePaces =
+      counter("pollenrock_paces_unreadable", "Load reports whose pace could not be read");
+
   private final Counter foreignResponses =
       counter("pollenrock_foreign_answers", "Answers that belonged to another request");
   private final Counter malformedHeads =
@@ -134,6 +137,10 @@
     serverHolds.inc();
   }
 
+  void recordUnreadablePace() {
+    unreadablePaces.inc();
+  }
+
   void recordMalformedHead(HeadFault fault) {
     malformedHeads.labelValues(fault.name()).inc();
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
@@ -65,6 +65,7 @@
   private final ServerConnectionPools connectionPools;
   private final PartQuarantine quarantine;
   private final RateLimitTask rateLimits;
+  private final LoadReports loadReports;
   private final PeerGossip gossip;
   private final EventLog log;
   private final GatewayMetrics metrics;
@@ -84,6 +85,7 @@
       ServerConnectionPools connectionPools,
       PartQuarantine quarantine,
       RateLimitTask rateLimits,
+      LoadReports loadReports,
       PeerGossip gossip,
       EventLog log,
       GatewayMetrics metrics,
@@ -95,6 +97,7 @@
     this.connectionPools = connectionPools;
     this.quarantine = quarantine;
     this.rateLimits = rateLimits;
+    this.loadReports = loadReports;
     this.gossip = gossip;
     this.log = log;
     this.metrics = metrics;
@@ -274,6 +277,7 @@
       case CallResult.Answered answered -> {
         metrics.recordProbe("answered");
         rateLimits.recordProbeResponse(backend, answered.headers());
+        loadReports.recordProbe(backend, answered.headers(), System.nanoTime());
         recordReceived(backend);
       }
       case CallResult.Failed failed -> {
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerProtocol.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerProtocol.java
@@ -3,6 +3,8 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
+import java.util.Optional;
+import org.pollenrock.core.fleet.LoadReport;
 import org.pollenrock.core.fleet.ServerNotice;
 import org.pollenrock.core.ratelimit.RateNotice;
 
@@ -51,4 +53,12 @@
    *     that there is none
    */
   RateNotice decodeRate(HttpHeaders headers);
+
+  /**
+   * Decodes the load that a server reports in a response to a probe.
+   *
+   * @param headers headers of the response
+   * @return the report; empty if there is none or its counts can't be read
+   */
+  Optional<LoadReport> decodeLoad(HttpHeaders headers);
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -181,7 +181,7 @@
     }
     components.serverGate().recordResponse(backend, response.status().code(), response.headers());
     sendLog.unreadableHeaders(metadata.unreadableHeaders());
-    metadata.load().ifPresent(load -> backend.recordLoad(load, now));
+    metadata.load().ifPresent(load -> components.loadReports().record(backend, load, now));
     boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
     if (metadata.misdirected()) {
       handleMisdirected(metadata);
--- a/gateway/src/test/java/org/pollenrock/gateway/NoServerProtocol.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/NoServerProtocol.java
@@ -3,6 +3,8 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
+import java.util.Optional;
+import org.pollenrock.core.fleet.LoadReport;
 import org.pollenrock.core.fleet.ServerNotice;
 import org.pollenrock.core.ratelimit.RateNotice;
 
@@ -32,4 +34,9 @@
   public RateNotice decodeRate(HttpHeaders headers) {
     throw new IllegalStateException("no probe is sent");
   }
+
+  @Override
+  public Optional<LoadReport> decodeLoad(HttpHeaders headers) {
+    throw new IllegalStateException("no probe is sent");
+  }
 }
