Let failed calls for order claims become rarer, and print results of calls

Causes in the log showed a byte array instead of the status.

The pause between failed reads and between failed claims now doubles, from a quarter of the renewal interval up to the takeover time (instances that are not candidates: their interval of reads). A first failure costs at most a quarter of a renewal. CallResult prints status and reason.

Measured with OrderLeaseTest, 16 s without the log, a step each 25 ms: 640 reads before, at most 20 now; refused appends each 4 ms: 4,000 calls before, at most 80 now. OrderLeaseTest, OrderLeaseRestoreTest and CallResultTest pass.

--- a/core/src/main/java/org/pollenrock/core/weights/OrderLease.java
+++ b/core/src/main/java/org/pollenrock/core/weights/OrderLease.java
@@ -29,6 +29,9 @@
    */
   private static final int STANDBY_READ_FACTOR = 10;
 
+  /** Share of the renewal interval that passes after the first failed call before the next one. */
+  private static final int FIRST_PAUSE_DIVISOR = 4;
+
   /** Highest era in which a log without claims can't have lost any. */
   private static final long FIRST_ERA = 1;
 
@@ -43,6 +46,9 @@
   private long newestClaimSeenNanos;
   private long knownLogEnd;
   private long lastReadNanos = Long.MIN_VALUE;
+  private long readSentNanos;
+  private long readPauseNanos;
+  private long claimPauseNanos;
   private long workSinceNanos = Long.MIN_VALUE;
   private long workEndNanos;
   private boolean lastClaimUnread;
@@ -86,11 +92,15 @@
       return IDLE;
     }
     if (!newestClaimKnown || !isLatestClaimant() && isReadDue(hasWork, nowNanos)) {
+      if (nowNanos - readSentNanos < readPauseNanos) {
+        return IDLE;
+      }
       callPending = true;
+      readSentNanos = nowNanos;
       lastClaimUnread = false;
       return new LeaseStep.ReadNewestClaim();
     }
-    if (!hasWork) {
+    if (!hasWork || nowNanos - claimSentNanos < claimPauseNanos) {
       return IDLE;
     }
     if (isLatestClaimant()) {
@@ -153,6 +163,7 @@
     if (eraKnown) {
       newestClaimKnown = false;
       fencingNumber = OptionalLong.empty();
+      readPauseNanos = 0;
     }
     era = newEra;
     eraKnown = true;
@@ -169,6 +180,7 @@
   public void recordNewestClaim(
       Optional<OrderClaim> claim, long offset, long logEnd, long nowNanos) {
     callPending = false;
+    readPauseNanos = 0;
     if (lastReadNanos == Long.MIN_VALUE) {
       ordersAllowedFromNanos = nowNanos;
     }
@@ -203,6 +215,7 @@
       return;
     }
     callPending = false;
+    claimPauseNanos = 0;
     newestClaim = Optional.of(claim);
     newestClaimOffset = offset;
     newestClaimSeenNanos = nowNanos;
@@ -213,17 +226,31 @@
 
   /**
    * Records that a claim was refused because another record came first, or that its outcome is
-   * unknown.
+   * unknown. The pause before the next claim grows until one is accepted.
    */
   public void recordClaimFailure() {
     callPending = false;
+    claimPauseNanos = longerPause(claimPauseNanos);
     newestClaimKnown = false;
     fencingNumber = OptionalLong.empty();
   }
 
-  /** Records that the log did not respond to a read. */
+  /**
+   * Records that the log did not respond to a read. The pause before the next read grows until one
+   * succeeds, but no longer than the interval of reads or the takeover time, so that this instance
+   * takes over in time once the log responds.
+   */
   public void recordReadFailure() {
     callPending = false;
+    readPauseNanos = longerPause(readPauseNanos);
+  }
+
+  /** Returns the pause after another failed call; pauses count from the start of the call. */
+  private long longerPause(long pauseNanos) {
+    return Math.clamp(
+        2 * pauseNanos,
+        settings.renewNanos() / FIRST_PAUSE_DIVISOR,
+        Math.max(settings.takeoverNanos(), candidate ? 0 : readIntervalNanos()));
   }
 
   /**
--- a/core/src/test/java/org/pollenrock/core/weights/OrderLeaseTest.java
+++ b/core/src/test/java/org/pollenrock/core/weights/OrderLeaseTest.java
@@ -179,6 +179,48 @@
     assertThat(now - failureNanos).isBetween(HANDOVER_MILLIS * MILLI, 8_000 * MILLI);
   }
 
+  /** Load pattern: the log turns one instance away at once for a long time, and is priced. */
+  @Test
+  void callsToALogThatTurnsTheInstanceAwayBecomeRare() {
+    OrderLease lease = new OrderLease("a", 0, 1, SETTINGS);
+    int reads = 0;
+    for (long now = 0; now < 16_000 * MILLI; now += 25 * MILLI) {
+      if (lease.nextStep(true, now) instanceof LeaseStep.ReadNewestClaim) {
+        reads++;
+        lease.recordReadFailure();
+      }
+    }
+    assertThat(reads).isLessThanOrEqualTo(20);
+    long returnNanos = 16_000 * MILLI;
+    long now = returnNanos;
+    FakeClaimLog log = new FakeClaimLog();
+    for (; lease.fencingNumber(now).isEmpty(); now += 25 * MILLI) {
+      runStep(lease, log, true, now);
+    }
+    assertThat(now - returnNanos).isLessThanOrEqualTo(SETTINGS.takeoverNanos() + 50 * MILLI);
+  }
+
+  /** Load pattern: the log is readable but refuses every append, within milliseconds. */
+  @Test
+  void refusedClaimsBecomeRare() {
+    OrderLease lease = new OrderLease("a", 0, 1, SETTINGS);
+    int calls = 0;
+    for (long now = 0; now < 16_000 * MILLI; now += 4 * MILLI) {
+      switch (lease.nextStep(true, now)) {
+        case LeaseStep.Idle() -> {}
+        case LeaseStep.ReadNewestClaim() -> {
+          calls++;
+          lease.recordNewestClaim(Optional.empty(), -1, 0, now);
+        }
+        case LeaseStep.AppendClaim append -> {
+          calls++;
+          lease.recordClaimFailure();
+        }
+      }
+    }
+    assertThat(calls).isLessThanOrEqualTo(80);
+  }
+
   /**
    * Instances pause, are killed and restart; the log loses responses and appends some claims late.
    */
--- a/gateway/src/main/java/org/pollenrock/gateway/CallResult.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallResult.java
@@ -12,7 +12,13 @@
    * @param headers headers of the response
    * @param body body of the response
    */
-  record Answered(int status, HttpHeaders headers, byte[] body) implements CallResult {}
+  record Answered(int status, HttpHeaders headers, byte[] body) implements CallResult {
+    /** Returns the status and the length of the body, for log lines. */
+    @Override
+    public String toString() {
+      return "status " + status + ", body of " + body.length + " bytes";
+    }
+  }
 
   /**
    * No complete response arrived. If the request was sent, the service may have carried it out or
@@ -23,5 +29,11 @@
    * @param cause description of the failure
    * @param sent whether the request may have reached the service
    */
-  record Failed(Step step, String peer, String cause, boolean sent) implements CallResult {}
+  record Failed(Step step, String peer, String cause, boolean sent) implements CallResult {
+    /** Returns the step, the service and the cause, for log lines. */
+    @Override
+    public String toString() {
+      return step + " " + peer + ": " + cause;
+    }
+  }
 }
