Share the cache events of engines and of the prefix store among instances

Cause: an instance counts as live for 4 s after its last datagram, and instances without requests send none. So before the first requests each took itself for the only one and polled all engines, beyond their limit of concurrent polls; every refused poll was logged as a lost engine and slowed down the next ones. Instances that had not yet read the members did the same. An instance also announced engines as followed that it had only heard of from others, so that two could keep an engine as followed that nobody polled. Every instance polled the prefix store.

Followers report each second also without requests. FollowReports ranks the instances for each cache: the first polls, the next takes over after 1.7 s without a report and reads on from the announced position, and gives way to one of a higher rank. A refused or lost poll keeps position and contents; an engine is lost after 3 s without events. One instance of each data centre polls the prefix store and tells the others what it has stored and evicted and its incarnation.

Run: FollowReportsTest (1 to 132 instances without requests, lost followers and reports), EngineCacheWatchTest, PrefixStoreWatchTest, CacheGossipTest pass.

--- a/core/src/main/java/org/pollenrock/core/dispatch/PrefixStoreView.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/PrefixStoreView.java
@@ -90,19 +90,21 @@
    * Records that the store contains a part.
    *
    * @param key hash of the part
+   * @return whether this was not known
    */
-  public void markStored(long key) {
-    storedParts.put(key, true);
+  public boolean markStored(long key) {
     saveStartNanos.remove(key);
+    return storedParts.put(key, true) == null;
   }
 
   /**
    * Records that the store evicted a part.
    *
    * @param key hash of the part
+   * @return whether the store was known to contain it
    */
-  public void markDropped(long key) {
-    storedParts.remove(key);
+  public boolean markDropped(long key) {
+    return storedParts.remove(key) != null;
   }
 
   /**
--- a/core/src/main/java/org/pollenrock/core/membership/WatchAssignment.java
+++ b/core/src/main/java/org/pollenrock/core/membership/WatchAssignment.java
@@ -24,6 +24,9 @@
   /** Router with its rendezvous weight for a subject. */
   private record Candidate(InstanceId router, long score) {}
 
+  private static final Comparator<Candidate> BY_RANK =
+      Comparator.comparingLong(Candidate::score).reversed().thenComparing(Candidate::router);
+
   private WatchAssignment() {}
 
   /**
@@ -37,13 +40,41 @@
   public static List<InstanceId> rank(String subject, Collection<InstanceId> routers, int count) {
     return routers.stream()
         .map(router -> new Candidate(router, score(subject, router)))
-        .sorted(
-            Comparator.comparingLong(Candidate::score).reversed().thenComparing(Candidate::router))
+        .sorted(BY_RANK)
         .limit(count)
         .map(Candidate::router)
         .toList();
   }
 
+  /**
+   * Returns how many routers rank before a router for a subject.
+   *
+   * @param subject id of the server or name of the stream to be assigned
+   * @param router the router
+   * @param routers candidate routers
+   * @return the number of candidates with a higher rank
+   */
+  public static int rankOf(String subject, InstanceId router, Collection<InstanceId> routers) {
+    Candidate own = new Candidate(router, score(subject, router));
+    return (int)
+        routers.stream()
+            .map(other -> new Candidate(other, score(subject, other)))
+            .filter(other -> BY_RANK.compare(other, own) < 0)
+            .count();
+  }
+
+  /**
+   * Returns whether a router ranks before another one for a subject.
+   *
+   * @param subject id of the server or name of the stream to be assigned
+   * @param first the router
+   * @param second the other router
+   * @return whether the first one has the higher rank
+   */
+  public static boolean isBefore(String subject, InstanceId first, InstanceId second) {
+    return rankOf(subject, second, List.of(first)) > 0;
+  }
+
   /**
    * Returns whether a router reads the cache events and reports of a server for its data centre.
    *
--- a/gateway/src/main/java/org/pollenrock/gateway/LivePeers.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/LivePeers.java
@@ -24,6 +24,8 @@
   private final String ownDataCentre;
   private final Map<InetAddress, LivePeer> peers = new HashMap<>();
 
+  private boolean known;
+
   LivePeers(InetSocketAddress ownAddress, String ownDataCentre) {
     this.ownAddress = ownAddress;
     this.ownDataCentre = ownDataCentre;
@@ -31,12 +33,13 @@
 
   /** Replaces the instances; this instance itself is ignored, and new ones count as heard now. */
   void replace(List<Peer> instances, long nowNanos) {
-    Map<InetAddress, LivePeer> known = Map.copyOf(peers);
+    Map<InetAddress, LivePeer> before = Map.copyOf(peers);
+    known = true;
     peers.clear();
     for (Peer peer : instances) {
       if (!peer.address().equals(ownAddress)) {
         InetAddress peerAddress = peer.address().getAddress();
-        LivePeer previous = known.get(peerAddress);
+        LivePeer previous = before.get(peerAddress);
         peers.put(
             peerAddress,
             new LivePeer(peer.dataCentre(), previous == null ? nowNanos : previous.heardNanos()));
@@ -44,6 +47,11 @@
     }
   }
 
+  /** Returns whether the list of instances has been read. */
+  boolean isKnown() {
+    return known;
+  }
+
   /** Records a datagram; returns false if the sender is none of the instances. */
   boolean recordDatagram(InetAddress sender, long nowNanos) {
     return peers.computeIfPresent(
--- a/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
@@ -64,9 +64,6 @@
    */
   private static final long PREFIX_BATCH_MILLIS_PER_PEER = 25;
 
-  /** Interval at which the servers whose cache events this instance follows are announced. */
-  private static final long FOLLOWED_INTERVAL_NANOS = 1_000_000_000L;
-
   /** Maximum number of batched entries, so that a datagram fits into a packet of usual size. */
   private static final int MAX_BATCH_ENTRIES = 60;
 
@@ -79,6 +76,7 @@
   private final QuarantineGossip quarantineGossip;
   private final RateLimitTask rateLimits;
   private final FleetNewsApplier newsApplier;
+  private final CacheNews cacheNews;
   private final List<NewsPart> newsParts = new ArrayList<>();
   private List<InetSocketAddress> peers = List.of();
   private List<InetSocketAddress> fullGossipPeers = List.of();
@@ -90,9 +88,6 @@
   private FleetNews.Builder pendingPrefixes = FleetNews.newBuilder();
   private boolean flushScheduled;
   private boolean prefixFlushScheduled;
-  private List<Backend> followedServers = List.of();
-  private long followedAnnouncedNanos = System.nanoTime();
-  private long followedAnnouncedToAllNanos = System.nanoTime();
 
   PeerGossip(
       EventLoop loop,
@@ -109,6 +104,8 @@
     this.dataCentre = dataCentre;
     this.rateLimits = rateLimits;
     newsApplier = new FleetNewsApplier(dataCentre, fleet, directory, prefixStore, rateLimits);
+    cacheNews = new CacheNews(prefixStore);
+    addPart(cacheNews);
     this.log = log;
     livePeers = new LivePeers(address, dataCentre);
     quarantine.setTrialRank(this::rank);
@@ -125,6 +122,15 @@
     return quarantineGossip;
   }
 
+  /**
+   * Returns the gossip about followed caches.
+   *
+   * @return the gossip
+   */
+  public CacheNews cacheNews() {
+    return cacheNews;
+  }
+
   /**
    * Adds a kind of news that is sent with full gossip.
    *
@@ -255,7 +261,32 @@
    * @param servers the servers
    */
   public void setFollowedServers(List<Backend> servers) {
-    followedServers = List.copyOf(servers);
+    cacheNews.setFollowedServers(servers);
+  }
+
+  /**
+   * Sends what is due about followed caches, if no batch is to be sent soon. Without it, instances
+   * without requests would take the followers for lost.
+   */
+  public void announceFollowedCaches() {
+    long now = System.nanoTime();
+    if (!flushScheduled && !fullGossipPeers.isEmpty() && cacheNews.isDue(now)) {
+      flush();
+    }
+    long prefixBatchNanos = PREFIX_BATCH_MILLIS_PER_PEER * prefixGossipPeers.size() * 1_000_000;
+    if (!prefixFlushScheduled && cacheNews.isDueToAll(now, prefixBatchNanos)) {
+      flushPrefixes();
+    }
+  }
+
+  /**
+   * Returns whether the list of instances has been read, without which none of them knows its share
+   * of the work.
+   *
+   * @return whether it has been read
+   */
+  public boolean knowsInstances() {
+    return livePeers.isKnown();
   }
 
   /**
@@ -391,10 +422,7 @@
     FleetNews.Builder message = pendingPrefixes;
     pendingPrefixes = FleetNews.newBuilder();
     long now = System.nanoTime();
-    if (now - followedAnnouncedToAllNanos >= FOLLOWED_INTERVAL_NANOS) {
-      followedAnnouncedToAllNanos = now;
-      followedServers.forEach(server -> message.addFollowed(server.idHash()));
-    }
+    cacheNews.addNewsToAll(message, now);
     quarantineGossip.addQuarantinedParts(message, now);
     send(message, prefixGossipPeers);
   }
@@ -407,13 +435,10 @@
     FleetNews.Builder message = pending;
     pending = FleetNews.newBuilder();
     long now = System.nanoTime();
-    if (now - followedAnnouncedNanos >= FOLLOWED_INTERVAL_NANOS) {
-      followedAnnouncedNanos = now;
-      followedServers.forEach(server -> message.addFollowed(server.idHash()));
-    }
     quarantineGossip.addQuarantinedParts(message, now);
     newsParts.forEach(part -> part.addNews(message, now));
     int reports = message.getWorkCount() + message.getOutcomesCount() + message.getFollowedCount();
+    reports += message.getCachePositionsCount() + message.getStoreEvictedCount();
     // Work that has not changed is repeated often enough to show that this instance lives.
     if (reports + message.getQuarantinedCount() + entryCount(message) > 0) {
       send(message, fullGossipPeers);
