Order waiting requests by customer and refuse those without room at once

Cause: waiting requests were ordered by urgency and arrival alone, so one customer with many times its usual demand held all others up; each instance took in requests that it refused after 0.3 of their time, and callers returned after 150 to 500 ms whatever waited. Resends were charged although they only waited. Change: shares of customers within an urgency, an expected wait learned while requests wait, refusals at once with a return time at which room is expected. The retry budget is charged when a waiting resend is sent.

--- a/core/src/main/java/org/pollenrock/core/dispatch/AdmissionPolicy.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/AdmissionPolicy.java
@@ -10,6 +10,12 @@
    */
   private static final double MAX_WAIT_SHARE = 0.3;
 
+  /**
+   * Share of the time until the deadline for which a request may wait if it is known how fast
+   * waiting requests leave, so that those are refused at once that would wait longer.
+   */
+  private static final double MAX_EXPECTED_WAIT_SHARE = 0.5;
+
   /** Maximum number of waiting requests per slot of the service; further requests are refused. */
   private static final double MAX_WAITING_PER_SLOT = 2;
 
@@ -34,12 +40,14 @@
    * Returns the time until which a request may wait in the queue.
    *
    * @param request the request
+   * @param waitKnown whether the expected wait of the request is known
    * @param nowNanos current time
    * @return time at which the request expires from the queue, in nanoseconds
    */
-  public static long queueDeadlineNanos(DispatchRequest request, long nowNanos) {
+  public static long queueDeadlineNanos(DispatchRequest request, boolean waitKnown, long nowNanos) {
     long remainingNanos = request.deadlineNanos() - nowNanos;
-    return nowNanos + (long) (remainingNanos * MAX_WAIT_SHARE);
+    double share = waitKnown ? MAX_EXPECTED_WAIT_SHARE : MAX_WAIT_SHARE;
+    return nowNanos + (long) (remainingNanos * share);
   }
 
   /**
@@ -62,11 +70,34 @@
    * @return delay in milliseconds, at least 1
    */
   public static long retryAfterMillis(DispatchRequest request, long nowNanos) {
-    long remainingMillis = (request.deadlineNanos() - nowNanos) / 1_000_000;
     return Math.clamp(
-        MIN_RETRY_AFTER_MILLIS + jitterMillis(request),
-        1,
-        Math.max(1, remainingMillis / MAX_RETRY_AFTER_DIVISOR));
+        MIN_RETRY_AFTER_MILLIS + jitterMillis(request), 1, maxRetryAfterMillis(request, nowNanos));
+  }
+
+  /**
+   * Returns the longest delay that a refused caller respects.
+   *
+   * @param request the request
+   * @param nowNanos current time
+   * @return delay in milliseconds, at least 1
+   */
+  static long maxRetryAfterMillis(DispatchRequest request, long nowNanos) {
+    long remainingMillis = (request.deadlineNanos() - nowNanos) / 1_000_000;
+    return Math.max(1, remainingMillis / MAX_RETRY_AFTER_DIVISOR);
+  }
+
+  /**
+   * Returns the delay of a caller for whom no room is expected within the time that it respects:
+   * from half of that time to all of it, different for each request.
+   *
+   * @param request the request
+   * @param nowNanos current time
+   * @return delay in milliseconds, at least 1
+   */
+  static long latestRetryAfterMillis(DispatchRequest request, long nowNanos) {
+    long maxMillis = maxRetryAfterMillis(request, nowNanos);
+    long spread = Long.remainderUnsigned(RendezvousHash.hash(request.id()), maxMillis / 2 + 1);
+    return maxMillis - spread;
   }
 
   /**
--- a/core/src/main/java/org/pollenrock/core/dispatch/DispatchRequest.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/DispatchRequest.java
@@ -35,4 +35,14 @@
   public long promptTokens() {
     return prompt.map(Prompt::tokens).orElse(0);
   }
+
+  /**
+   * Returns the work that the request is for the servers of its service, in relation to other
+   * requests for the same service.
+   *
+   * @return tokens of the prompt and of the longest output; 1 for a plain request
+   */
+  public long work() {
+    return prompt.map(each -> (long) each.tokens() + each.maxOutputTokens()).orElse(1L);
+  }
 }
--- a/core/src/main/java/org/pollenrock/core/dispatch/DispatchResult.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/DispatchResult.java
@@ -39,6 +39,8 @@
     QUEUE_FULL,
     /** The request reached its queue deadline. */
     WAITED,
+    /** The request is not expected to leave the queue before its deadline. */
+    WAIT_TOO_LONG,
     /** The request would have to be resent, and the retry budget is used up. */
     RETRY_BUDGET,
     /** Several servers refused the request. */
--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -27,10 +27,8 @@
   private final WeightsTargets weightsTargets;
   private final PartQuarantine quarantine;
   private final ServerRateLimits rateLimits;
-  private final RetryAllowanceSettings allowanceSettings;
-  private final long processStartNanos;
-  private final Map<String, DispatchQueue> queues = new HashMap<>();
-  private final Map<String, RetryAllowance> retryAllowances = new HashMap<>();
+  private final RetryAllowances retryAllowances;
+  private final ServiceQueues queues = new ServiceQueues();
   private final Map<String, ResponseTimes> responseTimes = new HashMap<>();
   private int instanceCount;
   private Optional<StopPlan> stopPlan = Optional.empty();
@@ -59,8 +57,7 @@
     this.weightsTargets = weightsTargets;
     this.quarantine = quarantine;
     this.rateLimits = rateLimits;
-    this.allowanceSettings = allowanceSettings;
-    this.processStartNanos = processStartNanos;
+    this.retryAllowances = new RetryAllowances(allowanceSettings, processStartNanos);
     setInstanceCount(UnknownInstances.ASSUMED_COUNT);
   }
 
@@ -72,18 +69,20 @@
    * @return whether the request was sent, queued or refused
    */
   public DispatchResult submit(DispatchRequest request, long nowNanos) {
-    retryAllowance(request.service()).recordRequest(nowNanos);
+    retryAllowances.of(request.service()).recordRequest(nowNanos);
+    queues.queue(request.service()).recordRequest(request, nowNanos);
     if (isQuarantined(request, nowNanos)) {
       return new DispatchResult.Refused(DispatchResult.Cause.QUARANTINED);
     }
     if (isTooLateToSend(request, nowNanos)) {
       return new DispatchResult.Refused(DispatchResult.Cause.STOPPING);
     }
-    return dispatch(request, Set.of(), nowNanos);
+    return dispatch(request, Set.of(), false, nowNanos);
   }
 
   /**
-   * Dispatches a request again after a failed send.
+   * Dispatches a request again after a failed send. While all servers are busy or paused it waits,
+   * and the retry budget is charged only when it is sent.
    *
    * @param request the request
    * @param triedServers identities of the servers on which the request failed
@@ -99,10 +98,10 @@
     if (isTooLateToSend(request, nowNanos)) {
       return new DispatchResult.Refused(DispatchResult.Cause.STOPPING);
     }
-    if (chargeRetryBudget && !retryAllowance(request.service()).tryResend(nowNanos)) {
+    if (chargeRetryBudget && !retryAllowances.isResendLeft(request.service(), nowNanos)) {
       return new DispatchResult.Refused(DispatchResult.Cause.RETRY_BUDGET);
     }
-    return dispatch(request, triedServers, nowNanos);
+    return dispatch(request, triedServers, chargeRetryBudget, nowNanos);
   }
 
   /**
@@ -117,7 +116,7 @@
    */
   public Optional<Selection.Chosen> claimReplacement(
       DispatchRequest request, Set<String> triedServers, long nowNanos) {
-    RetryAllowance allowance = retryAllowance(request.service());
+    RetryAllowance allowance = retryAllowances.of(request.service());
     if (isQuarantined(request, nowNanos)
         || isTooLateToSend(request, nowNanos)
         || allowance.remainingResends(nowNanos) == 0) {
@@ -130,7 +129,7 @@
             .toList();
     if (selectServer(request, untried, Set.of(), nowNanos) instanceof Selection.Chosen chosen
         && allowance.tryResend(nowNanos)) {
-      recordSend(request, chosen, nowNanos);
+      recordSend(request, chosen, false, nowNanos);
       return Optional.of(chosen);
     }
     return Optional.empty();
@@ -145,20 +144,21 @@
    * @return the removed requests with their servers
    */
   public List<DispatchResult.Released> dispatchWaiting(String service, long nowNanos) {
-    DispatchQueue queue = queues.get(service);
-    if (queue == null || queue.size() == 0) {
+    DispatchQueue queue = queues.queue(service);
+    if (queue.size() == 0) {
       return List.of();
     }
     List<DispatchResult.Released> released = new ArrayList<>();
     for (QueueEntry entry : queue.entriesInOrder()) {
-      if (isQuarantined(entry.request(), nowNanos)) {
+      if (isQuarantined(entry.request(), nowNanos)
+          || entry.resend() && !retryAllowances.isResendLeft(service, nowNanos)) {
         continue;
       }
       List<Backend> servers = permittedServers(service, nowNanos);
       Selection selection = selectServer(entry.request(), servers, entry.triedServers(), nowNanos);
       if (selection instanceof Selection.Chosen chosen) {
-        queue.remove(entry);
-        recordSend(entry.request(), chosen, nowNanos);
+        queue.dispatch(entry, nowNanos);
+        recordSend(entry.request(), chosen, entry.resend(), nowNanos);
         released.add(new DispatchResult.Released(entry, chosen));
         continue;
       }
@@ -176,9 +176,7 @@
    * @return the removed entries, whose requests the caller of this method has to refuse
    */
   public List<QueueEntry> removeExpired(long nowNanos) {
-    List<QueueEntry> expired = new ArrayList<>();
-    queues.values().forEach(queue -> expired.addAll(queue.removeExpired(nowNanos)));
-    return expired;
+    return queues.removeExpired(nowNanos);
   }
 
   /**
@@ -189,11 +187,9 @@
    * @return the removed entries, whose requests the caller of this method has to refuse
    */
   public List<QueueEntry> removeQuarantined(String service, long nowNanos) {
-    DispatchQueue queue = queues.get(service);
-    if (queue == null || queue.size() == 0 || quarantine.hasNoStrikes()) {
-      return List.of();
-    }
-    return queue.removeIf(entry -> isQuarantined(entry.request(), nowNanos));
+    return quarantine.hasNoStrikes()
+        ? List.of()
+        : queues.removeIf(service, entry -> isQuarantined(entry.request(), nowNanos), nowNanos);
   }
 
   /**
@@ -205,11 +201,9 @@
    * @return the removed entries, whose requests the caller of this method has to refuse
    */
   public List<QueueEntry> removeTooLate(String service, long nowNanos) {
-    DispatchQueue queue = queues.get(service);
-    if (queue == null || queue.size() == 0 || stopPlan.isEmpty()) {
-      return List.of();
-    }
-    return queue.removeIf(entry -> isTooLateToSend(entry.request(), nowNanos));
+    return stopPlan.isEmpty()
+        ? List.of()
+        : queues.removeIf(service, entry -> isTooLateToSend(entry.request(), nowNanos), nowNanos);
   }
 
   /**
@@ -221,8 +215,8 @@
    * @return the removed entries, whose requests the caller of this method has to refuse
    */
   public List<QueueEntry> removeUnpermitted(String service, long nowNanos) {
-    DispatchQueue queue = queues.get(service);
-    if (queue == null || queue.size() == 0) {
+    DispatchQueue queue = queues.queue(service);
+    if (queue.size() == 0) {
       return List.of();
     }
     List<Backend> servers = fleet.usableServers(service);
@@ -230,21 +224,20 @@
     if (permitted.size() == servers.size()) {
       return List.of();
     }
-    return queue.removeIf(entry -> isUnpermitted(entry.request(), servers, permitted));
+    return queue.removeIf(entry -> isUnpermitted(entry.request(), servers, permitted), nowNanos);
   }
 
   /**
    * Removes the waiting requests of a service that has no server any more.
    *
    * @param service name of the service
+   * @param nowNanos current time
    * @return the removed entries, whose requests the caller of this method has to refuse
    */
-  public List<QueueEntry> removeUnserved(String service) {
-    DispatchQueue queue = queues.get(service);
-    if (queue == null || queue.size() == 0 || !fleet.usableServers(service).isEmpty()) {
-      return List.of();
-    }
-    return queue.removeIf(entry -> true);
+  public List<QueueEntry> removeUnserved(String service, long nowNanos) {
+    return fleet.usableServers(service).isEmpty()
+        ? queues.removeIf(service, entry -> true, nowNanos)
+        : List.of();
   }
 
   /**
@@ -283,21 +276,24 @@
 
   /**
    * Returns the delay after which a refused caller should retry: no sooner than a server accepts
-   * requests, if all that could take the request have asked for a pause.
+   * requests, if all that could take the request have asked for a pause, and when room is expected
+   * while requests wait.
    *
    * @param request the request
    * @param nowNanos current time
    * @return delay in milliseconds, at least 1
    */
   public long retryAfterMillis(DispatchRequest request, long nowNanos) {
-    long usual = AdmissionPolicy.retryAfterMillis(request, nowNanos);
     long holdNanos =
         fleet.usableServers(request.service()).stream()
             .filter(server -> serves(server, request))
             .mapToLong(server -> server.notices().remainingHoldNanos(nowNanos))
             .min()
             .orElse(0);
-    return holdNanos == 0 ? usual : AdmissionPolicy.afterHoldMillis(request, holdNanos);
+    if (holdNanos > 0) {
+      return AdmissionPolicy.afterHoldMillis(request, holdNanos);
+    }
+    return queues.retryAfterMillis(request, nowNanos);
   }
 
   /**
@@ -320,6 +316,16 @@
     responseTimes
         .computeIfAbsent(request.service(), service -> new ResponseTimes())
         .record(nowNanos - request.arrivalNanos());
+    queues.queue(request.service()).backlog().recordCompletion(request, nowNanos);
+  }
+
+  /**
+   * Returns the queues of the services.
+   *
+   * @return the queues
+   */
+  public ServiceQueues queues() {
+    return queues;
   }
 
   /**
@@ -335,12 +341,10 @@
    * Removes a waiting request from the queue because its caller disconnected.
    *
    * @param entry entry of the request
+   * @param nowNanos current time
    */
-  public void cancel(QueueEntry entry) {
-    DispatchQueue queue = queues.get(entry.request().service());
-    if (queue != null) {
-      queue.remove(entry);
-    }
+  public void cancel(QueueEntry entry, long nowNanos) {
+    queues.queue(entry.request().service()).remove(entry, nowNanos);
   }
 
   /**
@@ -352,7 +356,7 @@
    */
   public void setInstanceCount(int count) {
     instanceCount = Math.max(1, count);
-    retryAllowances.values().forEach(allowance -> allowance.setInstanceCount(instanceCount));
+    retryAllowances.setInstanceCount(instanceCount);
     selector.setInstanceCount(instanceCount);
   }
 
@@ -362,10 +366,7 @@
    * @return names of the services
    */
   public List<String> servicesWithWaitingRequests() {
-    return queues.entrySet().stream()
-        .filter(queue -> queue.getValue().size() > 0)
-        .map(Map.Entry::getKey)
-        .toList();
+    return queues.servicesWithWaitingRequests();
   }
 
   /**
@@ -374,7 +375,7 @@
    * @return the number of requests
    */
   public int waitingRequests() {
-    return queues.values().stream().mapToInt(DispatchQueue::size).sum();
+    return queues.waitingRequests();
   }
 
   /**
@@ -384,10 +385,7 @@
    * @return the number for the service with the fewest resends left; 0 before the first request
    */
   public int remainingResends(long nowNanos) {
-    return retryAllowances.values().stream()
-        .mapToInt(allowance -> allowance.remainingResends(nowNanos))
-        .min()
-        .orElse(0);
+    return retryAllowances.remainingResends(nowNanos);
   }
 
   private boolean isTooLateToSend(DispatchRequest request, long nowNanos) {
@@ -405,8 +403,7 @@
   }
 
   private DispatchResult dispatch(
-      DispatchRequest request, Set<String> triedServers, long nowNanos) {
-    DispatchQueue queue = queues.computeIfAbsent(request.service(), service -> new DispatchQueue());
+      DispatchRequest request, Set<String> triedServers, boolean resend, long nowNanos) {
     List<Backend> servers = fleet.usableServers(request.service());
     List<Backend> permitted = permittedServers(request.service(), nowNanos);
     if (isUnpermitted(request, servers, permitted)) {
@@ -414,22 +411,24 @@
     }
     return switch (selectServer(request, permitted, triedServers, nowNanos)) {
       case Selection.Chosen chosen -> {
-        recordSend(request, chosen, nowNanos);
+        recordSend(request, chosen, resend, nowNanos);
         yield new DispatchResult.Sent(chosen);
       }
       case Selection.NoServer() -> new DispatchResult.Refused(DispatchResult.Cause.NO_SERVER);
       case Selection.AllBusy() -> {
         int slots = permitted.stream().mapToInt(Backend::slots).sum();
-        yield AdmissionPolicy.mayQueue(request, queue, slots)
-            ? new DispatchResult.Queued(
-                queue.add(
-                    request, triedServers, AdmissionPolicy.queueDeadlineNanos(request, nowNanos)))
-            : new DispatchResult.Refused(DispatchResult.Cause.QUEUE_FULL);
+        yield queues
+            .queue(request.service())
+            .tryAdd(request, triedServers, resend, slots, nowNanos);
       }
     };
   }
 
-  private void recordSend(DispatchRequest request, Selection.Chosen chosen, long nowNanos) {
+  private void recordSend(
+      DispatchRequest request, Selection.Chosen chosen, boolean resend, long nowNanos) {
+    if (resend) {
+      retryAllowances.of(request.service()).tryResend(nowNanos);
+    }
     request.prompt().ifPresent(prompt -> quarantine.recordSend(prompt, nowNanos));
     rateLimits.recordSend(chosen.backend(), nowNanos);
     chosen.backend().notices().recordRequest(nowNanos);
@@ -470,14 +469,4 @@
             .orElse(WeightsRequirement.NONE);
     return selector.select(request, servers, triedServers, requirement, nowNanos);
   }
-
-  private RetryAllowance retryAllowance(String service) {
-    return retryAllowances.computeIfAbsent(
-        service,
-        name -> {
-          RetryAllowance allowance = new RetryAllowance(allowanceSettings, processStartNanos);
-          allowance.setInstanceCount(instanceCount);
-          return allowance;
-        });
-  }
 }
--- a/core/src/main/java/org/pollenrock/core/dispatch/QueueEntry.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/QueueEntry.java
@@ -7,8 +7,13 @@
  *
  * @param request the request
  * @param triedServers identities of the servers on which the request failed
+ * @param resend whether the next send counts against the retry budget
  * @param queueDeadlineNanos time at which the request expires from the queue
- * @param sequence position among requests of the same urgency
+ * @param sequence position among the requests in the order in which they came into the queue
  */
 public record QueueEntry(
-    DispatchRequest request, Set<String> triedServers, long queueDeadlineNanos, long sequence) {}
+    DispatchRequest request,
+    Set<String> triedServers,
+    boolean resend,
+    long queueDeadlineNanos,
+    long sequence) {}
--- a/core/src/main/java/org/pollenrock/core/route/Route.java
+++ b/core/src/main/java/org/pollenrock/core/route/Route.java
@@ -96,4 +96,16 @@
     int promptClass = promptTokens > SHORT_PROMPT_MAX_TOKENS ? 1 : 0;
     return Math.clamp(2L * effectivePriority + promptClass, 0, LEAST_URGENT);
   }
+
+  /**
+   * Returns the urgency that a request would have with a short prompt.
+   *
+   * @param urgency urgency of the request, as {@link #urgency} returns it
+   * @param promptTokens number of tokens of its prompt; 0 for a plain request
+   * @return urgency from 0 to 9; that of the request if it can't be told from the priorities below
+   */
+  public static int shortPromptUrgency(int urgency, long promptTokens) {
+    boolean isLong = promptTokens > SHORT_PROMPT_MAX_TOKENS;
+    return isLong && urgency % 2 == 1 && urgency < LEAST_URGENT ? urgency - 1 : urgency;
+  }
 }
--- a/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
@@ -95,6 +95,22 @@
         .isInstanceOf(DispatchResult.Sent.class);
   }
 
+  /** Load pattern: servers are full or pause, so that a resend would be refused too. */
+  @Test
+  void resendThatWaitsIsChargedOnlyWhenItIsSent() {
+    dispatcher.setInstanceCount(1);
+    List<Backend> busyServers = fillServer(2);
+    int resendsLeft = dispatcher.remainingResends(1);
+    assertThat(dispatcher.resubmit(request("again", 5, 1), Set.of("b"), true, 1))
+        .isInstanceOf(DispatchResult.Queued.class);
+    assertThat(dispatcher.remainingResends(1)).isEqualTo(resendsLeft);
+    busyServers.forEach(server -> server.recordRequestEnd(0, false));
+    assertThat(dispatcher.dispatchWaiting("ledger", 2))
+        .extracting(release -> release.entry().request().id())
+        .contains("again");
+    assertThat(dispatcher.remainingResends(2)).isEqualTo(resendsLeft - 1);
+  }
+
   /** A part that crashes engines must not reach one by a new request or a resend. */
   @Test
   void requestsWithAQuarantinedPartAreRefusedWithoutRetryBudget() {
--- a/gateway/src/main/java/org/pollenrock/gateway/QueuedExchanges.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QueuedExchanges.java
@@ -23,7 +23,7 @@
   /** Removes a request from the queue before it was sent. */
   void withdraw(QueueEntry entry) {
     exchanges.remove(entry);
-    dispatcher.cancel(entry);
+    dispatcher.cancel(entry, System.nanoTime());
   }
 
   /**
@@ -39,7 +39,7 @@
     for (QueueEntry tooLate : dispatcher.removeTooLate(service, now)) {
       exchanges.remove(tooLate).refuseFromQueue(DispatchResult.Cause.STOPPING);
     }
-    for (QueueEntry unserved : dispatcher.removeUnserved(service)) {
+    for (QueueEntry unserved : dispatcher.removeUnserved(service, now)) {
       exchanges.remove(unserved).refuseFromQueue(DispatchResult.Cause.NO_SERVER);
     }
     for (QueueEntry unpermitted : dispatcher.removeUnpermitted(service, now)) {
@@ -52,11 +52,18 @@
     }
   }
 
-  /** Sends all waiting requests that a server can take, and refuses those that waited too long. */
+  /**
+   * Sends all waiting requests that a server can take, and refuses those that waited too long or
+   * would.
+   */
   void sweep() {
     dispatcher.servicesWithWaitingRequests().forEach(this::dispatchWaiting);
-    for (QueueEntry expired : dispatcher.removeExpired(System.nanoTime())) {
+    long now = System.nanoTime();
+    for (QueueEntry expired : dispatcher.removeExpired(now)) {
       exchanges.remove(expired).refuseFromQueue(DispatchResult.Cause.WAITED);
     }
+    for (QueueEntry hopeless : dispatcher.queues().removeHopeless(now)) {
+      exchanges.remove(hopeless).refuseFromQueue(DispatchResult.Cause.WAIT_TOO_LONG);
+    }
   }
 }
