Announce waiting work to other instances, and show the expected wait

Cause: each instance estimated the wait from its own queue alone. Result: WaitingNewsTest, WorkGossipRoundTest and ServiceBacklogTest pass.

--- a/core/src/main/java/org/pollenrock/core/dispatch/ServiceBacklog.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/ServiceBacklog.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.stream.IntStream;
 import org.pollenrock.core.route.Route;
 
 /**
@@ -94,6 +95,14 @@
     return expectedWaitNanos(urgency, work[urgency], nowNanos);
   }
 
+  /** Returns the longest time to dispatch the waiting work of an urgency; 0 if none is known. */
+  long longestWaitNanos(long nowNanos) {
+    return IntStream.rangeClosed(0, Route.LEAST_URGENT)
+        .mapToLong(urgency -> drainNanos(urgency, nowNanos).orElse(0))
+        .max()
+        .orElse(0);
+  }
+
   /** Returns the work of an urgency that is finished for this instance in a second, if known. */
   OptionalDouble workPerSecond(int urgency, long nowNanos) {
     return rates[urgency].perSecond(nowNanos);
--- a/core/src/main/java/org/pollenrock/core/dispatch/ServiceQueues.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/ServiceQueues.java
@@ -95,6 +95,19 @@
         .orElse(0);
   }
 
+  /**
+   * Returns the longest time until all requests of one service and urgency that wait now are sent.
+   *
+   * @param nowNanos current time
+   * @return time in milliseconds; 0 if nothing waits or the time is not known
+   */
+  public long longestWaitMillis(long nowNanos) {
+    return queues.values().stream()
+        .mapToLong(queue -> queue.requests().backlog().longestWaitNanos(nowNanos) / 1_000_000)
+        .max()
+        .orElse(0);
+  }
+
   /** Returns the services that have waiting requests. */
   List<String> servicesWithWaitingRequests() {
     return queues.entrySet().stream()
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -99,6 +99,7 @@
             settings.retryAllowance(),
             System.nanoTime());
     gossip = createGossip(settings);
+    gossip.addPart(new WaitingNews(dispatcher.queues()));
     quarantineTask.addListener(gossip.quarantineGossip());
     HeadCheck headCheck = new HeadCheck(serverProtocol.identifyingHeaders());
     connectionPools =
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayGauges.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayGauges.java
@@ -8,6 +8,14 @@
   static void register(GatewayMetrics metrics, Gateway gateway, EventLog log) {
     metrics.registerGauge(
         "pollenrock_waiting", "Requests that wait", gateway.dispatcher()::waitingRequests);
+    metrics.registerGauge(
+        "pollenrock_waiting_instances",
+        "Other instances that announce waiting requests",
+        () -> gateway.dispatcher().queues().waitingPeers(System.nanoTime()));
+    metrics.registerGauge(
+        "pollenrock_expected_wait_ms",
+        "Longest time until the waiting requests of an urgency are sent",
+        () -> gateway.dispatcher().queues().longestWaitMillis(System.nanoTime()));
     metrics.registerGauge(
         "pollenrock_held_bytes", "Bytes of bodies held", gateway::heldRequestBytes);
     metrics.registerGauge(
--- a/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
@@ -415,7 +415,8 @@
     newsParts.forEach(part -> part.addNews(message, now));
     int reports = message.getWorkCount() + message.getOutcomesCount() + message.getFollowedCount();
     // Work that has not changed is repeated often enough to show that this instance lives.
-    if (reports + message.getQuarantinedCount() + entryCount(message) > 0) {
+    if (reports + message.getQuarantinedCount() + message.getWaitingCount() + entryCount(message)
+        > 0) {
       send(message, fullGossipPeers);
     }
     scheduleFlush();
