--- a/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
@@ -440,7 +440,8 @@
     int reports = message.getWorkCount() + message.getOutcomesCount() + message.getFollowedCount();
     reports += message.getCachePositionsCount() + message.getStoreEvictedCount();
     // Work that has not changed is repeated often enough to show that this instance lives.
-    if (reports + message.getQuarantinedCount() + entryCount(message) > 0) {
+    if (reports + message.getQuarantinedCount() + message.getWaitingCount() + entryCount(message)
+        > 0) {
       send(message, fullGossipPeers);
     }
     scheduleFlush();
