Choose servers by their measured speed

Cause: a server of half the speed counted as idle as a fast one, and a server that slows down long before its slots are full was filled like the others.

Change: SpeedMeter compares each complete response with the usual time of its service; ServerSpeed keeps the relative time of one incarnation of a server, and ParallelTimes the number of requests at once beyond which the work done does not grow. ServerCosts multiplies counts and tokens by the relative time and the reported pace, in selection, lateness and the bound of load. A difference under 1.25, or under three standard errors, counts as none, and the factor is exactly 1 then.

Cause: an instance of a large fleet sends too few requests to a server to measure it alone.

Change: ServerSend reports complete successful responses to ServerSpeedTask, which logs servers that become slow, fast or usual (server_speed) and adds what it measured of differing servers to full gossip once a second (field 16, at most 30 servers, forgotten after 6 s). Gauges count slow and limited servers; /state and the request line have the relative time. No datagram is sent for it alone.

--- a/core/src/main/java/org/pollenrock/core/dispatch/ReadingSpeed.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/ReadingSpeed.java
@@ -28,13 +28,18 @@
    * @param elapsedNanos time from sending the prompt to the start of the response
    */
   void record(long backlogTokens, long elapsedNanos) {
-    if (backlogTokens < MIN_SAMPLE_TOKENS) {
+    if (!isMeasurable(backlogTokens)) {
       return;
     }
     tokens = RETAINED * tokens + backlogTokens;
     nanos = RETAINED * nanos + elapsedNanos;
   }
 
+  /** Returns whether a backlog is long enough for its time to tell the speed. */
+  static boolean isMeasurable(long backlogTokens) {
+    return backlogTokens >= MIN_SAMPLE_TOKENS;
+  }
+
   /**
    * Returns the expected time to work off a backlog.
    *
--- a/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
@@ -16,20 +16,11 @@
  * <p>A request with a prompt goes to the server that is expected to read the prompt first: one with
  * a short backlog that has cached the shared prefix or can fetch it. Rendezvous hashing gives every
  * prefix a home server on which all instances agree without communicating. Plain requests go to the
- * least loaded server, which is one in the same data centre as long as a server there has a free
- * slot. Servers that are silent or fail often are avoided while there are others, and get a trial
- * request from time to time.
+ * server with the least load for its speed, which is one in the same data centre as long as a
+ * server there has a free slot. Servers that are silent or fail often are avoided while there are
+ * others, and get a trial request from time to time.
  */
 public final class ServerSelector {
-  /**
-   * Maximum number of requests on a server, as a multiple of its slots, which are the requests that
-   * it runs at once.
-   */
-  private static final double MAX_LOAD_PER_SLOT = 1.5;
-
-  /** Number of slots assumed for a server that has not reported its number. */
-  private static final int DEFAULT_SLOTS = 4;
-
   /** Weight of a new prompt in the moving average of prompt lengths. */
   private static final double MEAN_SMOOTHING_FACTOR = 0.02;
 
@@ -43,9 +34,11 @@
   private static final int SAMPLED_SERVERS = 10;
 
   private final SelectorSettings settings;
+  private final ServerCosts costs;
   private final PrefixDirectory directory;
   private final PrefixStoreView prefixStore;
   private final LatenessEstimator lateness = new LatenessEstimator();
+  private final SpeedMeter speedMeter;
   private double meanPromptTokens = INITIAL_MEAN_TOKENS;
   private int instanceCount = 1;
   private boolean allPeersReporting = true;
@@ -60,6 +53,8 @@
   public ServerSelector(
       SelectorSettings settings, PrefixDirectory directory, PrefixStoreView prefixStore) {
     this.settings = settings;
+    this.costs = new ServerCosts(settings);
+    this.speedMeter = new SpeedMeter(settings.dataCentre());
     this.directory = directory;
     this.prefixStore = prefixStore;
   }
@@ -122,7 +117,7 @@
     List<Backend> avoided = new ArrayList<>();
     List<Backend> missing = new ArrayList<>();
     for (Backend server : untried.isEmpty() ? eligible : untried) {
-      if (server.isPaused(nowNanos) || isFull(server, nowNanos)) {
+      if (server.isPaused(nowNanos) || ServerCosts.isFull(server, nowNanos)) {
         continue;
       }
       if (server.isMissing()) {
@@ -155,6 +150,15 @@
     return lateness;
   }
 
+  /**
+   * Returns the meter of the speed of servers, which learns from all complete responses.
+   *
+   * @return the meter
+   */
+  public SpeedMeter speedMeter() {
+    return speedMeter;
+  }
+
   /**
    * Returns whether a server has been silent for too long or fails too often.
    *
@@ -267,6 +271,10 @@
     Backend best = null;
     double bestCost = Double.MAX_VALUE;
     double bestWait = 0;
+    double bestBacklog = 0;
+    int ownTokens = prompt.tokens() - sharedTokens;
+    double remoteTokens =
+        settings.remoteCostTokens() + (allPeersReporting ? 0 : settings.unknownLoadCostTokens());
     long sampleHash = RendezvousHash.hash(request.id());
     for (Backend server : available) {
       if (server != home
@@ -274,14 +282,17 @@
           && !isSampled(server, sampleHash, available.size())) {
         continue;
       }
-      double wait = waitCost(server, nowNanos);
-      double cost = wait;
+      double factor = ServerCosts.timeFactor(server, nowNanos);
+      double queued = costs.backlogTokens(server, meanPromptTokens, nowNanos);
+      double wait = costs.waitCost(server, queued, factor, remoteTokens);
+      double reading = 0;
       // While no server has cached the whole prefix, all requests should have it read by its home.
       if (server != home || fetchableTokens == sharedTokens) {
         double uncached = sharedTokens - cached.on(server);
         double fetchable = Math.max(0, Math.min(uncached, fetchableTokens - cached.on(server)));
-        cost += uncached - fetchable + fetchable * settings.fetchCostRatio();
+        reading = uncached - fetchable + fetchable * settings.fetchCostRatio();
       }
+      double cost = wait + reading * factor + ownTokens * (factor - 1);
       if (requirement.isPenalized(server.weightsVersion(prompt.model()))) {
         cost += settings.oldWeightsCostTokens();
       }
@@ -289,11 +300,11 @@
         best = server;
         bestCost = cost;
         bestWait = wait;
+        bestBacklog = factor == 1 ? cost : queued + reading;
       }
     }
-    int ownTokens = prompt.tokens() - sharedTokens;
     boolean late = lateness.isLate(request, bestWait, bestCost - bestWait + ownTokens, nowNanos);
-    if (late && best.load(nowNanos) >= slots(best)) {
+    if (late && best.load(nowNanos) >= ServerCosts.slots(best)) {
       // Late requests must not take the places of those that can be answered in time.
       return new Selection.AllBusy();
     }
@@ -303,7 +314,7 @@
         fullyCached || best == home ? Selection.Reason.HOME : Selection.Reason.SPILL,
         Optional.of(cacheDirectives(request, best, cached, available, nowNanos)),
         prompt.tokens() - cached.on(best),
-        Math.round(bestCost) + ownTokens,
+        Math.round(bestBacklog) + ownTokens,
         late);
   }
 
@@ -326,16 +337,6 @@
         salt, weights, fetchFrom, prefixStore.tryStartSave(prompt, salt, nowNanos));
   }
 
-  /** Returns the cost of the work queued on a server before a new prompt, in tokens read. */
-  private double waitCost(Backend server, long nowNanos) {
-    double unread = server.unreadTokens(meanPromptTokens, nowNanos);
-    double runningRequests = server.load(nowNanos) * settings.runningRequestCostTokens();
-    boolean local = server.entry().dataCentre().equals(settings.dataCentre());
-    double remote =
-        settings.remoteCostTokens() + (allPeersReporting ? 0 : settings.unknownLoadCostTokens());
-    return unread + runningRequests + (local ? 0 : remote);
-  }
-
   /**
    * Returns the address from which the target can fetch the longest prefix of the prompt: another
    * server with the same weights, preferably in the data centre of the target, where transfers are
@@ -456,7 +457,7 @@
     Backend best = null;
     double bestCost = Double.MAX_VALUE;
     for (Backend server : available) {
-      double cost = plainCost(server, nowNanos);
+      double cost = costs.plainCost(server, nowNanos);
       if (cost < bestCost) {
         best = server;
         bestCost = cost;
@@ -465,23 +466,6 @@
     return new Selection.Chosen(best, Selection.Reason.LEAST_LOADED);
   }
 
-  /**
-   * Returns the share of slots in use including the new request. A server in another data centre
-   * counts as if all its slots were in use in addition.
-   */
-  private double plainCost(Backend server, long nowNanos) {
-    double used = (server.load(nowNanos) + 1) / slots(server);
-    return server.entry().dataCentre().equals(settings.dataCentre()) ? used : used + 1;
-  }
-
-  private static boolean isFull(Backend server, long nowNanos) {
-    return server.load(nowNanos) >= MAX_LOAD_PER_SLOT * slots(server);
-  }
-
-  private static int slots(Backend server) {
-    return server.slots() > 0 ? server.slots() : DEFAULT_SLOTS;
-  }
-
   private static List<Backend> excludingTried(List<Backend> servers, Set<String> triedServers) {
     if (triedServers.isEmpty()) {
       return servers;
--- a/core/src/main/java/org/pollenrock/core/fleet/Backend.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Backend.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import org.pollenrock.core.placement.RendezvousHash;
+import org.pollenrock.core.speed.ServerSpeed;
 
 /**
  * State that this instance keeps for one incarnation of a backend server: load, reachability,
@@ -51,6 +52,7 @@
   private long probeDueNanos;
   private final FailureRate failureRate;
   private final ServerPace pace = new ServerPace();
+  private final ServerSpeed speed;
   private long lastTrialNanos = Long.MIN_VALUE;
 
   /**
@@ -78,6 +80,7 @@
     this.lastReceivedNanos = nowNanos;
     this.loadEstimate = new LoadEstimate(nowNanos);
     this.failureRate = new FailureRate(nowNanos);
+    this.speed = new ServerSpeed(nowNanos);
     weightsVersions.putAll(entry.weightsVersions());
   }
 
@@ -349,12 +352,13 @@
   }
 
   /**
-   * Discards work reported by instances that have not repeated their report in time.
+   * Discards work and speeds reported by instances that have not repeated their report in time.
    *
    * @param nowNanos current time
    */
-  public void expirePeerWork(long nowNanos) {
+  public void expirePeerReports(long nowNanos) {
     loadEstimate.peerWork().expire(nowNanos);
+    speed.refresh(nowNanos);
   }
 
   /**
@@ -453,6 +457,15 @@
     return pace;
   }
 
+  /**
+   * Returns how fast the server was measured to work.
+   *
+   * @return the speed
+   */
+  public ServerSpeed speed() {
+    return speed;
+  }
+
   /**
    * Returns the hash of the server's identifier, for rendezvous hashing.
    *
--- a/core/src/test/java/org/pollenrock/core/fleet/BackendTest.java
+++ b/core/src/test/java/org/pollenrock/core/fleet/BackendTest.java
@@ -74,7 +74,7 @@
     backend.applyPeerWork(1, 2, 4_000, 500 * MILLI);
     assertThat(backend.load(500 * MILLI)).isEqualTo(4);
     assertThat(backend.unreadTokens(0, 500 * MILLI)).isEqualTo(5_100);
-    backend.expirePeerWork(1_200 * MILLI);
+    backend.expirePeerReports(1_200 * MILLI);
     assertThat(backend.unreadTokens(0, 1_200 * MILLI)).isEqualTo(4_100);
     backend.applyPeerWork(1, 0, 0, 1_300 * MILLI);
     assertThat(backend.load(1_300 * MILLI)).isEqualTo(1);
--- a/gateway/src/main/java/org/pollenrock/gateway/FleetGauges.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/FleetGauges.java
@@ -26,6 +26,14 @@
         "pollenrock_servers_rate_limited",
         "Backend servers that name a limit of requests",
         rateLimits::limitedServerCount);
+    metrics.registerGauge(
+        "pollenrock_servers_slow",
+        "Backend servers that were measured to be slower than usual",
+        () -> fleet.all().stream().filter(server -> server.speed().factor() > 1).count());
+    metrics.registerGauge(
+        "pollenrock_servers_parallel_limited",
+        "Backend servers that do no more work from a number of requests below their slots on",
+        () -> fleet.all().stream().filter(server -> server.speed().limit().isPresent()).count());
     metrics.registerGauge(
         "pollenrock_engines_behind",
         "Engines whose weights are older than the named ones",
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -99,6 +99,8 @@
             settings.retryAllowance(),
             System.nanoTime());
     gossip = createGossip(settings);
+    ServerSpeedTask serverSpeeds = new ServerSpeedTask(selector.speedMeter(), fleet, log);
+    gossip.addPart(serverSpeeds);
     quarantineTask.addListener(gossip.quarantineGossip());
     HeadCheck headCheck = new HeadCheck(serverProtocol.identifyingHeaders());
     connectionPools =
@@ -130,6 +132,7 @@
             reachability,
             rateLimits,
             loadReports,
+            serverSpeeds,
             serverGate,
             loopMonitor,
             () -> refusingRequests);
@@ -480,7 +483,7 @@
     if (++sweepCount % SWEEPS_PER_CONNECTION_SWEEP == 0) {
       callerListener.sweep();
       connectionPools.sweep(fleet.all());
-      fleet.all().forEach(backend -> backend.expirePeerWork(now));
+      fleet.all().forEach(backend -> backend.expirePeerReports(now));
       rateLimits.sweep(now);
       controlClient.sweep();
     }
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
@@ -28,6 +28,7 @@
  * @param reachability detects which servers are missing
  * @param rateLimits request rates that servers have named
  * @param loadReports records the load that servers report
+ * @param serverSpeeds measures the speed of servers
  * @param serverGate keeps sends from servers that want none
  * @param loopMonitor delays work while the event loop is late
  * @param refusingRequests whether new requests are refused
@@ -50,6 +51,7 @@
     ReachabilityMonitor reachability,
     RateLimitTask rateLimits,
     LoadReports loadReports,
+    ServerSpeedTask serverSpeeds,
     ServerGate serverGate,
     LoopMonitor loopMonitor,
     BooleanSupplier refusingRequests) {}
--- a/gateway/src/main/java/org/pollenrock/gateway/RequestLog.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/RequestLog.java
@@ -71,6 +71,7 @@
         .with("sends", handling.sendCount())
         .with("server", choice.map(chosen -> chosen.backend().entry().id()).orElse(null))
         .with("placement", choice.map(chosen -> chosen.reason().name()).orElse(null))
+        .with("time_percent", timePercent(choice))
         .with("fetched_from", choice.flatMap(Selection.Chosen::fetchFrom).orElse(null))
         .with("deferred", choice.filter(Selection.Chosen::deferred).map(yes -> "true").orElse(null))
         .with(
@@ -88,6 +89,15 @@
         .write();
   }
 
+  /** Returns the measured time of the server relative to the usual one; null if it is usual. */
+  private static String timePercent(Optional<Selection.Chosen> choice) {
+    return choice
+        .map(chosen -> chosen.backend().speed().factor())
+        .filter(factor -> factor != 1)
+        .map(factor -> Long.toString(Math.round(factor * 100)))
+        .orElse(null);
+  }
+
   private static long weightsVersion(
       CallerRequestMetadata metadata, Optional<Selection.Chosen> choice) {
     if (choice.isEmpty() || metadata.prompt().isEmpty()) {
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -46,6 +46,8 @@
   private boolean closed;
   private boolean sent;
   private long sentNanos;
+  private double loadAtSend;
+  private long responseStartNanos;
   private boolean responseStarted;
   private long refusalBytes;
 
@@ -149,6 +151,7 @@
     connection = opened;
     sent = true;
     sentNanos = System.nanoTime();
+    loadAtSend = request.prompt().isEmpty() ? backend.load(sentNanos) : 0;
     if (route.isRepeatable()) {
       silenceCheck.start();
     }
@@ -235,6 +238,7 @@
         && !closed
         && (mode == ResponseMode.STREAM || mode == ResponseMode.PLAIN)) {
       responseStarted = true;
+      responseStartNanos = now;
       backend.recordResponseStart(unreadTokens);
       components.selector().lateness().recordResponse(request, choice, now - sentNanos);
       dispatchWaiting();
@@ -318,6 +322,7 @@
     boolean success = responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
     if (success) {
       components.dispatcher().recordCompletion(request, System.nanoTime());
+      recordSpeed(System.nanoTime());
     }
     if (success && request.prompt().isPresent()) {
       components
@@ -326,6 +331,14 @@
     }
   }
 
+  private void recordSpeed(long now) {
+    if (request.prompt().isEmpty() && mode == ResponseMode.PLAIN) {
+      components.serverSpeeds().recordPlain(backend, loadAtSend, now - sentNanos, now);
+    } else if (request.prompt().isPresent() && mode == ResponseMode.STREAM) {
+      components.serverSpeeds().recordPrompt(choice, responseStartNanos - sentNanos, now);
+    }
+  }
+
   /** Records that the response ended before it was complete. */
   void recordIncomplete() {
     if (endsWithConnection) {
--- a/gateway/src/main/java/org/pollenrock/gateway/StatePages.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/StatePages.java
@@ -66,6 +66,9 @@
     json.writeNumberField("in_flight", backend.inFlightCount());
     json.writeNumberField("load", backend.load(now));
     json.writeNumberField("slots", backend.slots());
+    json.writeNumberField("time_percent", Math.round(backend.speed().factor() * 100));
+    json.writeNumberField("parallel_limit", backend.speed().limit().orElse(0));
+    json.writeNumberField("pace_percent", backend.pace().newestPercent().orElse(0));
     json.writeNumberField("silent_ms", backend.silentNanos(now) / 1_000_000);
     json.writeNumberField("failure_rate", backend.failureRate(now));
     json.writeBooleanField("paused", backend.isPaused(now));
