--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -100,6 +100,8 @@
             System.nanoTime());
     gossip = createGossip(settings);
     gossip.addPart(new WaitingNews(dispatcher.queues()));
+    ServerSpeedTask serverSpeeds = new ServerSpeedTask(selector.speedMeter(), fleet, log);
+    gossip.addPart(serverSpeeds);
     quarantineTask.addListener(gossip.quarantineGossip());
     HeadCheck headCheck = new HeadCheck(serverProtocol.identifyingHeaders());
     connectionPools =
@@ -131,6 +133,7 @@
             reachability,
             rateLimits,
             loadReports,
+            serverSpeeds,
             serverGate,
             loopMonitor,
             () -> refusingRequests);
@@ -481,7 +484,7 @@
     if (++sweepCount % SWEEPS_PER_CONNECTION_SWEEP == 0) {
       callerListener.sweep();
       connectionPools.sweep(fleet.all());
-      fleet.all().forEach(backend -> backend.expirePeerWork(now));
+      fleet.all().forEach(backend -> backend.expirePeerReports(now));
       rateLimits.sweep(now);
       controlClient.sweep();
     }
