Plan loads of weights against the load, and tell all instances of them

Cause: the rollout let 0.4 of the engines load at once whatever waited, an engine went on with the next version before others with older weights, and instances learned of a load by one datagram without a time: the pause of 0.45 s ended before a load of 1.3 s did. Engines with a version that was no longer the newest were not announced at all. An engine that was full counted as loading at all instances. Change: RolloutPace takes the slots that the load leaves unused and the time left until old weights are avoided, learns the duration of loads, and lowers the number when loads slow each other down. An engine is announced with its expected time before its order and gets the order when it has begun its requests, after 0.4 s at the latest; it is filled again over 0.5 s. The holder repeats which engines load, which have loaded and the newest versions, also to instances without the store, which date them no later than they were and order nothing because of them. A refusal by an engine with a queue counts as full.

--- a/core/src/main/java/org/pollenrock/core/fleet/Backend.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Backend.java
@@ -170,6 +170,22 @@
     }
   }
 
+  /**
+   * Records the version of the weights like {@link #recordWeightsVersion(String, long)}. A server
+   * whose pause for loading weights ends is filled again step by step.
+   *
+   * @param model the model
+   * @param version the version
+   * @param nowNanos current time
+   */
+  public void recordWeightsVersion(String model, long version, long nowNanos) {
+    boolean loading = loadingPause.isActive(nowNanos);
+    recordWeightsVersion(model, version);
+    if (loading && !loadingPause.isActive(nowNanos)) {
+      loadingPause.beginRefill(nowNanos);
+    }
+  }
+
   /**
    * Discards the known version of the server's weights, because a response showed it to be wrong.
    *
@@ -310,7 +326,9 @@
    * @return the estimate, in requests
    */
   public double load(long nowNanos) {
-    return inFlightCount + loadEstimate.requests(nowNanos);
+    return inFlightCount
+        + loadEstimate.requests(nowNanos)
+        + loadingPause.refillShare(nowNanos) * slots;
   }
 
   /**
@@ -442,6 +460,15 @@
     return notices;
   }
 
+  /**
+   * Returns the pause of a server that loads weights.
+   *
+   * @return the pause
+   */
+  public LoadingPause loadingPause() {
+    return loadingPause;
+  }
+
   /**
    * Returns the hash of the server's identifier, for rendezvous hashing.
    *
--- a/core/src/main/java/org/pollenrock/core/weights/WeightsRollout.java
+++ b/core/src/main/java/org/pollenrock/core/weights/WeightsRollout.java
@@ -7,23 +7,22 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.pollenrock.core.fleet.Backend;
 
 /**
- * Updates engines to the target versions of their weights. Only a share of the engines load at the
- * same time; those with the oldest weights are updated first, and among them the least loaded ones.
+ * Updates engines to the target versions of their weights. How many load at the same time follows
+ * from the load and from the time left, as {@link RolloutPace} decides; those with the oldest
+ * weights are updated first, and among them the least loaded ones.
+ *
+ * <p>An engine refuses the requests that it has not begun to run when it accepts an order. It gets
+ * no new requests for a short time before, in which it begins those that it has.
  *
  * <p>An order carries the number of orders that the engine had accepted before, so that an order
  * which arrives after a newer one has no effect. The state of an engine is derived only from its
  * reports and answers.
  */
 public final class WeightsRollout {
-  /**
-   * Maximum share of the engines that load weights at the same time, while the others serve the
-   * load.
-   */
-  private static final double MAX_LOADING_SHARE = 0.4;
-
   /**
    * Interval between reads of the report of an engine that loads weights; close to the age of
    * reports.
@@ -37,11 +36,32 @@
   private static final long ORDER_CONFIRMATION_NANOS = 700_000_000L;
 
   /**
-   * Time after which an update that has not finished no longer counts towards the maximum share.
+   * Time after which an update that has not finished no longer counts towards the maximum number,
+   * and its engine is no longer announced.
    */
   private static final long LOAD_TIMEOUT_NANOS = 4_000_000_000L;
 
+  /**
+   * Minimum time without new requests before an order to an engine with requests; requests of
+   * instances that do not report their work here may be under way.
+   */
+  private static final long MIN_EMPTYING_NANOS = 100_000_000L;
+
+  /** Maximum time without new requests before an order. */
+  private static final long MAX_EMPTYING_NANOS = 400_000_000L;
+
+  /** Load below which an engine counts as idle, in requests. */
+  private static final double IDLE_LOAD = 0.5;
+
+  /** Number of times that an engine with new weights is announced; datagrams may be lost. */
+  private static final int LOADED_ANNOUNCEMENTS = 3;
+
   private final Map<Backend, EngineUpdate> updates = new HashMap<>();
+  private final Map<RolloutNews.Loaded, Integer> loadedAnnouncements = new HashMap<>();
+  private final RolloutPace pace = new RolloutPace();
+  private Set<String> waitingServices = Set.of();
+  private boolean newsPending;
+  private long nextNewsNanos = Long.MIN_VALUE;
 
   /** Creates a rollout without updates in progress. */
   public WeightsRollout() {}
@@ -83,8 +103,9 @@
       OptionalLong fencingNumber,
       long nowNanos) {
     updates.keySet().retainAll(backends);
-    updates.keySet().removeIf(backend -> outdatedModel(backend, targets) == null);
+    finishUpdates(targets, nowNanos);
     if (fencingNumber.isEmpty()) {
+      updates.values().removeIf(update -> !update.isOrdered());
       return List.of();
     }
     List<RolloutStep> steps = new ArrayList<>();
@@ -100,6 +121,53 @@
     return steps;
   }
 
+  /**
+   * Sets the services for whose engines requests wait at this instance.
+   *
+   * @param services names of the services
+   */
+  public void setWaitingServices(Collection<String> services) {
+    waitingServices = Set.copyOf(services);
+  }
+
+  /**
+   * Returns whether there are neither updates in progress nor engines to be announced.
+   *
+   * @return whether nothing has to be done unless an engine has older weights than its target
+   */
+  public boolean isIdle() {
+    return updates.isEmpty() && loadedAnnouncements.isEmpty();
+  }
+
+  /**
+   * Returns what is to be announced now: at once if an engine is about to load or has loaded, and
+   * repeatedly since announcements may be lost.
+   *
+   * @param intervalNanos time between two announcements of the same
+   * @param nowNanos current time
+   * @return the engines to announce
+   */
+  public RolloutNews takeNews(long intervalNanos, long nowNanos) {
+    if (!newsPending && nowNanos < nextNewsNanos) {
+      return new RolloutNews(List.of(), List.of());
+    }
+    newsPending = false;
+    nextNewsNanos = nowNanos + intervalNanos;
+    List<RolloutNews.Loading> loading = new ArrayList<>();
+    updates.forEach(
+        (backend, update) -> {
+          if (update.isAway(nowNanos)) {
+            long expected = update.emptyingNanos + MAX_EMPTYING_NANOS + pace.expectedLoadNanos();
+            long remaining = Math.max(expected - nowNanos, 2 * intervalNanos);
+            loading.add(new RolloutNews.Loading(backend, remaining));
+          }
+        });
+    List<RolloutNews.Loaded> loaded = List.copyOf(loadedAnnouncements.keySet());
+    loadedAnnouncements.replaceAll((engine, left) -> left - 1);
+    loadedAnnouncements.values().removeIf(left -> left == 0);
+    return new RolloutNews(loading, loaded);
+  }
+
   /**
    * Records the report of an engine.
    *
@@ -108,7 +176,9 @@
    * @param nowNanos current time
    */
   public void recordReport(Backend backend, EngineReport report, long nowNanos) {
-    report.weights().forEach(backend::recordWeightsVersion);
+    report
+        .weights()
+        .forEach((model, version) -> backend.recordWeightsVersion(model, version, nowNanos));
     EngineUpdate update = updates.get(backend);
     if (update == null) {
       return;
@@ -149,34 +219,95 @@
     update.report = null;
     update.nextReadNanos = nowNanos + REPORT_INTERVAL_NANOS;
     switch (answer) {
-      case HOLDS -> order.backend().recordWeightsVersion(order.model(), order.version());
+      case HOLDS -> order.backend().recordWeightsVersion(order.model(), order.version(), nowNanos);
       case CONFLICT, INVALID, FENCED, MISPLACED -> update.orderNanos = Long.MIN_VALUE;
       case ACCEPTED, UNKNOWN -> update.orderNanos = nowNanos;
       default -> throw new IllegalStateException("unexpected answer to a load order: " + answer);
     }
   }
 
-  private void startUpdates(Collection<Backend> backends, WeightsTargets targets, long nowNanos) {
-    int engines = 0;
-    List<Backend> outdatedEngines = new ArrayList<>();
-    for (Backend backend : backends) {
-      if (backend.entry().weightsVersions().isEmpty()) {
-        continue;
-      }
-      engines++;
-      if (outdatedModel(backend, targets) != null && !updates.containsKey(backend)) {
-        outdatedEngines.add(backend);
-      }
+  /** Ends the updates of engines that have newer weights than before or left. */
+  private void finishUpdates(WeightsTargets targets, long nowNanos) {
+    int loading = (int) updates.values().stream().filter(EngineUpdate::isOrdered).count();
+    updates
+        .entrySet()
+        .removeIf(
+            entry -> {
+              Backend backend = entry.getKey();
+              EngineUpdate update = entry.getValue();
+              long version = backend.weightsVersion(update.model).orElse(update.version);
+              if (version <= update.version) {
+                return backend.notices().isLeaving() || outdatedModel(backend, targets) == null;
+              }
+              recordLoaded(backend, update, version, loading, nowNanos);
+              return true;
+            });
+  }
+
+  private void recordLoaded(
+      Backend backend, EngineUpdate update, long version, int loading, long nowNanos) {
+    loadedAnnouncements.put(
+        new RolloutNews.Loaded(backend, update.model, version), LOADED_ANNOUNCEMENTS);
+    newsPending = true;
+    if (update.isOrdered() && nowNanos - update.startNanos < LOAD_TIMEOUT_NANOS) {
+      pace.recordLoad(nowNanos - update.orderNanos, Math.max(loading, update.concurrent));
     }
+  }
+
+  private void startUpdates(Collection<Backend> backends, WeightsTargets targets, long nowNanos) {
+    List<Backend> engines =
+        backends.stream().filter(backend -> !backend.entry().weightsVersions().isEmpty()).toList();
+    List<Backend> outdated = new ArrayList<>(engines);
+    outdated.removeIf(backend -> outdatedModel(backend, targets) == null);
     int capacity =
-        Math.max(1, (int) Math.ceil(engines * MAX_LOADING_SHARE)) - countRunningUpdates(nowNanos);
-    outdatedEngines.sort(
+        pace.maxLoading(
+                engines.size(),
+                spareEngines(engines, nowNanos),
+                remainingNanos(outdated, targets, nowNanos),
+                MAX_EMPTYING_NANOS)
+            - countRunningUpdates(nowNanos);
+    if (capacity <= 0) {
+      return;
+    }
+    outdated.removeIf(updates::containsKey);
+    outdated.sort(
         Comparator.comparingLong((Backend backend) -> outdatedVersion(backend, targets))
             .thenComparingDouble(backend -> backend.load(nowNanos)));
-    for (Backend backend :
-        outdatedEngines.subList(0, Math.clamp(capacity, 0, outdatedEngines.size()))) {
-      updates.put(backend, new EngineUpdate(nowNanos));
+    for (Backend backend : outdated.subList(0, Math.min(capacity, outdated.size()))) {
+      updates.put(
+          backend,
+          new EngineUpdate(
+              outdatedModel(backend, targets), outdatedVersion(backend, targets), nowNanos));
+    }
+  }
+
+  /** Returns the number of engines whose slots the present load does not need; 0 if any waits. */
+  private double spareEngines(List<Backend> engines, long nowNanos) {
+    double needed = 0;
+    for (Backend engine : engines) {
+      if (waitingServices.contains(engine.entry().service())) {
+        return 0;
+      }
+      if (engine.slots() > 0) {
+        needed += engine.load(nowNanos) / engine.slots();
+      }
     }
+    return Math.max(0, engines.size() - needed);
+  }
+
+  /** Returns the times left until engines are avoided for their old weights, in ascending order. */
+  private static long[] remainingNanos(
+      List<Backend> outdated, WeightsTargets targets, long nowNanos) {
+    return outdated.stream()
+        .mapToLong(
+            backend ->
+                targets
+                        .replacedFromNanos(
+                            outdatedModel(backend, targets), outdatedVersion(backend, targets))
+                        .orElse(nowNanos)
+                    - nowNanos)
+        .sorted()
+        .toArray();
   }
 
   private static long outdatedVersion(Backend backend, WeightsTargets targets) {
@@ -191,7 +322,7 @@
   }
 
   /** Returns the next step of an update; null if there is none at present. */
-  private static RolloutStep nextStep(
+  private RolloutStep nextStep(
       Backend backend,
       EngineUpdate update,
       WeightsTargets targets,
@@ -200,9 +331,8 @@
     if (update.callPending || !backend.notices().permitsRequest(nowNanos)) {
       return null;
     }
-    boolean orderSent = update.orderNanos != Long.MIN_VALUE;
     boolean orderUnconfirmed =
-        orderSent && update.reportNanos - update.orderNanos < ORDER_CONFIRMATION_NANOS;
+        update.isOrdered() && update.reportNanos - update.orderNanos < ORDER_CONFIRMATION_NANOS;
     if (update.report == null || update.report.busy() || orderUnconfirmed) {
       if (nowNanos < update.nextReadNanos) {
         return null;
@@ -210,17 +340,31 @@
       update.callPending = true;
       return new RolloutStep.ReadReport(backend);
     }
+    if (update.emptyingNanos == Long.MIN_VALUE) {
+      update.emptyingNanos = nowNanos;
+      newsPending = true;
+    }
+    if (!isEmptied(backend, nowNanos - update.emptyingNanos, nowNanos)) {
+      return null;
+    }
     update.callPending = true;
-    String model = outdatedModel(backend, targets);
+    update.concurrent = 1 + (int) updates.values().stream().filter(EngineUpdate::isOrdered).count();
     return new RolloutStep.SendOrder(
         new LoadOrder(
             backend,
-            model,
-            targets.newestVersion(model).orElseThrow(),
+            update.model,
+            targets.newestVersion(update.model).orElseThrow(),
             update.report.acceptedOrders(),
             fencingNumber));
   }
 
+  /** Returns whether an engine without new requests has begun to run those that it has. */
+  private static boolean isEmptied(Backend backend, long emptyingNanos, long nowNanos) {
+    return emptyingNanos >= MAX_EMPTYING_NANOS
+        || backend.load(nowNanos) < IDLE_LOAD
+        || emptyingNanos >= MIN_EMPTYING_NANOS && backend.unreadTokens(1, nowNanos) < 1;
+  }
+
   /** Returns a model whose weights on the server are outdated; null if there is none. */
   private static String outdatedModel(Backend backend, WeightsTargets targets) {
     if (backend.notices().isLeaving()) {
@@ -237,17 +381,33 @@
 
   /** Progress of the update of one engine. */
   private static final class EngineUpdate {
+    private final String model;
+    private final long version;
     private final long startNanos;
     private boolean callPending;
     private long nextReadNanos;
     private EngineReport report;
     private long reportNanos;
+    private long emptyingNanos = Long.MIN_VALUE;
     private long orderNanos = Long.MIN_VALUE;
+    private int concurrent;
 
-    private EngineUpdate(long nowNanos) {
+    private EngineUpdate(String model, long version, long nowNanos) {
+      this.model = model;
+      this.version = version;
       startNanos = nowNanos;
       nextReadNanos = nowNanos;
       reportNanos = nowNanos;
     }
+
+    /** Returns whether an order was sent that the engine may have accepted. */
+    private boolean isOrdered() {
+      return orderNanos != Long.MIN_VALUE;
+    }
+
+    /** Returns whether the engine should get no requests. */
+    private boolean isAway(long nowNanos) {
+      return emptyingNanos != Long.MIN_VALUE && nowNanos - startNanos < LOAD_TIMEOUT_NANOS;
+    }
   }
 }
--- a/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
+++ b/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
@@ -45,6 +45,9 @@
   private boolean logUnavailable;
   private final Map<String, List<TargetVersion>> versionsByModel = new HashMap<>();
 
+  /** Newest versions that this instance itself has read from the log. */
+  private final Map<String, Long> readVersions = new HashMap<>();
+
   /**
    * Creates targets without any version.
    *
@@ -55,17 +58,41 @@
   }
 
   /**
-   * Records a published version.
+   * Records a published version that this instance has read.
    *
    * @param model name of the model
    * @param version the version
    * @param maxAgeNanos longest time for which the version may have been published; large if this
    *     instance read late; empty if unknown
    * @param nowNanos current time
-   * @return whether the version is newer than the known ones
+   * @return whether the version is newer than those read before
    */
   public boolean recordVersion(
       String model, long version, OptionalLong maxAgeNanos, long nowNanos) {
+    Long read = readVersions.get(model);
+    if (read != null && read >= version) {
+      return false;
+    }
+    readVersions.put(model, version);
+    addVersion(model, version, maxAgeNanos, nowNanos);
+    return true;
+  }
+
+  /**
+   * Applies a version that another instance has read. Requests follow it, but this instance orders
+   * no engine to load it before it has read the version itself.
+   *
+   * @param model name of the model
+   * @param version the version
+   * @param maxAgeNanos longest time for which the version may have been published
+   * @param nowNanos current time
+   * @return whether the version is newer than the known ones
+   */
+  public boolean applyPeerVersion(String model, long version, long maxAgeNanos, long nowNanos) {
+    return addVersion(model, version, OptionalLong.of(maxAgeNanos), nowNanos);
+  }
+
+  private boolean addVersion(String model, long version, OptionalLong maxAgeNanos, long nowNanos) {
     List<TargetVersion> targets =
         versionsByModel.computeIfAbsent(model, added -> new ArrayList<>());
     if (!targets.isEmpty() && targets.getLast().version() >= version) {
@@ -154,25 +181,51 @@
   }
 
   /**
-   * Returns the newest version of a model.
+   * Returns the newest version of a model that this instance has read.
    *
    * @param model name of the model
    * @return the version, if one was published
    */
   public OptionalLong newestVersion(String model) {
-    List<TargetVersion> targets = versionsByModel.get(model);
-    return targets == null ? OptionalLong.empty() : OptionalLong.of(targets.getLast().version());
+    Long read = readVersions.get(model);
+    return read == null ? OptionalLong.empty() : OptionalLong.of(read);
   }
 
   /**
-   * Returns the newest versions of all models.
+   * Returns the newest versions of all models that this instance has read.
    *
    * @return newest versions by model
    */
   public Map<String, Long> newestVersions() {
-    Map<String, Long> newest = new HashMap<>();
-    versionsByModel.forEach((model, targets) -> newest.put(model, targets.getLast().version()));
-    return newest;
+    return Map.copyOf(readVersions);
+  }
+
+  /**
+   * Returns the age from which on the time until the newest version is mandatory counts.
+   *
+   * @param model name of the model
+   * @param nowNanos current time
+   * @return the age in nanoseconds; empty if no version was published
+   */
+  public OptionalLong maxAgeNanos(String model, long nowNanos) {
+    List<TargetVersion> targets = versionsByModel.get(model);
+    return targets == null
+        ? OptionalLong.empty()
+        : OptionalLong.of(nowNanos + mandatoryDelayNanos - targets.getLast().mandatoryFromNanos());
+  }
+
+  /**
+   * Returns the time from which a server is used only as a fallback because of its old weights.
+   *
+   * @param model name of the model
+   * @param loadedVersion version that the server has
+   * @return the time; empty if the version is the newest
+   */
+  public OptionalLong replacedFromNanos(String model, long loadedVersion) {
+    return versionsByModel.getOrDefault(model, List.of()).stream()
+        .filter(target -> target.version() > loadedVersion)
+        .mapToLong(TargetVersion::fallbackOnlyFromNanos)
+        .min();
   }
 
   private TargetVersion targetVersion(long version, long publishedNanos) {
--- a/gateway/src/main/java/org/pollenrock/gateway/FleetNewsApplier.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/FleetNewsApplier.java
@@ -5,8 +5,6 @@
 import org.pollenrock.core.dispatch.PrefixStoreView;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
-import org.pollenrock.protocol.generated.EngineLoading;
-import org.pollenrock.protocol.generated.EngineWeights;
 import org.pollenrock.protocol.generated.FleetNews;
 import org.pollenrock.protocol.generated.PrefixRead;
 import org.pollenrock.protocol.generated.ServerOutcomes;
@@ -48,15 +46,6 @@
     }
     applyCacheNews(message, now);
     rateLimits.apply(message, now);
-    for (EngineLoading loading : message.getLoadingList()) {
-      fleet.findByIdHash(loading.getServer()).ifPresent(backend -> backend.recordLoading(now));
-    }
-    for (EngineWeights weights : message.getWeightsList()) {
-      fleet
-          .findByIdHash(weights.getServer())
-          .ifPresent(
-              backend -> backend.recordWeightsVersion(weights.getModel(), weights.getVersion()));
-    }
   }
 
   private void applyCacheNews(FleetNews message, long now) {
--- a/gateway/src/main/java/org/pollenrock/gateway/OrderTask.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/OrderTask.java
@@ -1,5 +1,6 @@
 package org.pollenrock.gateway;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.pollenrock.core.fleet.Backend;
@@ -10,6 +11,7 @@
 import org.pollenrock.core.weights.OrderAnswer;
 import org.pollenrock.core.weights.OrderClaim;
 import org.pollenrock.core.weights.OrderLease;
+import org.pollenrock.core.weights.RolloutNews;
 import org.pollenrock.core.weights.RolloutStep;
 import org.pollenrock.core.weights.WeightsRollout;
 
@@ -32,6 +34,7 @@
   private final EngineControl engines;
   private final EventLog log;
   private final GatewayMetrics metrics;
+  private final RolloutGossip gossip;
   private final WeightsRollout rollout = new WeightsRollout();
   private boolean leaseHeld;
 
@@ -58,6 +61,7 @@
     this.engines = engines;
     this.log = log;
     this.metrics = metrics;
+    gossip = new RolloutGossip(gateway, log);
   }
 
   /** Starts to run the task with every sweep of the gateway. */
@@ -65,6 +69,7 @@
     // The lease is timed with the monotonic clock, so it would outlast its validity.
     gateway.addSuspensionListener(suspended -> lease.requireRenewal());
     gateway.addSweepTask(this::advance);
+    gossip.start();
   }
 
   /**
@@ -86,7 +91,7 @@
       case LeaseStep.AppendClaim(long logEnd, OrderClaim claim) ->
           claims.append(logEnd, claim, offset -> handleClaimAppended(claim, offset));
     }
-    if (!hasWork) {
+    if (!hasWork && rollout.isIdle()) {
       return;
     }
     OptionalLong fencingNumber = lease.fencingNumber(now);
@@ -96,10 +101,28 @@
           .with("fence", fencingNumber.orElse(0))
           .write();
     }
-    for (RolloutStep step :
-        rollout.nextSteps(gateway.fleet().all(), gateway.weightsTargets(), fencingNumber, now)) {
-      execute(step);
+    rollout.setWaitingServices(gateway.dispatcher().servicesWithWaitingRequests());
+    List<RolloutStep> steps =
+        rollout.nextSteps(gateway.fleet().all(), gateway.weightsTargets(), fencingNumber, now);
+    // No instance should send requests to an engine when it receives an order.
+    announce(rollout.takeNews(gossip.intervalNanos(), now), now);
+    steps.forEach(this::execute);
+  }
+
+  private void announce(RolloutNews news, long now) {
+    if (news.isEmpty()) {
+      return;
     }
+    for (RolloutNews.Loading engine : news.loading()) {
+      if (engine.backend().loadingPause().begin(engine.remainingNanos(), now)) {
+        log.line("engine_paused")
+            .with("server", engine.backend().entry().id())
+            .with("for_ms", engine.remainingNanos() / 1_000_000)
+            .with("load", Math.round(engine.backend().load(now)))
+            .write();
+      }
+    }
+    gossip.announce(news, now);
   }
 
   /**
@@ -150,8 +173,6 @@
             .with("orders_before", order.expectedOrderCount())
             .with("fence", order.fencingNumber())
             .write();
-        order.backend().recordLoading(System.nanoTime());
-        gateway.gossip().announceLoading(order.backend());
         engines.sendOrder(
             order, () -> isStillHolder(order), answer -> handleOrderAnswer(order, answer));
       }
@@ -169,22 +190,12 @@
     long now = System.nanoTime();
     if (report.isPresent()) {
       rollout.recordReport(backend, report.get(), now);
-      report
-          .get()
-          .weights()
-          .forEach((model, version) -> announceIfTargetVersion(backend, model, version));
     } else {
       rollout.recordReportFailure(backend, now);
     }
     advance();
   }
 
-  private void announceIfTargetVersion(Backend backend, String model, long version) {
-    if (gateway.weightsTargets().newestVersion(model).orElse(-1) == version) {
-      gateway.gossip().announceWeightsVersion(backend, model, version);
-    }
-  }
-
   private void handleOrderAnswer(LoadOrder order, OrderAnswer answer) {
     metrics.recordOrder(answer.name());
     log.line("order_answered")
--- a/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
@@ -26,7 +26,6 @@
 import org.pollenrock.core.placement.RendezvousHash;
 import org.pollenrock.core.quarantine.PartQuarantine;
 import org.pollenrock.protocol.generated.EngineLoading;
-import org.pollenrock.protocol.generated.EngineWeights;
 import org.pollenrock.protocol.generated.FleetNews;
 import org.pollenrock.protocol.generated.PrefixRead;
 
@@ -306,7 +305,7 @@
     schedulePrefixFlush();
   }
 
-  /** Announces that an engine is about to load weights. */
+  /** Announces that an engine loads weights, for a time that is not known. */
   void announceLoading(Backend backend) {
     EngineLoading loading = EngineLoading.newBuilder().setServer(backend.idHash()).build();
     send(FleetNews.newBuilder().addLoading(loading), peers);
@@ -317,17 +316,6 @@
     rateLimits.takeNews(nowNanos).ifPresent(message -> send(message, peers));
   }
 
-  /** Announces that an engine has a newer version of weights. */
-  void announceWeightsVersion(Backend backend, String model, long version) {
-    EngineWeights weights =
-        EngineWeights.newBuilder()
-            .setServer(backend.idHash())
-            .setModel(model)
-            .setVersion(version)
-            .build();
-    send(FleetNews.newBuilder().addWeights(weights), peers);
-  }
-
   /** Announces that a server does not respond. */
   void announceMissing(Backend backend) {
     send(FleetNews.newBuilder().addMissing(backend.idHash()), fullGossipPeers);
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -17,6 +17,7 @@
 import org.pollenrock.core.dispatch.Selection;
 import org.pollenrock.core.dispatch.SendFailure;
 import org.pollenrock.core.fleet.Backend;
+import org.pollenrock.core.fleet.LoadReport;
 import org.pollenrock.core.route.Route;
 import org.pollenrock.core.route.RouteKind;
 
@@ -48,6 +49,7 @@
   private long sentNanos;
   private boolean responseStarted;
   private long refusalBytes;
+  private Optional<LoadReport> reportedLoad = Optional.empty();
 
   /** Whether the response names the request. */
   private boolean identified;
@@ -141,6 +143,12 @@
       fail(SendFailure.NOT_SENT, "server wants no requests");
       return;
     }
+    if (backend.loadingPause().isActive(System.nanoTime())) {
+      // Another instance has told so while the connection was opened.
+      opened.returnUnused();
+      fail(SendFailure.NOT_SENT, "server loads weights");
+      return;
+    }
     if (!opened.isUsable()) {
       // The server closed the connection before anything was sent on it.
       acquireConnection();
@@ -181,7 +189,8 @@
     }
     components.serverGate().recordResponse(backend, response.status().code(), response.headers());
     sendLog.unreadableHeaders(metadata.unreadableHeaders());
-    metadata.load().ifPresent(load -> backend.recordLoad(load, now));
+    reportedLoad = metadata.load();
+    reportedLoad.ifPresent(load -> backend.recordLoad(load, now));
     boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
     if (metadata.misdirected()) {
       handleMisdirected(metadata);
@@ -371,8 +380,8 @@
   }
 
   /**
-   * Records that the server refused the request. An engine is treated as loading weights: it has
-   * room for many waiting requests, so that loading is the most likely reason to refuse one.
+   * Records that the server refused the request. An engine is treated as loading weights unless its
+   * load explains the refusal: it has room for many waiting requests.
    */
   private void handleRefusal() {
     long now = System.nanoTime();
@@ -381,7 +390,8 @@
       fail(SendFailure.REFUSED, "refused with a notice");
       return;
     }
-    if (request.prompt().isEmpty()) {
+    if (request.prompt().isEmpty()
+        || reportedLoad.filter(LoadReport::explainsRefusal).isPresent()) {
       backend.recordRefusal(now);
     } else if (backend.recordLoading(now)) {
       components.gossip().announceLoading(backend);
@@ -412,7 +422,10 @@
             prompt ->
                 metadata
                     .weightsVersion()
-                    .ifPresent(version -> backend.recordWeightsVersion(prompt.model(), version)));
+                    .ifPresent(
+                        version ->
+                            backend.recordWeightsVersion(
+                                prompt.model(), version, System.nanoTime())));
   }
 
   private void appendPlainBody(ByteBuf bytes) {
