--- a/core/src/main/java/org/pollenrock/core/fleet/LoadReport.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/LoadReport.java
@@ -24,4 +24,14 @@
   public LoadReport(int running, int waiting, int slots) {
     this(running, waiting, slots, OptionalInt.empty(), false);
   }
+
+  /**
+   * Returns whether a server that refuses a request with this load is full. A server that loads
+   * weights has refused all requests in its queue.
+   *
+   * @return true if the server is full, false if it loads weights
+   */
+  public boolean explainsRefusal() {
+    return waiting > 0;
+  }
 }
