Announce probes, so that one instance probes a silent server for the others

Cause: instances stagger their probes of a missing server by 200 ms, but a server that lets a probe wait gives no result before 0.7 to 1 s. So all instances of a data centre probed it in each round.

The instance that probes says so (field probing), and the others put their own probe off, by 0.25 s after the first report and by up to the timeout of a probe after more failures.

--- a/core/src/main/java/org/pollenrock/core/fleet/Backend.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Backend.java
@@ -23,6 +23,9 @@
   /** Delay of the first probe of an unreachable server; doubles with each further failure. */
   private static final long PROBE_BACKOFF_BASE_NANOS = 250_000_000L;
 
+  /** Doublings of the delay while another instance probes, up to the timeout of a probe. */
+  private static final int MAX_PROBE_DOUBLINGS = 2;
+
   /** Upper bound of the probe delay, so that a recovered server is detected in time. */
   private static final long PROBE_BACKOFF_MAX_NANOS = 2_000_000_000L;
 
@@ -231,6 +234,21 @@
     probeDueNanos = nowNanos;
   }
 
+  /**
+   * Applies a report of another instance on the same network that it probes the server. Delays the
+   * own probe of a missing server, so that the other instance can announce the result; the delay
+   * grows with the failures, since the fault may lie with that instance.
+   *
+   * @param nowNanos current time
+   */
+  public void applyPeerProbe(long nowNanos) {
+    long untilNanos =
+        nowNanos + (PROBE_BACKOFF_BASE_NANOS << Math.min(unreachableCount, MAX_PROBE_DOUBLINGS));
+    if (missing && untilNanos - probeDueNanos > 0) {
+      probeDueNanos = untilNanos;
+    }
+  }
+
   /**
    * Marks the server reachable, because this instance or another one on the same network received
    * bytes from it.
--- a/core/src/test/java/org/pollenrock/core/fleet/BackendTest.java
+++ b/core/src/test/java/org/pollenrock/core/fleet/BackendTest.java
@@ -133,6 +133,29 @@
     assertThat(backend.isProbeDue(1_260 * MILLI)).isTrue();
   }
 
+  /** Load pattern: all instances of a data centre probe a server that lets probes wait. */
+  @Test
+  void probeOfAnotherInstanceDelaysTheOwnOne() {
+    for (int failures = 0; failures < 4; failures++) {
+      backend.recordUnreachable(0);
+    }
+    backend.applyPeerProbe(1_950 * MILLI);
+    assertThat(backend.isProbeDue(2_900 * MILLI)).isFalse();
+    assertThat(backend.isProbeDue(2_950 * MILLI)).isTrue();
+  }
+
+  /** A wrong report must not block a live server for long if the probe gets no response either. */
+  @Test
+  void probeOfAnotherInstanceDelaysTheFirstOwnOneLittle() {
+    backend.applyPeerMissing(1_000 * MILLI);
+    backend.applyPeerProbe(1_000 * MILLI);
+    assertThat(backend.isProbeDue(1_249 * MILLI)).isFalse();
+    assertThat(backend.isProbeDue(1_250 * MILLI)).isTrue();
+    backend.markReachable();
+    backend.applyPeerProbe(1_300 * MILLI);
+    assertThat(backend.isMissing()).isFalse();
+  }
+
   /**
    * With many instances, each one sends too few requests to a server to measure its failure rate,
    * so outcomes of peers have to count.
--- a/gateway/src/main/java/org/pollenrock/gateway/FleetNewsApplier.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/FleetNewsApplier.java
@@ -84,6 +84,9 @@
     for (long server : message.getMissingList()) {
       fleet.findByIdHash(server).ifPresent(backend -> backend.applyPeerMissing(now));
     }
+    for (long server : message.getProbingList()) {
+      fleet.findByIdHash(server).ifPresent(backend -> backend.applyPeerProbe(now));
+    }
     for (long server : message.getReturnedList()) {
       fleet.findByIdHash(server).ifPresent(Backend::markReachable);
     }
--- a/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
@@ -364,6 +364,11 @@
     send(FleetNews.newBuilder().addMissing(backend.idHash()), fullGossipPeers);
   }
 
+  /** Announces that this instance probes a missing server and will announce the result. */
+  void announceProbe(Backend backend) {
+    send(FleetNews.newBuilder().addProbing(backend.idHash()), fullGossipPeers);
+  }
+
   /** Announces that a missing server responds again. */
   void announceReturned(Backend backend) {
     send(FleetNews.newBuilder().addReturned(backend.idHash()), fullGossipPeers);
--- a/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
@@ -33,7 +33,7 @@
 
   /**
    * Range of the delays by which instances stagger their probes, so that the first instance
-   * announces the result before the others send a probe.
+   * announces its probe before the others send one.
    */
   private static final long PROBE_DELAY_RANGE_NANOS = 200_000_000L;
 
@@ -263,6 +263,8 @@
   private void sendProbe(Backend backend, String path) {
     long now = System.nanoTime();
     backend.recordProbeSent(now + PROBE_TIMEOUT_MILLIS * 1_000_000);
+    // The server may let the probe wait until its timeout, which is longer than the stagger.
+    gossip.announceProbe(backend);
     rateLimits.limits().recordSend(backend, now);
     ControlClient.Call call =
         new ControlClient.Call(HttpMethod.GET, path, Map.of(), new byte[0], PROBE_TIMEOUT_MILLIS);
