Judge the outdated engines once for each step, and let repeated news end a pause

Cause: each comparison of two engines looked up their targets again, and an announcement of a load that arrives after the one of its end paused the engine once more, for up to the time announced. Change: the outdated engines are listed once with what decides about them; news that an engine has the version already known ends its pause too. Measured: tests of core/weights, LoadingPauseTest and CacheGossipTest pass.

--- a/core/src/main/java/org/pollenrock/core/fleet/LoadingPause.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/LoadingPause.java
@@ -56,7 +56,7 @@
   }
 
   /** Ends the pause, since the engine has its new weights. */
-  void end() {
+  public void end() {
     untilNanos = Long.MIN_VALUE;
     silenceToleratedUntilNanos = Math.min(silenceToleratedUntilNanos, beganNanos + DEFAULT_NANOS);
   }
--- a/core/src/main/java/org/pollenrock/core/weights/WeightsRollout.java
+++ b/core/src/main/java/org/pollenrock/core/weights/WeightsRollout.java
@@ -257,28 +257,35 @@
   private void startUpdates(Collection<Backend> backends, WeightsTargets targets, long nowNanos) {
     List<Backend> engines =
         backends.stream().filter(backend -> !backend.entry().weightsVersions().isEmpty()).toList();
-    List<Backend> outdated = new ArrayList<>(engines);
-    outdated.removeIf(backend -> outdatedModel(backend, targets) == null);
-    int capacity =
+    List<OutdatedEngine> outdated = outdatedEngines(engines, targets, nowNanos);
+    long[] remainingNanos =
+        outdated.stream().mapToLong(OutdatedEngine::remainingNanos).sorted().toArray();
+    int maxLoading =
         pace.maxLoading(
-                engines.size(),
-                spareEngines(engines, nowNanos),
-                remainingNanos(outdated, targets, nowNanos),
-                MAX_EMPTYING_NANOS)
-            - countRunningUpdates(nowNanos);
-    if (capacity <= 0) {
-      return;
-    }
-    outdated.removeIf(updates::containsKey);
+            engines.size(), spareEngines(engines, nowNanos), remainingNanos, MAX_EMPTYING_NANOS);
+    outdated.removeIf(engine -> updates.containsKey(engine.backend()));
     outdated.sort(
-        Comparator.comparingLong((Backend backend) -> outdatedVersion(backend, targets))
-            .thenComparingDouble(backend -> backend.load(nowNanos)));
-    for (Backend backend : outdated.subList(0, Math.min(capacity, outdated.size()))) {
-      updates.put(
-          backend,
-          new EngineUpdate(
-              outdatedModel(backend, targets), outdatedVersion(backend, targets), nowNanos));
+        Comparator.comparingLong(OutdatedEngine::version)
+            .thenComparingDouble(OutdatedEngine::load));
+    int started = Math.clamp(maxLoading - countRunningUpdates(nowNanos), 0, outdated.size());
+    for (OutdatedEngine engine : outdated.subList(0, started)) {
+      updates.put(engine.backend(), new EngineUpdate(engine.model(), engine.version(), nowNanos));
+    }
+  }
+
+  private static List<OutdatedEngine> outdatedEngines(
+      List<Backend> engines, WeightsTargets targets, long nowNanos) {
+    List<OutdatedEngine> outdated = new ArrayList<>();
+    for (Backend engine : engines) {
+      String model = outdatedModel(engine, targets);
+      if (model != null) {
+        long version = engine.weightsVersion(model).orElseThrow();
+        long remainingNanos = targets.replacedFromNanos(model, version).orElse(nowNanos) - nowNanos;
+        outdated.add(
+            new OutdatedEngine(engine, model, version, remainingNanos, engine.load(nowNanos)));
+      }
     }
+    return outdated;
   }
 
   /** Returns the number of engines whose slots the present load does not need; 0 if any waits. */
@@ -295,25 +302,6 @@
     return Math.max(0, engines.size() - needed);
   }
 
-  /** Returns the times left until engines are avoided for their old weights, in ascending order. */
-  private static long[] remainingNanos(
-      List<Backend> outdated, WeightsTargets targets, long nowNanos) {
-    return outdated.stream()
-        .mapToLong(
-            backend ->
-                targets
-                        .replacedFromNanos(
-                            outdatedModel(backend, targets), outdatedVersion(backend, targets))
-                        .orElse(nowNanos)
-                    - nowNanos)
-        .sorted()
-        .toArray();
-  }
-
-  private static long outdatedVersion(Backend backend, WeightsTargets targets) {
-    return backend.weightsVersion(outdatedModel(backend, targets)).orElse(0);
-  }
-
   private int countRunningUpdates(long nowNanos) {
     return (int)
         updates.values().stream()
@@ -379,6 +367,14 @@
     return null;
   }
 
+  /**
+   * Engine with weights that are older than their target.
+   *
+   * @param remainingNanos time until the engine is used only as a fallback
+   */
+  private record OutdatedEngine(
+      Backend backend, String model, long version, long remainingNanos, double load) {}
+
   /** Progress of the update of one engine. */
   private static final class EngineUpdate {
     private final String model;
--- a/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
+++ b/core/src/main/java/org/pollenrock/core/weights/WeightsTargets.java
@@ -1,6 +1,7 @@
 package org.pollenrock.core.weights;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -194,10 +195,10 @@
   /**
    * Returns the newest versions of all models that this instance has read.
    *
-   * @return newest versions by model
+   * @return read-only view of the newest versions by model
    */
   public Map<String, Long> newestVersions() {
-    return Map.copyOf(readVersions);
+    return Collections.unmodifiableMap(readVersions);
   }
 
   /**
--- a/gateway/src/main/java/org/pollenrock/gateway/RolloutGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/RolloutGossip.java
@@ -98,9 +98,7 @@
       gateway
           .fleet()
           .findByIdHash(weights.getServer())
-          .ifPresent(
-              backend ->
-                  backend.recordWeightsVersion(weights.getModel(), weights.getVersion(), nowNanos));
+          .ifPresent(backend -> applyLoaded(backend, weights, nowNanos));
     }
     // An engine with new weights that loads even newer ones stays paused.
     for (EngineLoading loading : message.getLoadingList()) {
@@ -114,6 +112,14 @@
     }
   }
 
+  private static void applyLoaded(Backend backend, EngineWeights weights, long nowNanos) {
+    backend.recordWeightsVersion(weights.getModel(), weights.getVersion(), nowNanos);
+    if (backend.weightsVersion(weights.getModel()).orElse(0) == weights.getVersion()) {
+      // An earlier announcement of the load may have arrived later.
+      backend.loadingPause().end();
+    }
+  }
+
   private static void applyLoading(Backend backend, int remainingMillis, long nowNanos) {
     if (remainingMillis > 0) {
       backend.loadingPause().begin(TimeUnit.MILLISECONDS.toNanos(remainingMillis), nowNanos);
