Keep the quotas of customers over all instances

Cause: requests were served whatever the quota of their customer; the configuration's rate, burst, unit and token count were not read.

QuotaLedger decides at each instance, by its share of the quota and by amounts that others transfer to it. Exchange charges a request before it is dispatched and answers 429 with the time after which it may be within the quota; what was not run gives its amount back. LimitEntry uses the extracted DemandRate.

Shares of a rate by ShareLedger were ruled out: a request of 12,000 tokens is several seconds of the share of one of 24 instances.

Tests: QuotaFleetTest (5,000 schedules of the bound with cuts, losses and restarts, lower limits, and the loss of customers within their quota), QuotaLedgerTest, QuotaReaderTest and RecordReadersTest pass.

--- a/core/src/main/java/org/pollenrock/core/dispatch/DispatchResult.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/DispatchResult.java
@@ -54,6 +54,8 @@
     /** All servers that could take the request have named request rates that are used up. */
     RATE_LIMITED,
     /** All servers that could take the request have asked for a pause. */
-    ON_HOLD
+    ON_HOLD,
+    /** The request exceeds the quota of its customer. */
+    QUOTA
   }
 }
--- a/core/src/main/java/org/pollenrock/core/limits/LimitEntry.java
+++ b/core/src/main/java/org/pollenrock/core/limits/LimitEntry.java
@@ -4,10 +4,6 @@
 
 /** Current use of the limits of one scope by this router. */
 final class LimitEntry {
-  /** Loans are sized by the demand of the last seconds, because older demand predicts little. */
-  private static final double DEMAND_HALF_LIFE_NANOS = 1e9;
-
-  private static final double NANOS_PER_SECOND = 1e9;
   private static final double MILLI_REQUESTS_PER_REQUEST = 1e3;
 
   private final LimitScope scope;
@@ -18,17 +14,18 @@
   private TokenBucket tokenBucket;
   private long concurrentShare;
   private long runningCount;
-  private double recentRequests;
-  private double recentTokens;
-  private double recentConcurrencyRefusals;
-  private long lastDecayNanos;
+  private final DemandRate requests;
+  private final DemandRate tokens;
+  private final DemandRate concurrencyRefusals;
 
   LimitEntry(LimitScope scope, long nowNanos) {
     this.scope = scope;
     this.requestKey = new LimitKey(scope, LimitDimension.REQUEST_RATE);
     this.concurrentKey = new LimitKey(scope, LimitDimension.CONCURRENT_REQUESTS);
     this.tokenKey = new LimitKey(scope, LimitDimension.PROMPT_TOKEN_RATE);
-    this.lastDecayNanos = nowNanos;
+    this.requests = new DemandRate(nowNanos);
+    this.tokens = new DemandRate(nowNanos);
+    this.concurrencyRefusals = new DemandRate(nowNanos);
   }
 
   LimitScope scope() {
@@ -122,38 +119,23 @@
 
   /** Adds a request, granted or refused, to the recent demand. */
   void recordDemand(long promptTokens, boolean concurrencyRefused, long nowNanos) {
-    decay(nowNanos);
-    recentRequests++;
-    recentTokens += promptTokens;
+    requests.add(1, nowNanos);
+    tokens.add(promptTokens, nowNanos);
     if (concurrencyRefused) {
-      recentConcurrencyRefusals++;
+      concurrencyRefusals.add(1, nowNanos);
     }
   }
 
   /** Returns the recent demand in the unit of the dimension. */
   long demand(LimitDimension dimension, long nowNanos) {
-    decay(nowNanos);
-    double perSecond = Math.log(2) * NANOS_PER_SECOND / DEMAND_HALF_LIFE_NANOS;
     return switch (dimension) {
       case REQUEST_RATE ->
-          (long) Math.ceil(recentRequests * perSecond * MILLI_REQUESTS_PER_REQUEST);
-      case PROMPT_TOKEN_RATE -> (long) Math.ceil(recentTokens * perSecond);
-      case CONCURRENT_REQUESTS -> runningCount + Math.round(recentConcurrencyRefusals);
+          (long) Math.ceil(requests.perSecond(nowNanos) * MILLI_REQUESTS_PER_REQUEST);
+      case PROMPT_TOKEN_RATE -> (long) Math.ceil(tokens.perSecond(nowNanos));
+      case CONCURRENT_REQUESTS -> runningCount + Math.round(concurrencyRefusals.recent(nowNanos));
     };
   }
 
-  private void decay(long nowNanos) {
-    long elapsed = nowNanos - lastDecayNanos;
-    if (elapsed <= 0) {
-      return;
-    }
-    double factor = Math.pow(0.5, elapsed / DEMAND_HALF_LIFE_NANOS);
-    recentRequests *= factor;
-    recentTokens *= factor;
-    recentConcurrencyRefusals *= factor;
-    lastDecayNanos = nowNanos;
-  }
-
   /**
    * Sets the rate and capacity of a bucket to this router's share of the limit, and creates the
    * bucket if it is null. Returns null if there is no limit.
--- a/core/src/main/java/org/pollenrock/core/route/CustomerAccess.java
+++ b/core/src/main/java/org/pollenrock/core/route/CustomerAccess.java
@@ -9,8 +9,10 @@
  * @param name name of the customer
  * @param priority priority of the customer's requests, which overrides the priority of the route
  * @param isolated whether the customer shares cached prompts with no other customer
+ * @param quota what the customer may use; empty if that is not limited
  */
-public record CustomerAccess(String name, OptionalInt priority, boolean isolated) {
+public record CustomerAccess(
+    String name, OptionalInt priority, boolean isolated, Optional<CustomerQuota> quota) {
   /**
    * Returns the scope in which prompts of a request are cached.
    *
--- a/core/src/test/java/org/pollenrock/core/route/RoutingConfigTest.java
+++ b/core/src/test/java/org/pollenrock/core/route/RoutingConfigTest.java
@@ -13,7 +13,8 @@
  * replaces a newer one.
  */
 class RoutingConfigTest {
-  private static final CustomerAccess OWNER = new CustomerAccess("owner", OptionalInt.of(3), true);
+  private static final CustomerAccess OWNER =
+      new CustomerAccess("owner", OptionalInt.of(3), true, Optional.empty());
 
   private static Route route(String prefix, boolean anonymous, WeightedService... services) {
     return new Route(
--- a/gateway/src/main/java/org/pollenrock/gateway/CallerRequestMetadata.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerRequestMetadata.java
@@ -14,6 +14,8 @@
  * @param apiKey API key of the caller
  * @param deadlineMillis time for which the caller waits for the response
  * @param prompt description of the prompt; empty for a request that is not for an engine
+ * @param tokens tokens of the prompt and the maximum output; empty if the request does not name
+ *     them readably
  * @param lastEventNumber number of the last event that the caller has received; empty when it
  *     requests the stream from its start
  * @param unreadableHeaders names of headers whose values could not be parsed; these headers are
@@ -24,6 +26,7 @@
     Optional<String> apiKey,
     OptionalLong deadlineMillis,
     Optional<Prompt> prompt,
+    OptionalLong tokens,
     OptionalLong lastEventNumber,
     List<String> unreadableHeaders) {
   /** Maximum length of the ids of parts in a log line, in characters. */
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -24,14 +24,16 @@
 import org.pollenrock.core.dispatch.SendProgress;
 import org.pollenrock.core.dispatch.SendState;
 import org.pollenrock.core.fleet.Backend;
+import org.pollenrock.core.limits.QuotaExcess;
 import org.pollenrock.core.route.CustomerAccess;
+import org.pollenrock.core.route.CustomerQuota;
 import org.pollenrock.core.route.Route;
 import org.pollenrock.core.route.RouteDecision;
 import org.pollenrock.core.route.RouteKind;
 import org.pollenrock.core.route.RoutingConfig;
 
 /** Handles a received request: routes, queues and sends it, and relays the server's response. */
-final class Exchange implements SendOwner {
+final class Exchange implements SendOwner, QuotaHold.Owner {
   /** Time after the deadline for which the exchange still waits for the response of the server. */
   private static final long DEADLINE_GRACE_MILLIS = 120;
 
@@ -51,6 +53,8 @@
   private long configVersion;
   private DispatchRequest request;
   private ScheduledFuture<?> deadlineTimer;
+  private QuotaHold quotaHold;
+  private Optional<QuotaExcess> quotaExcess = Optional.empty();
   private QueueEntry queueEntry;
   private ServerSend send;
   private Selection.Chosen choice;
@@ -289,7 +293,28 @@
         components
             .loop()
             .schedule(this::expire, limitMillis + DEADLINE_GRACE_MILLIS, TimeUnit.MILLISECONDS);
-    handleDispatch(components.dispatcher().submit(request, arrivedNanos));
+    Optional<CustomerQuota> quota = customerAccess.flatMap(CustomerAccess::quota);
+    if (quota.isEmpty()) {
+      handleDispatch(components.dispatcher().submit(request, arrivedNanos));
+      return;
+    }
+    double cost = quota.get().cost(metadata.tokens());
+    quotaHold = new QuotaHold(customerAccess.get().name(), cost, this);
+    components.quotas().admit(quotaHold);
+  }
+
+  @Override
+  public void quotaGranted() {
+    handleDispatch(components.dispatcher().submit(request, System.nanoTime()));
+  }
+
+  @Override
+  public void quotaExceeded(QuotaExcess excess) {
+    quotaExcess = Optional.of(excess);
+    components.metrics().recordQuotaRefusal(quotaHold.customer());
+    long retryAfterMillis = TimeUnit.NANOSECONDS.toMillis(excess.retryAfterNanos());
+    replyRefused(
+        HttpResponseStatus.TOO_MANY_REQUESTS, DispatchResult.Cause.QUOTA, retryAfterMillis);
   }
 
   private void handleDispatch(DispatchResult result) {
@@ -385,14 +410,23 @@
       replyFailed(HttpResponseStatus.BAD_GATEWAY, cause.name());
       return;
     }
-    components.metrics().recordRefusal(cause);
     long retryAfterMillis =
         components
             .dispatcher()
             .retryAfterMillis(Optional.ofNullable(request), cause, System.nanoTime());
+    replyRefused(HttpResponseStatus.SERVICE_UNAVAILABLE, cause, retryAfterMillis);
+  }
+
+  /** Ends the request, which has not run and never will. */
+  private void replyRefused(
+      HttpResponseStatus status, DispatchResult.Cause cause, long retryAfterMillis) {
+    components.metrics().recordRefusal(cause);
+    if (quotaHold != null) {
+      components.quotas().release(quotaHold, false);
+    }
     HttpHeaders headers = CallerConnection.emptyHeaders();
     headers.set(HttpHeaderNames.RETRY_AFTER, CallerConnection.retryAfter(retryAfterMillis));
-    reply(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, "refused", cause.name());
+    reply(status, headers, "refused", cause.name());
   }
 
   private void replyFailed(HttpResponseStatus status, String cause) {
@@ -422,6 +456,9 @@
       serverErrorResponse.body().release();
       serverErrorResponse = null;
     }
+    if (quotaHold != null) {
+      components.quotas().release(quotaHold, sendCount > 0);
+    }
     relay.release();
     body.release();
     long total = System.nanoTime() - arrivedNanos;
@@ -445,6 +482,7 @@
             customerAccess.map(CustomerAccess::name),
             Optional.ofNullable(request),
             Optional.ofNullable(choice),
+            quotaExcess,
             configVersion,
             sendCount),
         new RequestLog.Ending(
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -59,6 +59,7 @@
   private final ServerGate serverGate;
   private final ControlClient controlClient;
   private final PeerGossip gossip;
+  private final QuotaTask quotas;
   private final ReachabilityMonitor reachability;
   private final LoopMonitor loopMonitor;
   private final List<Runnable> sweepTasks = new ArrayList<>();
@@ -99,6 +100,8 @@
             settings.retryAllowance(),
             System.nanoTime());
     gossip = createGossip(settings);
+    quotas = new QuotaTask(loop, configs, gossip, settings.quotaMargins(), log);
+    gossip.addPart(quotas);
     quarantineTask.addListener(gossip.quarantineGossip());
     HeadCheck headCheck = new HeadCheck(serverProtocol.identifyingHeaders());
     connectionPools =
@@ -128,6 +131,7 @@
             gossip,
             reachability,
             rateLimits,
+            quotas,
             serverGate,
             loopMonitor,
             () -> refusingRequests);
@@ -377,6 +381,7 @@
     boolean registered = instances.stream().anyMatch(peer -> peer.id().equals(gossip.ownId()));
     dispatcher.setInstanceCount(registered ? instances.size() : UnknownInstances.ASSUMED_COUNT);
     rateLimits.updateInstances(instances);
+    quotas.updateInstances(instances);
     gossip.updatePeers(instances);
     selector.setAllPeersReporting(gossip.exchangesWithAllPeers());
   }
@@ -471,6 +476,7 @@
     reachability.sweep();
     quarantineTask.sweep(now);
     gossip.announceRates(now);
+    quotas.sweep();
     queuedExchanges.sweep();
     sweepTasks.forEach(Runnable::run);
     if (++sweepCount % SWEEPS_PER_CONNECTION_SWEEP == 0) {
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
@@ -27,6 +27,7 @@
  * @param gossip gossip with the other instances
  * @param reachability detects which servers are missing
  * @param rateLimits request rates that servers have named
+ * @param quotas quotas of customers
  * @param serverGate keeps sends from servers that want none
  * @param loopMonitor delays work while the event loop is late
  * @param refusingRequests whether new requests are refused
@@ -48,6 +49,7 @@
     PeerGossip gossip,
     ReachabilityMonitor reachability,
     RateLimitTask rateLimits,
+    QuotaTask quotas,
     ServerGate serverGate,
     LoopMonitor loopMonitor,
     BooleanSupplier refusingRequests) {}
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayMetrics.java
@@ -7,6 +7,8 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.pollenrock.core.dispatch.DispatchResult;
 import org.pollenrock.core.dispatch.Selection;
@@ -24,10 +26,16 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 16
   };
 
+  /** Maximum number of customers with time series of their own. */
+  private static final int MAX_QUOTA_CUSTOMERS = 200;
+
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final Counter requests =
       counter("pollenrock_requests", "Requests that ended", "kind", "outcome");
   private final Counter refusals = counter("pollenrock_refusals", "Requests refused", "cause");
+  private final Counter quotaRefusals =
+      counter("pollenrock_quota_refused", "Requests over the quota of their customer", "customer");
+  private final Set<String> quotaCustomers = new HashSet<>();
   private final Counter sends =
       counter("pollenrock_sends", "Requests sent to servers", "kind", "reason");
   private final Counter sendFailures =
@@ -97,6 +105,15 @@
     refusals.labelValues(cause.name()).inc();
   }
 
+  /** Counts a request over a quota; customers beyond a maximum number share one label value. */
+  void recordQuotaRefusal(String customer) {
+    boolean own = quotaCustomers.contains(customer) || quotaCustomers.size() < MAX_QUOTA_CUSTOMERS;
+    if (own) {
+      quotaCustomers.add(customer);
+    }
+    quotaRefusals.labelValues(own ? customer : "others").inc();
+  }
+
   void recordSend(RouteKind kind, Selection.Reason reason, long waitedNanos) {
     sends.labelValues(kind.name(), reason.name()).inc();
     queueTime.labelValues(kind.name()).observe(waitedNanos / 1e9);
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewaySettings.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.pollenrock.core.dispatch.RetryAllowanceSettings;
 import org.pollenrock.core.dispatch.SelectorSettings;
+import org.pollenrock.core.limits.QuotaMargins;
 
 /**
  * Settings of one instance's gateway.
@@ -15,6 +16,7 @@
  * @param gossipAddress address that receives gossip messages of other instances
  * @param selector limits and costs of the selection of a server
  * @param retryAllowance retry budget of each service, shared by all instances
+ * @param quotaMargins by how much all instances together may exceed the quota of a customer
  * @param weightsBindingNanos time after a new target version of weights was set from which servers
  *     with older versions get no requests
  * @param maxHeldBodyBytes maximum total size of the request bodies held in memory
@@ -27,6 +29,7 @@
     InetSocketAddress gossipAddress,
     SelectorSettings selector,
     RetryAllowanceSettings retryAllowance,
+    QuotaMargins quotaMargins,
     long weightsBindingNanos,
     long maxHeldBodyBytes,
     long maxHeldResponseBytes) {}
--- a/gateway/src/main/java/org/pollenrock/gateway/RequestLog.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/RequestLog.java
@@ -1,9 +1,11 @@
 package org.pollenrock.gateway;
 
+import java.util.Locale;
 import java.util.Optional;
 import org.pollenrock.core.dispatch.DispatchRequest;
 import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.dispatch.Selection;
+import org.pollenrock.core.limits.QuotaExcess;
 
 /** Writes the log line of a request that has ended. */
 final class RequestLog {
@@ -18,6 +20,7 @@
    * @param customer name of its customer, if it has one
    * @param request properties for server selection, if it got that far
    * @param choice the last choice of a server, if there was one
+   * @param quotaExcess why it was over its quota, if it was
    * @param configVersion version of the configuration that applied
    * @param sendCount number of sends
    */
@@ -26,6 +29,7 @@
       Optional<String> customer,
       Optional<DispatchRequest> request,
       Optional<Selection.Chosen> choice,
+      Optional<QuotaExcess> quotaExcess,
       long configVersion,
       int sendCount) {}
 
@@ -58,6 +62,7 @@
             && metadata.unreadableHeaders().isEmpty();
     Optional<DispatchRequest> request = handling.request();
     Optional<Selection.Chosen> choice = handling.choice();
+    Optional<QuotaExcess> excess = handling.quotaExcess();
     log.line("request", routine ? EventLog.Importance.ROUTINE : EventLog.Importance.ESSENTIAL)
         .with("id", metadata.id())
         .with("route", handling.route().orElse(null))
@@ -80,6 +85,9 @@
         .with("cache_scope", request.map(DispatchRequest::cacheScope).orElse(null))
         .with("prompt_tokens", request.map(DispatchRequest::promptTokens).orElse(0L))
         .with("shared_tokens", metadata.sharedTokens())
+        .with("quota_left", excess.map(quota -> figure(quota.balance())).orElse(null))
+        .with("quota_share", excess.map(quota -> figure(quota.sharePerSecond())).orElse(null))
+        .with("quota_rate", excess.map(quota -> figure(quota.ratePerSecond())).orElse(null))
         .with("waited_ms", ending.waitedNanos() / NANOS_PER_MILLI)
         .with("events", ending.events())
         .with("first_byte_ms", ending.firstByteNanos() / NANOS_PER_MILLI)
@@ -88,6 +96,10 @@
         .write();
   }
 
+  private static String figure(double amount) {
+    return String.format(Locale.ROOT, "%.1f", amount);
+  }
+
   private static long weightsVersion(
       CallerRequestMetadata metadata, Optional<Selection.Chosen> choice) {
     if (choice.isEmpty() || metadata.prompt().isEmpty()) {
--- a/gateway/src/test/java/org/pollenrock/gateway/CallerRequestMetadataTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/CallerRequestMetadataTest.java
@@ -19,6 +19,7 @@
         OptionalLong.empty(),
         Optional.of(new Prompt("m", 100, 10, parts)),
         OptionalLong.empty(),
+        OptionalLong.empty(),
         List.of());
   }
 
