--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
@@ -29,6 +29,7 @@
  * @param rateLimits request rates that servers have named
  * @param loadReports records the load that servers report
  * @param serverSpeeds measures the speed of servers
+ * @param quotas quotas of customers
  * @param serverGate keeps sends from servers that want none
  * @param loopMonitor delays work while the event loop is late
  * @param refusingRequests whether new requests are refused
@@ -52,6 +53,7 @@
     RateLimitTask rateLimits,
     LoadReports loadReports,
     ServerSpeedTask serverSpeeds,
+    QuotaTask quotas,
     ServerGate serverGate,
     LoopMonitor loopMonitor,
     BooleanSupplier refusingRequests) {}
