Ration the room of services only while the configuration limits customers

Deployments whose customers have no quotas are served as before: waiting requests are ordered by urgency and arrival, none is refused for its expected wait, and no waiting work is announced.

--- a/core/src/main/java/org/pollenrock/core/dispatch/DispatchQueue.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/DispatchQueue.java
@@ -40,6 +40,7 @@
   private final CustomerDemand demand = new CustomerDemand();
   private final ServiceBacklog backlog = new ServiceBacklog();
   private long nextSequence;
+  private boolean rationed = true;
 
   /** Creates an empty queue. */
   public DispatchQueue() {
@@ -48,9 +49,21 @@
     }
   }
 
+  /**
+   * Sets whether the room of the service is rationed. If it is not, requests are ordered by urgency
+   * and arrival alone, and none is refused for its expected wait.
+   *
+   * @param newRationed whether customers compete for room
+   */
+  void setRationed(boolean newRationed) {
+    rationed = newRationed;
+  }
+
   /** Records a request for the service, whether it waits or not. */
   void recordRequest(DispatchRequest request, long nowNanos) {
-    demand.record(flow(request), request.work(), nowNanos);
+    if (rationed) {
+      demand.record(flow(request), request.work(), nowNanos);
+    }
   }
 
   /**
@@ -97,7 +110,7 @@
         new QueueEntry(
             request, Set.copyOf(triedServers), resend, queueDeadlineNanos, nextSequence++);
     String flow = flow(request);
-    double tag = orders[request.urgency()].add(flow, request.work(), demand.weight(flow), nowNanos);
+    double tag = orders[request.urgency()].add(flow, request.work(), weight(flow), nowNanos);
     insert(entry, new QueueRank(request.urgency(), tag, entry.sequence()));
     backlog.recordQueued(request, nowNanos);
     return entry;
@@ -164,6 +177,9 @@
    * @return the removed entries in dispatch order
    */
   public List<QueueEntry> removeHopeless(long nowNanos) {
+    if (!rationed) {
+      return List.of();
+    }
     List<QueueEntry> hopeless = new ArrayList<>();
     int[] requestsAhead = new int[Route.LEAST_URGENT + 1];
     long[] workAhead = new long[Route.LEAST_URGENT + 1];
@@ -196,6 +212,9 @@
    * @param nowNanos current time
    */
   public void promoteLongPrompts(long nowNanos) {
+    if (!rationed) {
+      return;
+    }
     for (QueueEntry entry : entriesInOrder()) {
       DispatchRequest request = entry.request();
       QueueRank rank = ranksBySequence.get(entry.sequence());
@@ -220,6 +239,9 @@
    * @return time in nanoseconds; empty if it is not known how fast waiting requests leave
    */
   public OptionalLong expectedWaitNanos(DispatchRequest request, long nowNanos) {
+    if (!rationed) {
+      return OptionalLong.empty();
+    }
     double tag = orders[request.urgency()].startTag(flow(request));
     QueueRank rank = new QueueRank(request.urgency(), tag, nextSequence);
     int requestsAhead = 0;
@@ -289,7 +311,7 @@
   private void withdraw(QueueEntry entry, QueueRank rank, long nowNanos) {
     boolean promoted = rank.level() != entry.request().urgency();
     String flow = promoted ? PROMOTED_FLOW : flow(entry.request());
-    double weight = promoted ? promotedWeight() : demand.weight(flow);
+    double weight = promoted ? promotedWeight() : weight(flow);
     orders[rank.level()].recordRefusal(flow, entry.request().work(), weight, nowNanos);
   }
 
@@ -297,7 +319,11 @@
     return PROMOTED_WEIGHT * demand.totalWeight();
   }
 
-  private static String flow(DispatchRequest request) {
-    return request.customer().orElse("");
+  private double weight(String flow) {
+    return rationed ? demand.weight(flow) : 1;
+  }
+
+  private String flow(DispatchRequest request) {
+    return rationed ? request.customer().orElse("") : "";
   }
 }
--- a/core/src/main/java/org/pollenrock/core/dispatch/ServiceQueues.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/ServiceQueues.java
@@ -11,9 +11,23 @@
   private record ServiceQueue(DispatchQueue requests, RetrySchedule retries) {}
 
   private final Map<String, ServiceQueue> queues = new HashMap<>();
+  private boolean rationed = true;
 
   ServiceQueues() {}
 
+  /**
+   * Sets whether the room of the services is rationed among customers. If it is not, requests wait
+   * in the order of their urgency and arrival, and nothing is announced.
+   *
+   * @param newRationed whether the configuration in force limits customers
+   */
+  public void setRationed(boolean newRationed) {
+    if (rationed != newRationed) {
+      rationed = newRationed;
+      queues.values().forEach(queue -> queue.requests().setRationed(newRationed));
+    }
+  }
+
   /** Returns the queue of a service, which is created if there is none. */
   DispatchQueue queue(String service) {
     return serviceQueue(service).requests();
@@ -57,6 +71,9 @@
    * @return one element for each service and urgency with waiting work
    */
   public List<WaitingWork> waitingWork(long nowNanos) {
+    if (!rationed) {
+      return List.of();
+    }
     List<WaitingWork> waiting = new ArrayList<>();
     queues.forEach(
         (service, queue) -> {
@@ -123,7 +140,9 @@
 
   /** Returns the delay after which a refused caller should retry, in milliseconds, at least 1. */
   long retryAfterMillis(DispatchRequest request, long nowNanos) {
-    return serviceQueue(request.service()).retries().retryAfterMillis(request, nowNanos);
+    return rationed
+        ? serviceQueue(request.service()).retries().retryAfterMillis(request, nowNanos)
+        : AdmissionPolicy.retryAfterMillis(request, nowNanos);
   }
 
   private ServiceQueue serviceQueue(String service) {
@@ -131,6 +150,7 @@
         service,
         name -> {
           DispatchQueue requests = new DispatchQueue();
+          requests.setRationed(rationed);
           return new ServiceQueue(requests, new RetrySchedule(requests.backlog()));
         });
   }
--- a/core/src/main/java/org/pollenrock/core/route/RoutingConfig.java
+++ b/core/src/main/java/org/pollenrock/core/route/RoutingConfig.java
@@ -28,6 +28,15 @@
     customersByKey = Map.copyOf(customersByKey);
   }
 
+  /**
+   * Returns whether customers compete for the room of the services, so that it has to be rationed.
+   *
+   * @return whether any customer has a quota
+   */
+  public boolean limitsCustomers() {
+    return customersByKey.values().stream().anyMatch(customer -> customer.quota().isPresent());
+  }
+
   /**
    * Decides whether a request is allowed, and on which route.
    *
--- a/core/src/test/java/org/pollenrock/core/dispatch/OverloadOrderTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/OverloadOrderTest.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 
@@ -27,6 +30,25 @@
     return request -> request.promptTokens() > tokens;
   }
 
+  /** Guards deployments whose customers have no quotas against another order than before. */
+  @Test
+  void requestsWaitInTheOrderOfTheirArrivalWhileCustomersAreNotLimited() {
+    DispatchQueue queue = new DispatchQueue();
+    queue.setRationed(false);
+    List<String> expected = new ArrayList<>();
+    for (int number = 0; number < 20; number++) {
+      DispatchRequest request = SharedServers.request("r" + number, number % 3 == 0 ? "a" : "b");
+      queue.recordRequest(request, number);
+      queue.tryAdd(request, Set.of(), false, 100, number);
+      expected.add(request.id());
+    }
+    assertThat(queue.entriesInOrder())
+        .extracting(entry -> entry.request().id())
+        .isEqualTo(expected);
+    assertThat(queue.removeHopeless(100 * Fixtures.SECOND)).isEmpty();
+    assertThat(queue.removeExpired(Fixtures.SECOND)).hasSize(20);
+  }
+
   /** Load pattern: one customer sends four times its usual for 5 s. */
   @Test
   void customerBeyondItsUsualDemandGivesWayFirst() {
--- a/core/src/test/java/org/pollenrock/core/dispatch/SharedServers.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/SharedServers.java
@@ -74,6 +74,21 @@
     }
   }
 
+  /** Returns a plain request of a customer that arrives at time 0 and may take two seconds. */
+  static DispatchRequest request(String id, String customer) {
+    return new DispatchRequest(
+        id,
+        "service",
+        Optional.empty(),
+        Optional.of(customer),
+        "shared",
+        5,
+        true,
+        600,
+        0,
+        2 * Fixtures.SECOND);
+  }
+
   void step() {
     now += STEP;
     credit += workPerStep;
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -109,7 +109,7 @@
     HeadCheck headCheck = new HeadCheck(serverProtocol.identifyingHeaders());
     connectionPools =
         new ServerConnectionPools(loop, new ServerConnectionObserver(metrics, log), headCheck);
-    queuedExchanges = new QueuedExchanges(dispatcher);
+    queuedExchanges = new QueuedExchanges(dispatcher, configs);
     bodyMemory = new BodyMemory(settings.maxHeldBodyBytes());
     responseMemory = new BodyMemory(settings.maxHeldResponseBytes());
     serverGate = createServerGate(settings.gossipAddress(), serverProtocol);
--- a/gateway/src/main/java/org/pollenrock/gateway/QueuedExchanges.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QueuedExchanges.java
@@ -5,14 +5,18 @@
 import org.pollenrock.core.dispatch.DispatchResult;
 import org.pollenrock.core.dispatch.Dispatcher;
 import org.pollenrock.core.dispatch.QueueEntry;
+import org.pollenrock.core.route.ActiveConfig;
+import org.pollenrock.core.route.RoutingConfig;
 
 /** Exchanges whose requests wait in the queue of the dispatcher for a server. */
 final class QueuedExchanges {
   private final Dispatcher dispatcher;
+  private final ActiveConfig configs;
   private final Map<QueueEntry, Exchange> exchanges = new HashMap<>();
 
-  QueuedExchanges(Dispatcher dispatcher) {
+  QueuedExchanges(Dispatcher dispatcher, ActiveConfig configs) {
     this.dispatcher = dispatcher;
+    this.configs = configs;
   }
 
   /** Adds an exchange whose request the dispatcher has queued. */
@@ -57,6 +61,9 @@
    * would.
    */
   void sweep() {
+    dispatcher
+        .queues()
+        .setRationed(configs.current().filter(RoutingConfig::limitsCustomers).isPresent());
     dispatcher.servicesWithWaitingRequests().forEach(this::dispatchWaiting);
     long now = System.nanoTime();
     for (QueueEntry expired : dispatcher.removeExpired(now)) {
