Tell slow servers from long backlogs and varied work

Change: engines are compared by backlogs of similar length. Limits and factors need four standard errors of the measured times, with a variance of 1 assumed before it is known.

--- a/core/src/main/java/org/pollenrock/core/dispatch/SpeedMeter.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/SpeedMeter.java
@@ -12,10 +12,17 @@
  * <p>An engine is measured by the time until its response starts, for each token of its backlog; a
  * plain server by the whole time, less that in its queue. Servers are compared with the others of
  * their service: those of other data centres among each other, since the network adds to their
- * times.
+ * times, and engines by similar backlogs, since a part of the time does not grow with them.
  */
 public final class SpeedMeter {
-  private record Group(String service, boolean local) {}
+  /**
+   * Responses that are compared with each other.
+   *
+   * @param service name of the service
+   * @param local whether the server is in the data centre of this instance
+   * @param backlogBits length of the backlog as a binary number; 0 for plain servers
+   */
+  private record Group(String service, boolean local, int backlogBits) {}
 
   private final String dataCentre;
   private final Map<Group, UsualTime> usualTimes = new HashMap<>();
@@ -38,7 +45,8 @@
    */
   public void recordPrompt(Selection.Chosen choice, long startNanos, long nowNanos) {
     if (!choice.deferred() && ReadingSpeed.isMeasurable(choice.backlogTokens())) {
-      record(choice.backend(), choice.backlogTokens(), startNanos, nowNanos);
+      int backlogBits = Long.SIZE - Long.numberOfLeadingZeros(choice.backlogTokens());
+      record(choice.backend(), backlogBits, choice.backlogTokens(), startNanos, nowNanos);
     }
   }
 
@@ -53,13 +61,14 @@
   public void recordPlain(Backend server, double load, long elapsedNanos, long nowNanos) {
     int slots = ServerCosts.slots(server);
     // Time in the queue of a full server says nothing of its speed.
-    record(server, Math.max(1, load / slots), elapsedNanos, nowNanos);
+    record(server, 0, Math.max(1, load / slots), elapsedNanos, nowNanos);
     server.speed().recordParallel(load, slots, elapsedNanos, nowNanos);
   }
 
-  private void record(Backend server, double amount, long elapsedNanos, long nowNanos) {
-    Group group =
-        new Group(server.entry().service(), server.entry().dataCentre().equals(dataCentre));
+  private void record(
+      Backend server, int backlogBits, double amount, long elapsedNanos, long nowNanos) {
+    boolean local = server.entry().dataCentre().equals(dataCentre);
+    Group group = new Group(server.entry().service(), local, backlogBits);
     usualTimes
         .computeIfAbsent(group, key -> new UsualTime())
         .record(amount, elapsedNanos)
--- a/core/src/main/java/org/pollenrock/core/speed/DecayingMean.java
+++ b/core/src/main/java/org/pollenrock/core/speed/DecayingMean.java
@@ -8,6 +8,7 @@
   private final double maxWeight;
   private final double halfLifeNanos;
   private double mean;
+  private double variance;
   private double weight;
   private long updatedNanos;
 
@@ -24,8 +25,11 @@
 
   /** Adds a sample. */
   void record(double value, long nowNanos) {
-    weight = Math.min(maxWeight, weight(nowNanos)) + 1;
-    mean += (value - mean) / weight;
+    double earlier = Math.min(maxWeight, weight(nowNanos));
+    weight = earlier + 1;
+    double deviation = value - mean;
+    mean += deviation / weight;
+    variance = earlier / weight * (variance + deviation * deviation / weight);
     updatedNanos = nowNanos;
   }
 
@@ -34,6 +38,11 @@
     return mean;
   }
 
+  /** Returns the variance of the samples; 0 without samples. */
+  double variance() {
+    return variance;
+  }
+
   /** Returns the weight of all samples, in samples. */
   double weight(long nowNanos) {
     return weight == 0
--- a/core/src/main/java/org/pollenrock/core/speed/ParallelTimes.java
+++ b/core/src/main/java/org/pollenrock/core/speed/ParallelTimes.java
@@ -19,22 +19,33 @@
   private static final int LEVELS = LEVELS_PER_SERVER * 3 / 2;
 
   /** Number of recent requests below which a level says nothing. */
-  private static final double MIN_WEIGHT = 8;
+  private static final double MIN_WEIGHT = 10;
 
   /** Bound of the weight of a level, in requests. */
-  private static final double MAX_WEIGHT = 20;
+  private static final double MAX_WEIGHT = 30;
 
   private static final double HALF_LIFE_NANOS = 20e9;
 
   /** Share of the work expected of more requests that has to be gained. */
   private static final double MIN_GAIN = 0.25;
 
+  /** Standard errors by which the gain has to be missed. */
+  private static final double MIN_STANDARD_ERRORS = 4;
+
   /** Factor above a level at which requests have to be known before it becomes a limit. */
   private static final double COMPARED_LEVEL = 1.5;
 
   /** Share of the slots above which a limit makes no difference. */
   private static final double MAX_LIMIT_PER_SLOT = 0.8;
 
+  /**
+   * What is known of a level.
+   *
+   * @param work work done, in requests a nanosecond
+   * @param squaredError square of the relative standard error of the work
+   */
+  private record Level(double work, double squaredError) {}
+
   private final DecayingMean[] times = new DecayingMean[LEVELS];
   private int slots;
   private int levelWidth = 1;
@@ -67,35 +78,39 @@
 
   /** Returns the limit in requests; 0 if there is none. */
   int updateLimit(long nowNanos) {
-    double[] work = workByLevel(nowNanos);
-    int found = findLimit(work);
+    Level[] levels = knownLevels(nowNanos);
+    int found = findLimit(levels);
     if (found > 0 && (limitLevel == 0 || found < limitLevel)) {
       limitLevel = found;
-    } else if (limitLevel > 0 && work[limitLevel] > 0 && isGainAbove(work, limitLevel)) {
+    } else if (limitLevel > 0
+        && levels[limitLevel] != null
+        && isGainPossible(levels, limitLevel, 0)) {
       limitLevel = isUseful(limitLevel + 1) ? limitLevel + 1 : 0;
     }
     return limitLevel * levelWidth;
   }
 
-  /** Returns the work done at each level, 0 where it is not known. */
-  private double[] workByLevel(long nowNanos) {
-    double[] work = new double[LEVELS + 1];
-    for (int level = 1; level <= LEVELS; level++) {
-      DecayingMean time = times[level - 1];
-      if (time != null && time.weight(nowNanos) >= MIN_WEIGHT) {
-        work[level] = level / Math.max(1, time.mean());
+  /** Returns the levels with enough requests by their number; null for the others. */
+  private Level[] knownLevels(long nowNanos) {
+    Level[] levels = new Level[LEVELS + 1];
+    for (int number = 1; number <= LEVELS; number++) {
+      DecayingMean time = times[number - 1];
+      double weight = time == null ? 0 : time.weight(nowNanos);
+      if (weight >= MIN_WEIGHT && time.mean() > 0) {
+        double squaredError = time.variance() / weight / (time.mean() * time.mean());
+        levels[number] = new Level(number / time.mean(), squaredError);
       }
     }
-    return work;
+    return levels;
   }
 
-  private int findLimit(double[] work) {
+  private int findLimit(Level[] levels) {
     int highest = LEVELS;
-    while (highest > 0 && work[highest] == 0) {
+    while (highest > 0 && levels[highest] == null) {
       highest--;
     }
     for (int level = 1; COMPARED_LEVEL * level <= highest && isUseful(level); level++) {
-      if (work[level] > 0 && !isGainAbove(work, level)) {
+      if (levels[level] != null && !isGainPossible(levels, level, MIN_STANDARD_ERRORS)) {
         return level;
       }
     }
@@ -106,11 +121,17 @@
     return level * levelWidth <= MAX_LIMIT_PER_SLOT * slots;
   }
 
-  private boolean isGainAbove(double[] work, int level) {
+  /** Returns whether more requests gain work, or may gain it as far as their times can tell. */
+  private boolean isGainPossible(Level[] levels, int level, double standardErrors) {
     for (int above = level + 1; above <= LEVELS; above++) {
+      if (levels[above] == null) {
+        continue;
+      }
+      double error = Math.sqrt(levels[level].squaredError() + levels[above].squaredError());
       // Requests beyond the slots wait and can't add work.
       double running = Math.min(above, (double) slots / levelWidth);
-      if (work[above] >= work[level] * (1 + MIN_GAIN * (running / level - 1))) {
+      double required = levels[level].work() * (1 + MIN_GAIN * (running / level - 1));
+      if (levels[above].work() * (1 + standardErrors * error) >= required) {
         return true;
       }
     }
--- a/core/src/main/java/org/pollenrock/core/speed/ServerSpeed.java
+++ b/core/src/main/java/org/pollenrock/core/speed/ServerSpeed.java
@@ -30,10 +30,10 @@
   private static final double HALF_LIFE_NANOS = 6e9;
 
   /** Difference from the usual time that counts, in standard errors. */
-  private static final double MIN_STANDARD_ERRORS = 3;
+  private static final double MIN_STANDARD_ERRORS = 4;
 
   /** Variance of the relative time of single requests that is assumed before it is known. */
-  private static final double ASSUMED_VARIANCE = 0.2;
+  private static final double ASSUMED_VARIANCE = 1;
 
   /** Weight of a new sample in the variance. */
   private static final double VARIANCE_SMOOTHING_FACTOR = 0.05;
--- a/core/src/test/java/org/pollenrock/core/dispatch/UnevenEnginesTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/UnevenEnginesTest.java
@@ -41,17 +41,17 @@
     return counts;
   }
 
+  private static Selection.Chosen choice(Backend engine, long backlog) {
+    return new Selection.Chosen(
+        engine, Selection.Reason.HOME, Optional.empty(), backlog, backlog, false);
+  }
+
   /** Lets all engines respond to the same work, the first in twice the time of the others. */
   private void measure() {
     for (int i = 0; i < 200; i++) {
       Backend engine = engines.get(i % ENGINES);
-      selector
-          .speedMeter()
-          .recordPrompt(
-              new Selection.Chosen(
-                  engine, Selection.Reason.HOME, Optional.empty(), 8_000, 8_000, false),
-              (engine == engines.get(0) ? 200 : 100) * Fixtures.MILLI,
-              0);
+      long nanos = (engine == engines.get(0) ? 200 : 100) * Fixtures.MILLI;
+      selector.speedMeter().recordPrompt(choice(engine, 8_000), nanos, 0);
     }
   }
 
@@ -60,6 +60,17 @@
     assertThat(burst()[0]).isBetween(10, 11);
   }
 
+  @Test
+  void engineWithALongerBacklogThanOthersDoesNotCountAsFast() {
+    for (int i = 0; i < 400; i++) {
+      int engine = i % ENGINES;
+      long backlog = engine == 0 ? 24_000 : 4_500;
+      long nanos = 40 * Fixtures.MILLI + backlog * 12_000;
+      selector.speedMeter().recordPrompt(choice(engines.get(engine), backlog), nanos, 0);
+    }
+    assertThat(engines).allSatisfy(e -> assertThat(e.speed().factor()).isEqualTo(1));
+  }
+
   @Test
   void measuredSlowEngineGetsHalfOfThePromptsOfOthers() {
     measure();
--- a/core/src/test/java/org/pollenrock/core/dispatch/UnevenServersTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/UnevenServersTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.pollenrock.core.fleet.Backend;
+import org.pollenrock.core.speed.ServerSpeed;
 
 /**
  * Load pattern: the servers of one plain service differ in speed, slow down before they are full,
@@ -47,6 +48,8 @@
     private final int[] runningCounts = new int[SERVERS];
     private final int[] sent = new int[SERVERS];
     private final List<Integer> choices = new ArrayList<>();
+    private boolean varied;
+    private int different;
     private int arrived;
     private int inTime;
     private long countedFromNanos;
@@ -111,6 +114,8 @@
       }
       int server = servers.indexOf(chosen.backend());
       sent[server]++;
+      ServerSpeed speed = chosen.backend().speed();
+      different += speed.factor() == 1 && speed.limit().isEmpty() ? 0 : 1;
       choices.add(server);
       chosen.backend().recordRequestStart(0, now);
       Running send = new Running(0, server, request, chosen.backend().load(now), now);
@@ -124,12 +129,16 @@
 
     private void begin(Running send, long now) {
       int count = ++runningCounts[send.server()];
-      double millis =
-          WORK_MILLIS * slowness.at(send.server(), count, now) * (0.7 + 0.6 * random.nextDouble());
+      double millis = WORK_MILLIS * slowness.at(send.server(), count, now) * variation();
       long end = now + (long) (millis * 1e6);
       running.add(new Running(end, send.server(), send.request(), send.load(), send.sentNanos()));
     }
 
+    /** Returns a factor with a mean of 1, for the work of a single request. */
+    private double variation() {
+      return varied ? -Math.log(1 - random.nextDouble()) : 0.7 + 0.6 * random.nextDouble();
+    }
+
     private double lateShare() {
       return 1 - (double) inTime / arrived;
     }
@@ -190,4 +199,14 @@
       assertThat(learning.choices).isEqualTo(counting.choices);
     }
   }
+
+  @Test
+  void serversThatAreAlikeStaySoWithRequestsOfVariedWork() {
+    for (int perSecond : List.of(50, 200, 350, 450)) {
+      Day learning = new Day((server, running, now) -> 1, true);
+      learning.varied = true;
+      learning.run(0, 40 * Fixtures.SECOND, perSecond);
+      assertThat((double) learning.different / learning.arrived).isLessThan(0.01);
+    }
+  }
 }
