--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -89,18 +89,8 @@
         new RateLimitTask(
             Peer.id(settings.gossipAddress().getAddress()), fleet, serverProtocol, log);
     selector = new ServerSelector(settings.selector(), directory, prefixStore);
-    dispatcher =
-        new Dispatcher(
-            fleet,
-            selector,
-            weightsTargets,
-            quarantineTask.quarantine(),
-            rateLimits.limits(),
-            settings.retryAllowance(),
-            System.nanoTime());
+    dispatcher = createDispatcher(settings);
     gossip = createGossip(settings);
-    ServerSpeedTask serverSpeeds = new ServerSpeedTask(selector.speedMeter(), fleet, log);
-    gossip.addPart(serverSpeeds);
     quarantineTask.addListener(gossip.quarantineGossip());
     HeadCheck headCheck = new HeadCheck(serverProtocol.identifyingHeaders());
     connectionPools =
@@ -132,7 +122,7 @@
             reachability,
             rateLimits,
             loadReports,
-            serverSpeeds,
+            createServerSpeeds(),
             serverGate,
             loopMonitor,
             () -> refusingRequests);
@@ -427,6 +417,17 @@
     return callerListener.address();
   }
 
+  private Dispatcher createDispatcher(GatewaySettings settings) {
+    return new Dispatcher(
+        fleet,
+        selector,
+        weightsTargets,
+        quarantineTask.quarantine(),
+        rateLimits.limits(),
+        settings.retryAllowance(),
+        System.nanoTime());
+  }
+
   private PeerGossip createGossip(GatewaySettings settings) {
     return new PeerGossip(
         loop,
@@ -440,6 +441,12 @@
         log);
   }
 
+  private ServerSpeedTask createServerSpeeds() {
+    ServerSpeedTask serverSpeeds = new ServerSpeedTask(selector.speedMeter(), fleet, log);
+    gossip.addPart(serverSpeeds);
+    return serverSpeeds;
+  }
+
   private ServerGate createServerGate(
       InetSocketAddress gossipAddress, ServerProtocol serverProtocol) {
     return new ServerNoticeTask(
