--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -90,19 +90,9 @@
         new RateLimitTask(
             Peer.id(settings.gossipAddress().getAddress()), fleet, serverProtocol, log);
     selector = new ServerSelector(settings.selector(), directory, prefixStore);
-    dispatcher =
-        new Dispatcher(
-            fleet,
-            selector,
-            weightsTargets,
-            quarantineTask.quarantine(),
-            rateLimits.limits(),
-            settings.retryAllowance(),
-            System.nanoTime());
+    dispatcher = createDispatcher(settings);
     gossip = createGossip(settings);
     gossip.addPart(new WaitingNews(dispatcher.queues()));
-    ServerSpeedTask serverSpeeds = new ServerSpeedTask(selector.speedMeter(), fleet, log);
-    gossip.addPart(serverSpeeds);
     quotas = new QuotaTask(loop, configs, gossip, settings.quotaMargins(), log);
     gossip.addPart(quotas);
     quarantineTask.addListener(gossip.quarantineGossip());
@@ -136,7 +126,7 @@
             reachability,
             rateLimits,
             loadReports,
-            serverSpeeds,
+            createServerSpeeds(),
             quotas,
             serverGate,
             loopMonitor,
@@ -433,6 +423,17 @@
     return callerListener.address();
   }
 
+  private Dispatcher createDispatcher(GatewaySettings settings) {
+    return new Dispatcher(
+        fleet,
+        selector,
+        weightsTargets,
+        quarantineTask.quarantine(),
+        rateLimits.limits(),
+        settings.retryAllowance(),
+        System.nanoTime());
+  }
+
   private PeerGossip createGossip(GatewaySettings settings) {
     return new PeerGossip(
         loop,
@@ -446,6 +447,12 @@
         log);
   }
 
+  private ServerSpeedTask createServerSpeeds() {
+    ServerSpeedTask serverSpeeds = new ServerSpeedTask(selector.speedMeter(), fleet, log);
+    gossip.addPart(serverSpeeds);
+    return serverSpeeds;
+  }
+
   private ServerGate createServerGate(
       InetSocketAddress gossipAddress, ServerProtocol serverProtocol) {
     return new ServerNoticeTask(
