--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -100,8 +100,7 @@
             settings.retryAllowance(),
             System.nanoTime());
     gossip = createGossip(settings);
-    quotas = new QuotaTask(loop, configs, gossip, settings.quotaMargins(), log);
-    gossip.addPart(quotas);
+    quotas = createQuotas(settings);
     quarantineTask.addListener(gossip.quarantineGossip());
     HeadCheck headCheck = new HeadCheck(serverProtocol.identifyingHeaders());
     connectionPools =
@@ -145,9 +144,7 @@
             bodyMemory,
             metrics,
             log);
-    readinessListener =
-        new PageListener(
-            loop, settings.readinessAddress(), path -> Page.empty(isReady() ? 200 : 503));
+    readinessListener = createReadinessListener(settings);
     StatePages pages = new StatePages(this, metrics);
     operatorListener =
         settings.operatorAddress().map(address -> new PageListener(loop, address, pages));
@@ -440,6 +437,17 @@
         log);
   }
 
+  private QuotaTask createQuotas(GatewaySettings settings) {
+    QuotaTask task = new QuotaTask(loop, configs, gossip, settings.quotaMargins(), log);
+    gossip.addPart(task);
+    return task;
+  }
+
+  private PageListener createReadinessListener(GatewaySettings settings) {
+    return new PageListener(
+        loop, settings.readinessAddress(), path -> Page.empty(isReady() ? 200 : 503));
+  }
+
   private ServerGate createServerGate(
       InetSocketAddress gossipAddress, ServerProtocol serverProtocol) {
     return new ServerNoticeTask(
