--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -93,8 +93,7 @@
     dispatcher = createDispatcher(settings);
     gossip = createGossip(settings);
     gossip.addPart(new WaitingNews(dispatcher.queues()));
-    quotas = new QuotaTask(loop, configs, gossip, settings.quotaMargins(), log);
-    gossip.addPart(quotas);
+    quotas = createQuotas(settings);
     quarantineTask.addListener(gossip.quarantineGossip());
     HeadCheck headCheck = new HeadCheck(serverProtocol.identifyingHeaders());
     connectionPools =
@@ -141,9 +140,7 @@
             bodyMemory,
             metrics,
             log);
-    readinessListener =
-        new PageListener(
-            loop, settings.readinessAddress(), path -> Page.empty(isReady() ? 200 : 503));
+    readinessListener = createReadinessListener(settings);
     StatePages pages = new StatePages(this, metrics);
     operatorListener =
         settings.operatorAddress().map(address -> new PageListener(loop, address, pages));
@@ -453,6 +450,17 @@
     return serverSpeeds;
   }
 
+  private QuotaTask createQuotas(GatewaySettings settings) {
+    QuotaTask task = new QuotaTask(loop, configs, gossip, settings.quotaMargins(), log);
+    gossip.addPart(task);
+    return task;
+  }
+
+  private PageListener createReadinessListener(GatewaySettings settings) {
+    return new PageListener(
+        loop, settings.readinessAddress(), path -> Page.empty(isReady() ? 200 : 503));
+  }
+
   private ServerGate createServerGate(
       InetSocketAddress gossipAddress, ServerProtocol serverProtocol) {
     return new ServerNoticeTask(
