--- a/core/src/main/java/org/pollenrock/core/fleet/Backend.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Backend.java
@@ -21,15 +21,6 @@
   /** Time that a slow engine needs to prefill one token of a prompt. */
   private static final long PREFILL_NANOS_PER_TOKEN = 20_000L;
 
-  /** Delay of the first probe of an unreachable server; doubles with each further failure. */
-  private static final long PROBE_BACKOFF_BASE_NANOS = 250_000_000L;
-
-  /** Doublings of the delay while another instance probes, up to the timeout of a probe. */
-  private static final int MAX_PROBE_DOUBLINGS = 2;
-
-  /** Upper bound of the probe delay, so that a recovered server is detected in time. */
-  private static final long PROBE_BACKOFF_MAX_NANOS = 2_000_000_000L;
-
   /**
    * Age up to which bytes received from a server take precedence over another instance's report
    * that the server is missing.
@@ -50,9 +41,7 @@
 
   private int slots;
   private long refusalPauseUntilNanos = Long.MIN_VALUE;
-  private boolean missing;
-  private int unreachableCount;
-  private long probeDueNanos;
+  private final ProbeSchedule probes = new ProbeSchedule();
   private final FailureRate failureRate;
   private final ServerPace pace = new ServerPace();
   private final ServerSpeed speed;
@@ -212,16 +201,6 @@
     refusalPauseUntilNanos = Math.max(refusalPauseUntilNanos, nowNanos + REFUSAL_PAUSE_NANOS);
   }
 
-  /**
-   * Records that the server loads weights or is about to, and pauses new requests.
-   *
-   * @param nowNanos current time
-   * @return whether the server was not already recorded as loading
-   */
-  public boolean recordLoading(long nowNanos) {
-    return loadingPause.begin(nowNanos);
-  }
-
   /**
    * Records that this instance could not connect to the server or that the server went silent.
    * Marks the server missing and schedules the next probe with exponential backoff.
@@ -229,10 +208,7 @@
    * @param nowNanos current time
    */
   public void recordUnreachable(long nowNanos) {
-    long backoff = PROBE_BACKOFF_BASE_NANOS << Math.min(unreachableCount, 4);
-    unreachableCount++;
-    missing = true;
-    probeDueNanos = nowNanos + Math.min(backoff, PROBE_BACKOFF_MAX_NANOS);
+    probes.recordUnreachable(nowNanos);
   }
 
   /**
@@ -244,29 +220,8 @@
    * @param nowNanos current time
    */
   public void applyPeerMissing(long nowNanos) {
-    if (nowNanos - lastReceivedNanos <= RECENT_RECEIPT_NANOS) {
-      return;
-    }
-    if (missing) {
-      recordUnreachable(nowNanos);
-      return;
-    }
-    missing = true;
-    probeDueNanos = nowNanos;
-  }
-
-  /**
-   * Applies a report of another instance on the same network that it probes the server. Delays the
-   * own probe of a missing server, so that the other instance can announce the result; the delay
-   * grows with the failures, since the fault may lie with that instance.
-   *
-   * @param nowNanos current time
-   */
-  public void applyPeerProbe(long nowNanos) {
-    long untilNanos =
-        nowNanos + (PROBE_BACKOFF_BASE_NANOS << Math.min(unreachableCount, MAX_PROBE_DOUBLINGS));
-    if (missing && untilNanos - probeDueNanos > 0) {
-      probeDueNanos = untilNanos;
+    if (nowNanos - lastReceivedNanos > RECENT_RECEIPT_NANOS) {
+      probes.applyPeerMissing(nowNanos);
     }
   }
 
@@ -275,8 +230,7 @@
    * bytes from it.
    */
   public void markReachable() {
-    missing = false;
-    unreachableCount = 0;
+    probes.end();
   }
 
   /**
@@ -285,7 +239,7 @@
    * @return whether the server is missing
    */
   public boolean isMissing() {
-    return missing;
+    return probes.isMissing();
   }
 
   /**
@@ -296,16 +250,16 @@
    *     requests
    */
   public boolean isProbeDue(long nowNanos) {
-    return missing && notices.permitsRequest(nowNanos) && nowNanos - probeDueNanos >= 0;
+    return probes.isDue(nowNanos) && notices.permitsRequest(nowNanos);
   }
 
   /**
-   * Records that a probe was sent. The next one is due after its end at the earliest.
+   * Returns when the server is probed while it is missing.
    *
-   * @param endNanos time by which the probe ends, including its timeout
+   * @return the schedule of probes
    */
-  public void recordProbeSent(long endNanos) {
-    probeDueNanos = endNanos;
+  public ProbeSchedule probes() {
+    return probes;
   }
 
   /**
--- a/core/src/test/java/org/pollenrock/core/fleet/BackendTest.java
+++ b/core/src/test/java/org/pollenrock/core/fleet/BackendTest.java
@@ -57,7 +57,7 @@
     assertThat(backend.silentNanos(1_000 * MILLI)).isZero();
     assertThat(backend.silentNanos(1_500 * MILLI)).isEqualTo(500 * MILLI);
     backend.recordResponseStart(50_000);
-    backend.recordLoading(1_500 * MILLI);
+    backend.loadingPause().begin(1_500 * MILLI);
     assertThat(backend.silentNanos(1_900 * MILLI)).isZero();
     assertThat(backend.silentNanos(2_050 * MILLI)).isEqualTo(100 * MILLI);
   }
@@ -86,7 +86,7 @@
   @Test
   void silenceIsToleratedAfterARefusalDuringLoading() {
     backend.recordRequestStart(0, 0);
-    backend.recordLoading(0);
+    backend.loadingPause().begin(0);
     backend.recordReceived(100 * MILLI);
     assertThat(backend.silentNanos(440 * MILLI)).isZero();
     assertThat(backend.silentNanos(500 * MILLI)).isEqualTo(50 * MILLI);
@@ -98,7 +98,7 @@
     assertThat(backend.isMissing()).isTrue();
     assertThat(backend.isProbeDue(249 * MILLI)).isFalse();
     assertThat(backend.isProbeDue(250 * MILLI)).isTrue();
-    backend.recordProbeSent(1_250 * MILLI);
+    backend.probes().recordProbeSent(1_250 * MILLI);
     assertThat(backend.isProbeDue(1_200 * MILLI)).isFalse();
     backend.recordUnreachable(1_250 * MILLI);
     assertThat(backend.isProbeDue(1_700 * MILLI)).isFalse();
@@ -139,7 +139,7 @@
     for (int failures = 0; failures < 4; failures++) {
       backend.recordUnreachable(0);
     }
-    backend.applyPeerProbe(1_950 * MILLI);
+    backend.probes().applyPeerProbe(1_950 * MILLI);
     assertThat(backend.isProbeDue(2_900 * MILLI)).isFalse();
     assertThat(backend.isProbeDue(2_950 * MILLI)).isTrue();
   }
@@ -148,11 +148,11 @@
   @Test
   void probeOfAnotherInstanceDelaysTheFirstOwnOneLittle() {
     backend.applyPeerMissing(1_000 * MILLI);
-    backend.applyPeerProbe(1_000 * MILLI);
+    backend.probes().applyPeerProbe(1_000 * MILLI);
     assertThat(backend.isProbeDue(1_249 * MILLI)).isFalse();
     assertThat(backend.isProbeDue(1_250 * MILLI)).isTrue();
     backend.markReachable();
-    backend.applyPeerProbe(1_300 * MILLI);
+    backend.probes().applyPeerProbe(1_300 * MILLI);
     assertThat(backend.isMissing()).isFalse();
   }
 
@@ -183,7 +183,7 @@
 
   @Test
   void newerWeightsEndTheLoadingPause() {
-    backend.recordLoading(0);
+    backend.loadingPause().begin(0);
     assertThat(backend.isPaused(100 * MILLI)).isTrue();
     backend.recordWeightsVersion("m", 2);
     assertThat(backend.isPaused(100 * MILLI)).isFalse();
--- a/core/src/test/java/org/pollenrock/core/fleet/LoadingPauseTest.java
+++ b/core/src/test/java/org/pollenrock/core/fleet/LoadingPauseTest.java
@@ -28,7 +28,7 @@
   @Test
   void refusalDoesNotShortenAnAnnouncedLoad() {
     backend.loadingPause().begin(1_300 * MILLI, 0);
-    backend.recordLoading(100 * MILLI);
+    backend.loadingPause().begin(100 * MILLI);
     assertThat(backend.isPaused(1_299 * MILLI)).isTrue();
   }
 
--- a/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
+++ b/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
@@ -244,7 +244,7 @@
     private void sweep() {
       for (Backend backend : fleet.serversDueForProbe(now)) {
         if (limits.maySend(backend, now)) {
-          backend.recordProbeSent(now + SECOND);
+          backend.probes().recordProbeSent(now + SECOND);
           limits.recordSend(backend, now);
           arrive(backend);
           int ofLife = life;
--- a/gateway/src/main/java/org/pollenrock/gateway/FleetNewsApplier.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/FleetNewsApplier.java
@@ -74,7 +74,7 @@
       fleet.findByIdHash(server).ifPresent(backend -> backend.applyPeerMissing(now));
     }
     for (long server : message.getProbingList()) {
-      fleet.findByIdHash(server).ifPresent(backend -> backend.applyPeerProbe(now));
+      fleet.findByIdHash(server).ifPresent(backend -> backend.probes().applyPeerProbe(now));
     }
     for (long server : message.getReturnedList()) {
       fleet.findByIdHash(server).ifPresent(Backend::markReachable);
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -16,7 +16,6 @@
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.membership.UnknownInstances;
 import org.pollenrock.core.quarantine.PartQuarantine;
-import org.pollenrock.core.ratelimit.ServerRateLimits;
 import org.pollenrock.core.response.HeadCheck;
 import org.pollenrock.core.route.ActiveConfig;
 import org.pollenrock.core.weights.WeightsTargets;
@@ -145,7 +144,8 @@
     operatorListener =
         settings.operatorAddress().map(address -> new PageListener(loop, address, pages));
     addSuspensionListener(weightsTargets::recordSuspension);
-    GatewayGauges.register(metrics, this, log);
+    GatewayGauges.register(
+        metrics, this, bodyMemory, callerListener, quarantineTask, rateLimits.limits(), log);
   }
 
   /**
@@ -212,26 +212,6 @@
     return bodyMemory.heldBytes();
   }
 
-  /** Returns how often a request was refused since no memory was left for its body. */
-  long failedRequestReservations() {
-    return bodyMemory.failureCount();
-  }
-
-  /** Returns the number of open connections of callers. */
-  long openCallerConnections() {
-    return callerListener.openConnections();
-  }
-
-  /** Returns the request rates that servers have named. */
-  ServerRateLimits serverRates() {
-    return rateLimits.limits();
-  }
-
-  /** Returns the number of parts of prompts whose requests are refused. */
-  long quarantinedParts() {
-    return quarantineTask.quarantinedParts();
-  }
-
   /**
    * Returns the bytes held for responses of servers.
    *
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayGauges.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayGauges.java
@@ -1,11 +1,20 @@
 package org.pollenrock.gateway;
 
+import org.pollenrock.core.ratelimit.ServerRateLimits;
+
 /** Registers the gauges of an instance. */
 final class GatewayGauges {
   private GatewayGauges() {}
 
   /** Registers gauges that read the state of a gateway. */
-  static void register(GatewayMetrics metrics, Gateway gateway, EventLog log) {
+  static void register(
+      GatewayMetrics metrics,
+      Gateway gateway,
+      BodyMemory requestMemory,
+      CallerListener callers,
+      QuarantineTask quarantine,
+      ServerRateLimits rateLimits,
+      EventLog log) {
     metrics.registerGauge(
         "pollenrock_waiting", "Requests that wait", gateway.dispatcher()::waitingRequests);
     metrics.registerGauge(
@@ -21,7 +30,7 @@
     metrics.registerGauge(
         "pollenrock_requests_over_memory",
         "Requests that were refused since no memory was left for their bodies",
-        gateway::failedRequestReservations);
+        requestMemory::failureCount);
     metrics.registerGauge(
         "pollenrock_response_held_bytes",
         "Bytes of responses of servers held",
@@ -32,12 +41,12 @@
         gateway::failedResponseReservations);
     metrics.registerGauge("pollenrock_log_dropped", "Log lines dropped", log::droppedLines);
     metrics.registerGauge(
-        "pollenrock_callers", "Open connections of callers", gateway::openCallerConnections);
+        "pollenrock_callers", "Open connections of callers", callers::openConnections);
     metrics.registerGauge(
         "pollenrock_config_version",
         "Configuration in force",
         () -> gateway.configs().current().map(config -> config.version()).orElse(0L));
-    FleetGauges.register(metrics, gateway.fleet(), gateway.serverRates(), gateway.weightsTargets());
+    FleetGauges.register(metrics, gateway.fleet(), rateLimits, gateway.weightsTargets());
     metrics.registerGauge(
         "pollenrock_prefixes_known",
         "Prefixes whose servers are known",
@@ -45,7 +54,7 @@
     metrics.registerGauge(
         "pollenrock_parts_quarantined",
         "Parts of prompts whose requests are refused",
-        gateway::quarantinedParts);
+        quarantine::quarantinedParts);
     metrics.registerGauge(
         "pollenrock_resends_left",
         "Further sends that the retry budgets of this instance leave",
--- a/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
@@ -265,7 +265,7 @@
 
   private void sendProbe(Backend backend, String path) {
     long now = System.nanoTime();
-    backend.recordProbeSent(now + PROBE_TIMEOUT_MILLIS * 1_000_000);
+    backend.probes().recordProbeSent(now + PROBE_TIMEOUT_MILLIS * 1_000_000);
     // The server may let the probe wait until its timeout, which is longer than the stagger.
     gossip.announceProbe(backend);
     rateLimits.limits().recordSend(backend, now);
--- a/gateway/src/main/java/org/pollenrock/gateway/RolloutGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/RolloutGossip.java
@@ -124,7 +124,7 @@
     if (remainingMillis > 0) {
       backend.loadingPause().begin(TimeUnit.MILLISECONDS.toNanos(remainingMillis), nowNanos);
     } else {
-      backend.recordLoading(nowNanos);
+      backend.loadingPause().begin(nowNanos);
     }
   }
 
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -13,7 +13,6 @@
 import org.pollenrock.core.dispatch.ConnectionReuse;
 import org.pollenrock.core.dispatch.DispatchRequest;
 import org.pollenrock.core.dispatch.NextStep;
-import org.pollenrock.core.dispatch.PrefixStoreView;
 import org.pollenrock.core.dispatch.Selection;
 import org.pollenrock.core.dispatch.SendFailure;
 import org.pollenrock.core.fleet.Backend;
@@ -251,7 +250,7 @@
       backend.recordResponseStart(unreadTokens);
       components.selector().lateness().recordResponse(request, choice, now - sentNanos);
       dispatchWaiting();
-      recordPromptRead(now);
+      PromptReadNews.announce(components, request, context, backend, now);
     }
     if (mode == ResponseMode.STREAM) {
       owner.streamBytesReceived(this, bytes);
@@ -376,22 +375,6 @@
     return cause instanceof IOException || cause instanceof PrematureChannelClosureException;
   }
 
-  private void recordPromptRead(long now) {
-    components
-        .gossip()
-        .announcePrefixRead(components.selector().recordPromptRead(request, backend, now), backend);
-    context
-        .engine()
-        .map(SendContext.Engine::cache)
-        .filter(cache -> cache.saveTo().isPresent())
-        .ifPresent(
-            cache -> {
-              long key = PrefixStoreView.key(request.prompt().orElseThrow(), cache.salt());
-              components.prefixStore().markStored(key);
-              components.gossip().announcePrefixStored(key);
-            });
-  }
-
   /**
    * Records that the server refused the request. An engine is treated as loading weights unless its
    * load explains the refusal: it has room for many waiting requests.
@@ -406,7 +389,7 @@
     if (request.prompt().isEmpty()
         || reportedLoad.filter(LoadReport::explainsRefusal).isPresent()) {
       backend.recordRefusal(now);
-    } else if (backend.recordLoading(now)) {
+    } else if (backend.loadingPause().begin(now)) {
       components.gossip().announceLoading(backend);
     }
     fail(SendFailure.REFUSED, "refused");
