--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -99,7 +99,6 @@
             settings.retryAllowance(),
             System.nanoTime());
     gossip = createGossip(settings);
-    gossip.addPart(new WaitingNews(dispatcher.queues()));
     quarantineTask.addListener(gossip.quarantineGossip());
     HeadCheck headCheck = new HeadCheck(serverProtocol.identifyingHeaders());
     connectionPools =
@@ -424,16 +423,19 @@
   }
 
   private PeerGossip createGossip(GatewaySettings settings) {
-    return new PeerGossip(
-        loop,
-        settings.gossipAddress(),
-        settings.selector().dataCentre(),
-        fleet,
-        directory,
-        prefixStore,
-        quarantineTask.quarantine(),
-        rateLimits,
-        log);
+    PeerGossip created =
+        new PeerGossip(
+            loop,
+            settings.gossipAddress(),
+            settings.selector().dataCentre(),
+            fleet,
+            directory,
+            prefixStore,
+            quarantineTask.quarantine(),
+            rateLimits,
+            log);
+    created.addPart(new WaitingNews(dispatcher.queues()));
+    return created;
   }
 
   private ServerGate createServerGate(
