--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -91,7 +91,6 @@
     selector = new ServerSelector(settings.selector(), directory, prefixStore);
     dispatcher = createDispatcher(settings);
     gossip = createGossip(settings);
-    gossip.addPart(new WaitingNews(dispatcher.queues()));
     quotas = createQuotas(settings);
     quarantineTask.addListener(gossip.quarantineGossip());
     HeadCheck headCheck = new HeadCheck(serverProtocol.identifyingHeaders());
@@ -412,16 +411,19 @@
   }
 
   private PeerGossip createGossip(GatewaySettings settings) {
-    return new PeerGossip(
-        loop,
-        settings.gossipAddress(),
-        settings.selector().dataCentre(),
-        fleet,
-        directory,
-        prefixStore,
-        quarantineTask.quarantine(),
-        rateLimits,
-        log);
+    PeerGossip created =
+        new PeerGossip(
+            loop,
+            settings.gossipAddress(),
+            settings.selector().dataCentre(),
+            fleet,
+            directory,
+            prefixStore,
+            quarantineTask.quarantine(),
+            rateLimits,
+            log);
+    created.addPart(new WaitingNews(dispatcher.queues()));
+    return created;
   }
 
   private ServerSpeedTask createServerSpeeds() {
