Show requests that are denied by a limit that was raised

Cause: the decoder of a caller's connection keeps the limit on heads that was in force when the connection was accepted.

--- a/review/standin-2/GatewayProcess.java
+++ b/review/standin-2/GatewayProcess.java
@@ -5,6 +5,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -19,7 +20,7 @@
   private final Path directory;
   private final String ip;
   private final int port = freePort();
-  private final Map<String, String> values;
+  private final Map<String, String> values = new HashMap<>();
   private Process process;
 
   /**
@@ -34,7 +35,7 @@
     this.directory = directory;
     long pid = ProcessHandle.current().pid();
     this.ip = "127." + (16 + pid / 250 % 200) + "." + (1 + pid % 250) + "." + number;
-    this.values =
+    this.values.putAll(
         Map.ofEntries(
             Map.entry("node_name", "front-" + number),
             Map.entry("zone", zone),
@@ -51,14 +52,12 @@
             Map.entry("bounds.drain_ms", "2000"),
             Map.entry("bounds.retry_budget_ratio", "0.2"),
             Map.entry("bounds.retry_slack", "56"),
-            Map.entry("bounds.budget_window_s", "10"));
+            Map.entry("bounds.budget_window_s", "10")));
   }
 
   /** Starts the process and waits until it says that it is ready. */
   void start() throws Exception {
-    String template = Files.readString(Path.of("deploy/settings.yaml.template"));
-    Path settings = directory.resolve(values.get("node_name") + ".yaml");
-    Files.writeString(settings, render(template));
+    Path settings = writeSettings();
     Matcher run = RUN.matcher(Files.readString(Path.of("deploy/system.toml")));
     if (!run.find()) {
       throw new IOException("deploy/system.toml has no command");
@@ -80,6 +79,20 @@
     }
   }
 
+  /** Changes a setting in the file and tells the process so with SIGHUP. */
+  void changeSetting(String name, String value) throws Exception {
+    values.put(name, value);
+    writeSettings();
+    signal("HUP");
+  }
+
+  private Path writeSettings() throws IOException {
+    String template = Files.readString(Path.of("deploy/settings.yaml.template"));
+    Path settings = directory.resolve(values.get("node_name") + ".yaml");
+    Files.writeString(settings, render(template));
+    return settings;
+  }
+
   /** Address of its callers. */
   InetSocketAddress callers() {
     return new InetSocketAddress(ip, port);
--- a/review/standin-2/Listener.java
+++ b/review/standin-2/Listener.java
@@ -6,6 +6,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** Listening socket with a thread for each connection, which carries one request at a time. */
 final class Listener {
@@ -16,6 +18,7 @@
   }
 
   private final ServerSocket socket;
+  private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
   Listener(Handler handler) throws IOException {
     socket = new ServerSocket();
@@ -28,11 +31,20 @@
     return "127.0.0.1:" + socket.getLocalPort();
   }
 
+  /** Stops listening and closes all connections. */
+  void close() throws IOException {
+    socket.close();
+    for (Socket connection : connections) {
+      connection.close();
+    }
+  }
+
   private void accept(Handler handler) {
     while (!socket.isClosed()) {
       try {
         Socket connection = socket.accept();
         connection.setTcpNoDelay(true);
+        connections.add(connection);
         Thread.ofVirtual().start(() -> serve(connection, handler));
       } catch (IOException e) {
         return;
@@ -40,7 +52,7 @@
     }
   }
 
-  private static void serve(Socket connection, Handler handler) {
+  private void serve(Socket connection, Handler handler) {
     try (connection) {
       InputStream in = new BufferedInputStream(connection.getInputStream());
       OutputStream out = connection.getOutputStream();
@@ -50,6 +62,8 @@
       }
     } catch (Exception e) {
       // The other side has closed or reset the connection.
+    } finally {
+      connections.remove(connection);
     }
   }
 }
--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -21,10 +21,21 @@
   }
 
   private final Map<String, Topic> topics = new HashMap<>();
-  private final Listener listener;
+  private Listener listener;
 
   Store() throws IOException {
-    listener = new Listener((request, socket, out) -> handle(request, out));
+    listener = listen();
+  }
+
+  /** Goes on at another address; nothing answers at the one before. */
+  void move() throws IOException {
+    Listener before = listener;
+    listener = listen();
+    before.close();
+  }
+
+  private Listener listen() throws IOException {
+    return new Listener((request, socket, out) -> handle(request, out));
   }
 
   String address() {
