Show requests that are denied by a body limit of 2 GiB

Cause: the limits of a configuration are read as 32-bit numbers; 2 GiB becomes negative, so that every body is too large.

--- a/review/standin-2/LimitCase.java
+++ b/review/standin-2/LimitCase.java
@@ -10,16 +10,16 @@
 import java.util.TreeMap;
 
 /**
- * A new configuration raises the limit of the head of a request. Counts the proper requests of
- * clients with kept connections that the gateway ends with a status of its own from 300 to 499.
+ * A new configuration raises a limit of what a client may send: {@code head} that of the head of a
+ * request, {@code body} that of its body. Counts the proper requests of clients with kept
+ * connections that the gateway ends with a status of its own from 300 to 499.
  */
 public final class LimitCase {
   private static final int CLIENTS = 25;
   private static final int REQUESTS_BEFORE = 4;
   private static final int REQUESTS_AFTER = 4;
-  private static final int LIMIT_BEFORE = 8_192;
-  private static final int LIMIT_AFTER = 16_384;
-  private static final int LARGE_BYTES = 10_000;
+  private static final int BODY_BYTES = 600;
+  private static final int LARGE_HEAD_BYTES = 10_000;
   private static final long CONFIG_APPLY_MILLIS = 2_000;
 
   /** Denied requests that the rule allows: a number, and one in so many. */
@@ -27,6 +27,13 @@
 
   private static final int ALLOWED_ONE_IN = 500;
 
+  /** Limits of a configuration, in bytes. */
+  private record Limits(long head, long body) {}
+
+  private static final Limits USUAL = new Limits(16_384, 4_194_304);
+  private static final Limits SMALL_HEAD = new Limits(8_192, 4_194_304);
+  private static final Limits LARGE_BODY = new Limits(16_384, 2_147_483_648L);
+
   private final Record record;
   private final GatewayProcess gateway;
   private final Map<Integer, Integer> answers = new TreeMap<>();
@@ -41,13 +48,17 @@
   /**
    * Plays the case.
    *
-   * @param arguments its folder and a folder for temporary files
+   * @param arguments the case, its folder and a folder for temporary files
    */
   public static void main(String[] arguments) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     int status = 2;
-    try (Record record = new Record(Path.of(arguments[0], "record.txt"))) {
-      status = play(trouble, Path.of(arguments[1]), record) ? 0 : 1;
+    try (Record record = new Record(Path.of(arguments[1], "record.txt"))) {
+      boolean head = arguments[0].equals("head");
+      Limits before = head && trouble ? SMALL_HEAD : USUAL;
+      Limits after = head || !trouble ? USUAL : LARGE_BODY;
+      int headBytes = head ? LARGE_HEAD_BYTES : 0;
+      status = play(before, after, headBytes, Path.of(arguments[2]), record) ? 0 : 1;
       record.say(status == 0 ? "the rule held" : "DENIED is broken");
     } catch (Exception e) {
       System.err.println("the case could not run: " + e);
@@ -55,10 +66,12 @@
     System.exit(status);
   }
 
-  private static boolean play(boolean trouble, Path directory, Record record) throws Exception {
+  private static boolean play(
+      Limits before, Limits after, int headBytes, Path directory, Record record)
+      throws Exception {
     Store store = new Store();
     new PlainServer("i-02d9e6b4", "kafi81c", "kurasini", store).start();
-    store.put("keyed.op", "config", config(7, trouble ? LIMIT_BEFORE : LIMIT_AFTER));
+    store.put("keyed.op", "config", config(7, before));
     GatewayProcess gateway = new GatewayProcess(1, "kurasini", directory, store.address());
     gateway.start();
     try {
@@ -68,10 +81,10 @@
         clients.add(played.new Client(number));
       }
       played.round(clients, REQUESTS_BEFORE, 0);
-      store.put("keyed.op", "config", config(8, LIMIT_AFTER));
-      record.line("configuration 8 is acknowledged, with max_header_bytes " + LIMIT_AFTER);
+      store.put("keyed.op", "config", config(8, after));
+      record.line("configuration 8 is acknowledged: " + after + " after " + before);
       Thread.sleep(2 * CONFIG_APPLY_MILLIS);
-      played.round(clients, REQUESTS_AFTER, LARGE_BYTES);
+      played.round(clients, REQUESTS_AFTER, headBytes);
       double allowed = ALLOWED + (double) played.requests / ALLOWED_ONE_IN;
       record.say(
           String.format(
@@ -116,7 +129,7 @@
       String attempt = "c" + number + "-" + ++asked;
       Http.request(
           socket.getOutputStream(),
-          "GET",
+          "POST",
           "/filo73/de11/2f",
           Map.of(
               "Host", "voka93.example",
@@ -124,7 +137,7 @@
               "Deadline-Ms", "1000",
               "Credential", "ctnfzs989anu6wsjnban",
               "Context", "x".repeat(extraBytes)),
-          new byte[0]);
+          new byte[BODY_BYTES]);
       Http.Response response = Http.readResponse(in);
       if (response == null) {
         throw new IOException("no answer to " + attempt);
@@ -148,14 +161,14 @@
     }
   }
 
-  private static String config(int version, int maxHeaderBytes) {
+  private static String config(int version, Limits limits) {
     return "{\"version\":" + version + ",\"routes\":[{\"name\":\"r-6sz9frg\","
         + "\"host\":\"voka93.example\",\"path_prefix\":\"/filo73/\",\"route_kind\":\"idempotent\","
         + "\"timeout_ms\":1000,\"target_latency_ms\":193,\"priority\":2,\"service\":\"kafi81c\","
         + "\"max_attempts\":2,\"anonymous\":false,\"sticky\":false,\"resumable\":false}],"
         + "\"services\":[{\"name\":\"kafi81c\",\"health_path\":\"/health\",\"max_conns\":110,"
-        + "\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"max_header_bytes\":" + maxHeaderBytes
-        + ",\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+        + "\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"max_header_bytes\":" + limits.head()
+        + ",\"max_body_bytes\":" + limits.body() + ",\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
         + "\"tenants\":[{\"name\":\"sese880\",\"api_keys\":[\"ctnfzs989anu6wsjnban\"],"
         + "\"priority\":1,\"isolated\":false}]}";
   }
