--- a/review/standin-2/RecoverCase.java
+++ b/review/standin-2/RecoverCase.java
@@ -16,6 +16,7 @@
   private static final int LONG_CLIENTS = 8;
   private static final int LONG_EVENTS = 40;
   private static final int SHORT_EVENTS = 2;
+  private static final int OWN_TOKENS = 250;
   private static final int GATEWAYS = 2;
   private static final long CALM_MILLIS = 10_000;
   private static final long DOWN_MILLIS = 1_200;
@@ -65,7 +66,8 @@
   private boolean play(boolean trouble, Path directory) throws Exception {
     Store store = new Store();
     store.put("keyed.op", "config", config());
-    store.put("keyed.op", "version/" + CrashingEngine.MODEL, "{\"model\":\"daka510000\",\"version\":1}");
+    store.put(
+        "keyed.op", "version/" + CrashingEngine.MODEL, "{\"model\":\"daka510000\",\"version\":1}");
     int lives = 1;
     CrashingEngine engine = new CrashingEngine("i-llm-1", "huvo11a", store, record);
     for (int number = 1; number <= GATEWAYS; number++) {
@@ -74,10 +76,10 @@
     }
     for (int client = 0; client < LONG_CLIENTS; client++) {
       GatewayProcess gateway = gateways.get(client % GATEWAYS);
-      Thread.ofVirtual().start(() -> ask(gateway, "/lepu270/2f", "5c1e07a2:5000", LONG_EVENTS));
+      Thread.ofVirtual().start(() -> ask(gateway, "/lepu270/2f", "5c1e07a2", 5_000, LONG_EVENTS));
     }
     GatewayProcess last = gateways.getLast();
-    Thread.ofVirtual().start(() -> ask(last, "/xapu221/2f", "91bd3f06:340", SHORT_EVENTS));
+    Thread.ofVirtual().start(() -> ask(last, "/xapu221/2f", "91bd3f06", 340, SHORT_EVENTS));
     Thread.sleep(CALM_MILLIS);
     phase = Phase.RECOVERING;
     if (trouble) {
@@ -115,7 +117,8 @@
   }
 
   /** Sends requests one after the other until the end of the case. */
-  private void ask(GatewayProcess gateway, String path, String sharedPart, int events) {
+  private void ask(
+      GatewayProcess gateway, String path, String sharedPart, int sharedTokens, int events) {
     while (phase != Phase.END) {
       Phase sent = phase;
       String attempt = "b" + attempts.incrementAndGet();
@@ -131,8 +134,9 @@
                 "Host", "jepu9.example",
                 "Attempt-Id", attempt,
                 "Model", CrashingEngine.MODEL,
-                "Token-Count", "6000," + events,
-                "Prompt-Prefix", sharedPart + ",0" + attempt.hashCode() + ":250",
+                "Token-Count", (sharedTokens + OWN_TOKENS) + "," + events,
+                "Prompt-Prefix", sharedPart + ":" + sharedTokens + ","
+                    + Integer.toHexString(attempt.hashCode()) + ":" + OWN_TOKENS,
                 "Deadline-Ms", "12000",
                 "Credential", "ctnfzs989anu6wsjnban"),
             new byte[0]);
