--- a/review/standin-2/GatewayProcess.java
+++ b/review/standin-2/GatewayProcess.java
@@ -79,11 +79,10 @@
     }
   }
 
-  /** Changes a setting in the file and tells the process so with SIGHUP. */
-  void changeSetting(String name, String value) throws Exception {
+  /** Changes a setting in the file. */
+  void changeSetting(String name, String value) throws IOException {
     values.put(name, value);
     writeSettings();
-    signal("HUP");
   }
 
   private Path writeSettings() throws IOException {
--- a/review/standin-2/SettingsCase.java
+++ b/review/standin-2/SettingsCase.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 
 /**
- * The store moves to another address, which the settings file names from then on; the gateway gets
- * SIGHUP. Checks that a configuration written afterwards comes into force.
+ * The store moves to another address, which the settings files of two gateways name from then on; one
+ * of them gets SIGHUP. Checks that a configuration written afterwards comes into force there.
  */
 public final class SettingsCase {
   private static final String KEPT_KEY = "ctnfzs989anu6wsjnban";
@@ -44,7 +44,9 @@
     server.start();
     store.put("keyed.op", "config", config(7, true));
     GatewayProcess gateway = new GatewayProcess(1, "kurasini", directory, store.address());
+    GatewayProcess other = new GatewayProcess(2, "ubungo", directory, store.address());
     gateway.start();
+    other.start();
     try {
       if (ask(gateway, record, "before-kept", KEPT_KEY) != 200
           || ask(gateway, record, "before-dropped", DROPPED_KEY) != 200) {
@@ -53,7 +55,9 @@
       if (trouble) {
         store.move();
         gateway.changeSetting("platform.address", store.address());
-        record.line("the store has moved, the settings file names its address, SIGHUP is sent");
+        other.changeSetting("platform.address", store.address());
+        gateway.signal("HUP");
+        record.line("the store has moved, the settings files name its address, one gets SIGHUP");
       }
       Thread.sleep(2 * CONTACT_MILLIS);
       store.put("keyed.op", "config", config(8, false));
@@ -71,6 +75,7 @@
       return ran == 0;
     } finally {
       gateway.kill();
+      other.kill();
     }
   }
 
