Log what a request has in common with its repetitions when its connection is lost

Change: send_failed has request_hash, a digest of customer, target and body, if the connection was lost. It is computed only then.

--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -25,6 +25,7 @@
 import org.pollenrock.core.dispatch.SendState;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.limits.QuotaExcess;
+import org.pollenrock.core.quarantine.RequestFingerprint;
 import org.pollenrock.core.route.CustomerAccess;
 import org.pollenrock.core.route.CustomerQuota;
 import org.pollenrock.core.route.Route;
@@ -52,6 +53,7 @@
   private Optional<CustomerAccess> customerAccess = Optional.empty();
   private long configVersion;
   private DispatchRequest request;
+  private RequestFingerprint fingerprint;
   private ScheduledFuture<?> deadlineTimer;
   private QuotaHold quotaHold;
   private Optional<QuotaExcess> quotaExcess = Optional.empty();
@@ -275,6 +277,9 @@
   private void admit() {
     long limitMillis =
         Math.min(route.timeoutMillis(), metadata.deadlineMillis().orElse(route.timeoutMillis()));
+    fingerprint =
+        new RequestFingerprint(
+            customerAccess.map(CustomerAccess::name).orElse(""), head.uri(), body::nioBuffer);
     request =
         new DispatchRequest(
             metadata.id(),
@@ -470,7 +475,9 @@
 
   private void logFailure(ServerSend from, SendFailure failure, String cause, NextStep step) {
     String promptParts = metadata.sharedPartIds().orElse(null);
-    from.logFailure(failure, cause, relay.eventCount(), step, promptParts);
+    String requestHash =
+        failure == SendFailure.BROKEN ? Long.toHexString(fingerprint.hash()) : null;
+    from.logFailure(failure, cause, relay.eventCount(), step, promptParts, requestHash);
   }
 
   private void logRequest(String outcome, int status, String cause, long totalNanos) {
--- a/gateway/src/main/java/org/pollenrock/gateway/SendLog.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/SendLog.java
@@ -47,7 +47,8 @@
       String cause,
       long relayedEvents,
       NextStep next,
-      String promptParts) {
+      String promptParts,
+      String requestHash) {
     long now = System.nanoTime();
     components
         .log()
@@ -62,6 +63,7 @@
         .with("events", relayedEvents)
         .with("next", next.name())
         .with("parts", promptParts)
+        .with("request_hash", requestHash)
         .write();
   }
 
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -109,8 +109,13 @@
 
   /** Logs the failure of the send, what had been relayed before, and what follows. */
   void logFailure(
-      SendFailure failure, String cause, long relayedEvents, NextStep next, String promptParts) {
-    sendLog.failure(backend, failure, cause, relayedEvents, next, promptParts);
+      SendFailure failure,
+      String cause,
+      long relayedEvents,
+      NextStep next,
+      String promptParts,
+      String requestHash) {
+    sendLog.failure(backend, failure, cause, relayedEvents, next, promptParts, requestHash);
   }
 
   /** Gives up the send without notifying the owner. */
