Rename the quarantine of parts to that of what crashes servers

PartQuarantine and StruckPart become CrashQuarantine and StruckSuspect, since requests join the parts of prompts. No change of behaviour; the tests of core/quarantine pass.

--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -11,7 +11,7 @@
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.membership.UnknownInstances;
-import org.pollenrock.core.quarantine.PartQuarantine;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 import org.pollenrock.core.ratelimit.ServerRateLimits;
 import org.pollenrock.core.route.Route;
 import org.pollenrock.core.weights.WeightsTargets;
@@ -27,7 +27,7 @@
   private final Fleet fleet;
   private final ServerSelector selector;
   private final WeightsTargets weightsTargets;
-  private final PartQuarantine quarantine;
+  private final CrashQuarantine quarantine;
   private final ServerRateLimits rateLimits;
   private final RetryAllowances retryAllowances;
   private final ServiceQueues queues = new ServiceQueues();
@@ -50,7 +50,7 @@
       Fleet fleet,
       ServerSelector selector,
       WeightsTargets weightsTargets,
-      PartQuarantine quarantine,
+      CrashQuarantine quarantine,
       ServerRateLimits rateLimits,
       RetryAllowanceSettings allowanceSettings,
       long processStartNanos) {
--- a/core/src/main/java/org/pollenrock/core/quarantine/Completions.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/Completions.java
@@ -7,7 +7,7 @@
 /** Last completions of parts of prompts. */
 final class Completions {
   private final BoundedMap<Long, Long> nanosByPart =
-      new BoundedMap<>(PartQuarantine.MAX_COMPLETED_PARTS);
+      new BoundedMap<>(CrashQuarantine.MAX_COMPLETED_PARTS);
 
   private Optional<Long> lastNanos = Optional.empty();
 
--- a/core/src/main/java/org/pollenrock/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/CrashQuarantine.java
@@ -31,7 +31,7 @@
  *
  * <p>Times are in nanoseconds of the same clock. Memory is bounded: the oldest entries leave first.
  */
-public final class PartQuarantine {
+public final class CrashQuarantine {
   /** Maximum number of parts with strikes that are tracked. */
   public static final int MAX_PARTS = 4_096;
 
@@ -63,7 +63,7 @@
   static final int MAX_SERVERS = 1_024;
 
   private final Listener listener;
-  private final BoundedMap<Long, StruckPart> struckParts = new BoundedMap<>(MAX_PARTS);
+  private final BoundedMap<Long, StruckSuspect> struckParts = new BoundedMap<>(MAX_PARTS);
   private final Completions completions = new Completions();
   private final SuspectServers suspectServers = new SuspectServers();
   private IntSupplier trialRank = () -> 0;
@@ -135,7 +135,7 @@
    *
    * @param listener receives the announcements
    */
-  public PartQuarantine(Listener listener) {
+  public CrashQuarantine(Listener listener) {
     this.listener = listener;
   }
 
@@ -192,7 +192,7 @@
     completions.recordAny(nowNanos);
     for (PromptPart part : prompt.sharedParts()) {
       long hash = hash(prompt.model(), part.id());
-      StruckPart struck = struckParts.get(hash);
+      StruckSuspect struck = struckParts.get(hash);
       boolean announced = struck != null && struck.isAnnounced();
       completions.record(hash, nowNanos);
       if (clear(hash, nowNanos)) {
@@ -213,7 +213,7 @@
    * @param nowNanos current time
    */
   public void applyStrike(long part, long server, long nanos, long nowNanos) {
-    Optional<StruckPart> struck =
+    Optional<StruckSuspect> struck =
         addStrike(new Strike(part, server, nanos), "", Long.toHexString(server), nowNanos);
     OptionalLong completedNanos = completions.of(part);
     if (struck.isPresent()
@@ -247,7 +247,7 @@
     if (completionSince(part, nanos - MAX_LATE_NANOS).isPresent()) {
       return;
     }
-    StruckPart struck = struckParts.computeIfAbsent(part, key -> new StruckPart());
+    StruckSuspect struck = struckParts.computeIfAbsent(part, key -> new StruckSuspect());
     if (isQuarantined(part, struck, nanos)) {
       struck.announceTrial(nanos);
     } else {
@@ -271,7 +271,7 @@
   public void applyStoredQuarantine(long part, long nanos, boolean onTrial, long nowNanos) {
     boolean known = struckParts.containsKey(part);
     applyQuarantine(part, nanos);
-    StruckPart struck = struckParts.get(part);
+    StruckSuspect struck = struckParts.get(part);
     if (!known && struck != null) {
       struck.setHearsay(false);
       struck.setProven(!onTrial);
@@ -294,7 +294,7 @@
     }
     for (PromptPart part : prompt.sharedParts()) {
       long hash = hash(prompt.model(), part.id());
-      StruckPart struck = struckParts.get(hash);
+      StruckSuspect struck = struckParts.get(hash);
       if (struck != null
           && isQuarantined(hash, struck, nowNanos)
           && !struck.mayTry(nowNanos, completions, trialRank)) {
@@ -316,7 +316,7 @@
     }
     for (PromptPart part : prompt.sharedParts()) {
       long hash = hash(prompt.model(), part.id());
-      StruckPart struck = struckParts.get(hash);
+      StruckSuspect struck = struckParts.get(hash);
       if (struck != null && isQuarantined(hash, struck, nowNanos)) {
         struck.recordTrial(nowNanos);
         listener.tried(hash, nowNanos);
@@ -331,7 +331,7 @@
    * @return whether nothing has shown that others completed while servers ended under it
    */
   public boolean isOnTrial(long part) {
-    StruckPart struck = struckParts.get(part);
+    StruckSuspect struck = struckParts.get(part);
     return struck != null && !struck.isProven();
   }
 
@@ -352,7 +352,7 @@
    * @return whether the quarantine was announced
    */
   public boolean isAnnounced(long part) {
-    StruckPart struck = struckParts.get(part);
+    StruckSuspect struck = struckParts.get(part);
     return struck != null && struck.isAnnounced();
   }
 
@@ -391,7 +391,7 @@
    * @return the time; empty if the part was never quarantined
    */
   public OptionalLong quarantinedSinceNanos(long part) {
-    StruckPart struck = struckParts.get(part);
+    StruckSuspect struck = struckParts.get(part);
     return struck == null ? OptionalLong.empty() : struck.lastingSinceNanos();
   }
 
@@ -421,9 +421,9 @@
   }
 
   /** Adds a strike; returns the part unless it had a strike by the same server. */
-  private Optional<StruckPart> addStrike(
+  private Optional<StruckSuspect> addStrike(
       Strike strike, String partId, String serverId, long nowNanos) {
-    StruckPart struck = struckParts.computeIfAbsent(strike.part(), key -> new StruckPart());
+    StruckSuspect struck = struckParts.computeIfAbsent(strike.part(), key -> new StruckSuspect());
     struckParts.putLast(strike.part(), struck);
     boolean quarantined = isQuarantined(strike.part(), struck, nowNanos);
     boolean wasAnnounced = quarantined && struck.isAnnounced();
@@ -444,18 +444,18 @@
 
   /** Forgets the strikes of a part that completed after them; returns whether it had any. */
   private boolean clear(long part, long nanos) {
-    StruckPart struck = struckParts.get(part);
+    StruckSuspect struck = struckParts.get(part);
     if (struck == null || struck.hasStrikeAfter(nanos)) {
       return false;
     }
     struckParts.remove(part);
     struckParts.values().stream()
         .filter(other -> struck.wasStruckByAll(other.servers()))
-        .forEach(StruckPart::recordRivalCleared);
+        .forEach(StruckSuspect::recordRivalCleared);
     return true;
   }
 
-  private boolean isQuarantined(long part, StruckPart struck, long nowNanos) {
+  private boolean isQuarantined(long part, StruckSuspect struck, long nowNanos) {
     return struck.isQuarantined(nowNanos)
         || !completions.isKnown(part) && struck.isBlamedForBurst(nowNanos);
   }
@@ -467,7 +467,7 @@
             .anyMatch(other -> other.getKey() != part && other.getValue().wasStruckByAll(servers));
   }
 
-  private boolean othersCompletedSinceFirstStrike(Strike strike, StruckPart struck) {
+  private boolean othersCompletedSinceFirstStrike(Strike strike, StruckSuspect struck) {
     return completions.anyAfter(struck.firstStrikeAfter(evidenceFromNanos(strike)));
   }
 
@@ -478,7 +478,7 @@
   }
 
   /** Returns whether the strikes of a part that is not quarantined suffice to quarantine it. */
-  private boolean isDue(Strike strike, StruckPart struck) {
+  private boolean isDue(Strike strike, StruckSuspect struck) {
     long sinceNanos = evidenceFromNanos(strike);
     if (strike.nanos() - sinceNanos <= 0) {
       return false;
--- a/core/src/main/java/org/pollenrock/core/quarantine/StruckPart.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/StruckSuspect.java
@@ -9,7 +9,7 @@
 import org.pollenrock.core.collection.BoundedMap;
 
 /** Strikes against one part since its last completion, and its quarantine. */
-final class StruckPart {
+final class StruckSuspect {
   /** Maximum number of strikes that are kept; more than a quarantine needs. */
   private static final int MAX_STRIKES = 64;
 
@@ -33,7 +33,7 @@
   private long quarantinedUntilNanos;
 
   /** Adds a strike; returns false if the server had struck the part already. */
-  boolean add(PartQuarantine.Strike strike, String id, String serverId) {
+  boolean add(CrashQuarantine.Strike strike, String id, String serverId) {
     if (partId.isEmpty()) {
       partId = id;
     }
@@ -43,7 +43,7 @@
 
   /** Quarantines the part from the given time on, or extends its quarantine. */
   void quarantine(long nanos) {
-    long until = nanos + PartQuarantine.QUARANTINE_NANOS;
+    long until = nanos + CrashQuarantine.QUARANTINE_NANOS;
     if (!quarantinedBefore || nanos - quarantinedUntilNanos >= 0) {
       quarantinedSinceNanos = nanos;
       quarantinedUntilNanos = until;
@@ -68,14 +68,14 @@
     }
     long sinceNanos = nowNanos - lastStrikeNanos().orElseThrow();
     return sinceNanos >= TrialSchedule.BURST_BLAME_NANOS
-        && sinceNanos < PartQuarantine.QUARANTINE_NANOS;
+        && sinceNanos < CrashQuarantine.QUARANTINE_NANOS;
   }
 
   /** Returns the time of the last strike, quarantine or trial; empty if there was none. */
   OptionalLong lastingSinceNanos() {
     OptionalLong since =
         quarantinedBefore
-            ? OptionalLong.of(quarantinedUntilNanos - PartQuarantine.QUARANTINE_NANOS)
+            ? OptionalLong.of(quarantinedUntilNanos - CrashQuarantine.QUARANTINE_NANOS)
             : lastStrikeNanos();
     return since.isEmpty()
             || triedNanos.isPresent() && triedNanos.getAsLong() - since.getAsLong() > 0
@@ -160,7 +160,7 @@
       return TrialSchedule.pauseNanos(episodes + 1, true, true);
     }
     boolean othersCompleted = episodes > 0 && completions.anyAfter(lastStrikeNanos().orElseThrow());
-    int known = quarantinedBefore ? PartQuarantine.EPISODES : 1;
+    int known = quarantinedBefore ? CrashQuarantine.EPISODES : 1;
     return TrialSchedule.pauseNanos(Math.max(0, episodes - known), announced, othersCompleted);
   }
 
@@ -181,7 +181,7 @@
 
   /** Returns whether a strike, or the start of the quarantine, came after a time. */
   boolean hasStrikeAfter(long nanos) {
-    long sinceNanos = quarantinedSinceNanos - (hearsay ? PartQuarantine.MAX_LATE_NANOS : 0);
+    long sinceNanos = quarantinedSinceNanos - (hearsay ? CrashQuarantine.MAX_LATE_NANOS : 0);
     return quarantinedBefore && sinceNanos - nanos > 0
         || strikeTimes().stream().anyMatch(time -> time - nanos > 0);
   }
@@ -205,7 +205,7 @@
     int episodes = 0;
     long startNanos = 0;
     for (long nanos : sortedTimes) {
-      if (episodes == 0 || nanos - startNanos >= PartQuarantine.EPISODE_NANOS) {
+      if (episodes == 0 || nanos - startNanos >= CrashQuarantine.EPISODE_NANOS) {
         episodes++;
         startNanos = nanos;
       }
--- a/core/src/main/java/org/pollenrock/core/quarantine/SuspectServers.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/SuspectServers.java
@@ -15,7 +15,7 @@
   private static final int MAX_SUSPECTS = 1_024;
 
   private final BoundedMap<Long, SuspectServer> servers =
-      new BoundedMap<>(PartQuarantine.MAX_SERVERS);
+      new BoundedMap<>(CrashQuarantine.MAX_SERVERS);
 
   /**
    * Part of the prompt of a broken send.
@@ -35,7 +35,7 @@
     private List<Suspect> takeRecent(long nowNanos) {
       List<Suspect> recent =
           suspects.values().stream()
-              .filter(each -> nowNanos - each.nanos() <= PartQuarantine.CONFIRMATION_NANOS)
+              .filter(each -> nowNanos - each.nanos() <= CrashQuarantine.CONFIRMATION_NANOS)
               .toList();
       suspects.clear();
       return recent;
@@ -49,13 +49,13 @@
     }
     SuspectServer suspect = servers.computeIfAbsent(server, key -> new SuspectServer());
     for (PromptPart part : prompt.sharedParts()) {
-      long hash = PartQuarantine.hash(prompt.model(), part.id());
+      long hash = CrashQuarantine.hash(prompt.model(), part.id());
       suspect.suspects.put(hash, new Suspect(hash, part.id(), nowNanos));
     }
     boolean ended =
         suspect
             .endedNanos
-            .filter(nanos -> nowNanos - nanos <= PartQuarantine.CONFIRMATION_NANOS)
+            .filter(nanos -> nowNanos - nanos <= CrashQuarantine.CONFIRMATION_NANOS)
             .isPresent();
     return ended ? suspect.takeRecent(nowNanos) : List.of();
   }
--- a/core/src/main/java/org/pollenrock/core/quarantine/TrialSchedule.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/TrialSchedule.java
@@ -47,7 +47,7 @@
     }
     for (int i = 0; i < furtherEpisodes; i++) {
       pauseNanos *= GROWTH;
-      if (pauseNanos >= PartQuarantine.QUARANTINE_NANOS) {
+      if (pauseNanos >= CrashQuarantine.QUARANTINE_NANOS) {
         return OptionalLong.empty();
       }
     }
--- a/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
@@ -9,8 +9,8 @@
 import org.junit.jupiter.api.Test;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 import org.pollenrock.core.quarantine.IgnoredAnnouncements;
-import org.pollenrock.core.quarantine.PartQuarantine;
 
 /**
  * Guards against urgent requests that starve, queues that grow without bound, and refusals without
@@ -18,7 +18,7 @@
  */
 class DispatcherTest {
   private final Fleet fleet = new Fleet();
-  private final PartQuarantine quarantine = new PartQuarantine(new IgnoredAnnouncements());
+  private final CrashQuarantine quarantine = new CrashQuarantine(new IgnoredAnnouncements());
   private final Dispatcher dispatcher = Fixtures.dispatcher(fleet, quarantine, 10);
 
   private static DispatchRequest request(String id, int urgency, long nowNanos) {
@@ -118,7 +118,7 @@
     DispatchRequest request = promptRequest("r", "bad", 0);
     assertThat(dispatcher.submit(request, 0)).isInstanceOf(DispatchResult.Sent.class);
     int resendsLeft = dispatcher.remainingResends(1);
-    quarantine.applyQuarantine(PartQuarantine.hash(Fixtures.MODEL, "bad"), 1);
+    quarantine.applyQuarantine(CrashQuarantine.hash(Fixtures.MODEL, "bad"), 1);
     DispatchResult refused = new DispatchResult.Refused(DispatchResult.Cause.QUARANTINED);
     assertThat(dispatcher.submit(request, 1)).isEqualTo(refused);
     assertThat(dispatcher.resubmit(request, Set.of(), true, 1)).isEqualTo(refused);
@@ -137,7 +137,7 @@
     dispatcher.submit(promptRequest("bad", "bad", 0), 0);
     int waiting = dispatcher.waitingRequests();
     assertThat(dispatcher.removeQuarantined("llm", 1)).isEmpty();
-    quarantine.applyQuarantine(PartQuarantine.hash(Fixtures.MODEL, "bad"), 1);
+    quarantine.applyQuarantine(CrashQuarantine.hash(Fixtures.MODEL, "bad"), 1);
     assertThat(dispatcher.removeQuarantined("llm", 1))
         .extracting(entry -> entry.request().id())
         .containsExactly("bad");
@@ -148,7 +148,7 @@
   @Test
   void oneWaitingRequestTriesAQuarantinedPart() {
     long second = 1_000_000_000L;
-    long part = PartQuarantine.hash(Fixtures.MODEL, "hot");
+    long part = CrashQuarantine.hash(Fixtures.MODEL, "hot");
     quarantine.applyStoredQuarantine(part, 0, true, 0);
     fleet.applyEntry(Fixtures.engine("a", "near", 1), 0);
     List<Backend> busyServers = new ArrayList<>();
--- a/core/src/test/java/org/pollenrock/core/dispatch/Fixtures.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/Fixtures.java
@@ -6,7 +6,7 @@
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.fleet.ListedBackend;
 import org.pollenrock.core.model.InstanceId;
-import org.pollenrock.core.quarantine.PartQuarantine;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 import org.pollenrock.core.ratelimit.RateShares;
 import org.pollenrock.core.ratelimit.ServerRateLimits;
 import org.pollenrock.core.weights.WeightsTargets;
@@ -74,7 +74,7 @@
   }
 
   /** Returns the dispatcher of an instance that started long ago. */
-  static Dispatcher dispatcher(Fleet fleet, PartQuarantine quarantine, int retrySlack) {
+  static Dispatcher dispatcher(Fleet fleet, CrashQuarantine quarantine, int retrySlack) {
     return new Dispatcher(
         fleet,
         new ServerSelector(
--- a/core/src/test/java/org/pollenrock/core/dispatch/RetryAllowanceFleetTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/RetryAllowanceFleetTest.java
@@ -9,8 +9,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.pollenrock.core.fleet.Fleet;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 import org.pollenrock.core.quarantine.IgnoredAnnouncements;
-import org.pollenrock.core.quarantine.PartQuarantine;
 
 /** Guards against instances that each take the whole slack of a retry budget. */
 class RetryAllowanceFleetTest {
@@ -20,7 +20,7 @@
   private static Dispatcher startedDispatcher() {
     Fleet fleet = new Fleet();
     fleet.applyEntry(Fixtures.plainServer("a", "near", 100_000), 0);
-    return Fixtures.dispatcher(fleet, new PartQuarantine(new IgnoredAnnouncements()), SLACK);
+    return Fixtures.dispatcher(fleet, new CrashQuarantine(new IgnoredAnnouncements()), SLACK);
   }
 
   private static int resendAsOftenAsAllowed(Dispatcher dispatcher) {
--- a/core/src/test/java/org/pollenrock/core/dispatch/ServerHoldTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/ServerHoldTest.java
@@ -15,8 +15,8 @@
 import org.pollenrock.core.fleet.ListedBackend;
 import org.pollenrock.core.fleet.ServerNotice;
 import org.pollenrock.core.fleet.ServerNotices;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 import org.pollenrock.core.quarantine.IgnoredAnnouncements;
-import org.pollenrock.core.quarantine.PartQuarantine;
 
 /** Guards against requests to a server that has asked for a pause. */
 class ServerHoldTest {
@@ -29,7 +29,7 @@
   private final Dispatcher dispatcher = dispatcher(fleet);
 
   private static Dispatcher dispatcher(Fleet fleet) {
-    return Fixtures.dispatcher(fleet, new PartQuarantine(new IgnoredAnnouncements()), 1_000);
+    return Fixtures.dispatcher(fleet, new CrashQuarantine(new IgnoredAnnouncements()), 1_000);
   }
 
   private static ServerNotice hold(long nanos) {
--- a/core/src/test/java/org/pollenrock/core/dispatch/StopPlanTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/StopPlanTest.java
@@ -9,8 +9,8 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.pollenrock.core.fleet.Fleet;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 import org.pollenrock.core.quarantine.IgnoredAnnouncements;
-import org.pollenrock.core.quarantine.PartQuarantine;
 
 /** Guards against sends whose responses can't arrive before the instance stops. */
 class StopPlanTest {
@@ -21,7 +21,7 @@
 
   private final Fleet fleet = new Fleet();
   private final Dispatcher dispatcher =
-      Fixtures.dispatcher(fleet, new PartQuarantine(new IgnoredAnnouncements()), 10);
+      Fixtures.dispatcher(fleet, new CrashQuarantine(new IgnoredAnnouncements()), 10);
 
   private static DispatchRequest request(boolean repeatable, long limitMillis, long arrivedNanos) {
     return new DispatchRequest(
--- a/core/src/test/java/org/pollenrock/core/quarantine/PartQuarantinePropertyTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/CrashQuarantinePropertyTest.java
@@ -18,7 +18,7 @@
 import org.pollenrock.core.fleet.Backend;
 
 /** Checks the quarantine on random sequences of crashes and completions. */
-class PartQuarantinePropertyTest {
+class CrashQuarantinePropertyTest {
   private static final int STEPS = 200;
   private static final int SERVERS = 6;
   private static final List<Prompt> SOUND =
@@ -37,7 +37,7 @@
     long nowNanos = random.nextLong();
     int badCrashes = 0;
     for (int step = 0; step < STEPS; step++) {
-      nowNanos += PartQuarantine.EPISODE_NANOS + random.nextLong(SECOND);
+      nowNanos += CrashQuarantine.EPISODE_NANOS + random.nextLong(SECOND);
       Backend server = server("s" + random.nextInt(SERVERS), step);
       Prompt bad = BAD.get(random.nextInt(BAD.size()));
       Prompt running = SOUND.get(random.nextInt(SOUND.size()));
@@ -52,7 +52,7 @@
           fixture.quarantine().recordCompletion(sound, nowNanos + 2 * MILLI);
         }
       }
-      assertThat(badCrashes).isLessThanOrEqualTo(PartQuarantine.EPISODES);
+      assertThat(badCrashes).isLessThanOrEqualTo(CrashQuarantine.EPISODES);
     }
     assertThat(fixture.quarantine().isQuarantined(prompt("bad"), nowNanos)).isTrue();
     // The part e occurs in no sound request.
@@ -72,9 +72,9 @@
     for (int i = 0; i < count; i++) {
       times.add(random.nextLong(SECOND));
     }
-    assertThat(isQuarantinedBy(part, times)).isEqualTo(episodes(times) >= PartQuarantine.EPISODES);
+    assertThat(isQuarantinedBy(part, times)).isEqualTo(episodes(times) >= CrashQuarantine.EPISODES);
     Collections.shuffle(times, random);
-    assertThat(isQuarantinedBy(part, times)).isEqualTo(episodes(times) >= PartQuarantine.EPISODES);
+    assertThat(isQuarantinedBy(part, times)).isEqualTo(episodes(times) >= CrashQuarantine.EPISODES);
   }
 
   /** Guards against memory that grows with the parts and servers that callers and faults supply. */
@@ -92,9 +92,9 @@
     }
     assertThat(fixture.quarantine().trackedEntries())
         .isLessThanOrEqualTo(
-            PartQuarantine.MAX_PARTS
-                + PartQuarantine.MAX_COMPLETED_PARTS
-                + PartQuarantine.MAX_SERVERS);
+            CrashQuarantine.MAX_PARTS
+                + CrashQuarantine.MAX_COMPLETED_PARTS
+                + CrashQuarantine.MAX_SERVERS);
   }
 
   private static boolean isQuarantinedBy(long part, List<Long> strikeTimes) {
@@ -112,7 +112,7 @@
     int episodes = 0;
     while (!sorted.isEmpty()) {
       episodes++;
-      long endNanos = sorted.get(0) + PartQuarantine.EPISODE_NANOS;
+      long endNanos = sorted.get(0) + CrashQuarantine.EPISODE_NANOS;
       sorted.removeIf(time -> time < endNanos);
     }
     return episodes;
--- a/core/src/test/java/org/pollenrock/core/quarantine/PartQuarantineTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/CrashQuarantineTest.java
@@ -15,12 +15,12 @@
  * Guards against parts of prompts that crash server after server, and against the quarantine of
  * sound parts.
  */
-class PartQuarantineTest {
+class CrashQuarantineTest {
   private static final Prompt BAD = prompt("system", "bad");
   private static final Prompt SOUND = prompt("system", "sound");
 
   private final QuarantineFixture fixture = new QuarantineFixture();
-  private final PartQuarantine quarantine = fixture.quarantine();
+  private final CrashQuarantine quarantine = fixture.quarantine();
 
   private void crashThreeTimes() {
     for (int second = 1; second <= 3; second++) {
@@ -80,7 +80,7 @@
     quarantine.recordBroken(server("s1"), BAD, SECOND + MILLI);
     assertThat(fixture.strikes()).hasSize(2);
     quarantine.recordBroken(
-        server("s1"), prompt("late"), SECOND + PartQuarantine.CONFIRMATION_NANOS + 1);
+        server("s1"), prompt("late"), SECOND + CrashQuarantine.CONFIRMATION_NANOS + 1);
     assertThat(fixture.strikes()).hasSize(2);
   }
 
@@ -107,7 +107,7 @@
   @Test
   void ignoresOldStrikes() {
     for (int i = 1; i <= 9; i++) {
-      fixture.crash(server("s" + i), i * PartQuarantine.STRIKE_VALID_NANOS / 2, BAD);
+      fixture.crash(server("s" + i), i * CrashQuarantine.STRIKE_VALID_NANOS / 2, BAD);
     }
     assertThat(fixture.quarantined()).isEmpty();
   }
@@ -148,7 +148,7 @@
   @Test
   void quarantinesAPartThatTurnedBadWhileOthersComplete() {
     quarantine.recordCompletion(BAD, 1);
-    for (int second = 1; second < PartQuarantine.EPISODES_IF_COMPLETED; second++) {
+    for (int second = 1; second < CrashQuarantine.EPISODES_IF_COMPLETED; second++) {
       assertThat(quarantine.isQuarantined(BAD, second * SECOND)).isFalse();
       fixture.crash(server("s" + second), second * SECOND, BAD);
       quarantine.recordCompletion(SOUND, second * SECOND + SECOND / 2);
@@ -172,7 +172,7 @@
   @Test
   void quarantinesAgainAfterOneFurtherStrike() {
     crashThreeTimes();
-    long endNanos = 3 * SECOND + PartQuarantine.QUARANTINE_NANOS;
+    long endNanos = 3 * SECOND + CrashQuarantine.QUARANTINE_NANOS;
     assertThat(quarantine.isQuarantined(BAD, endNanos - 1)).isTrue();
     assertThat(quarantine.isQuarantined(BAD, endNanos)).isFalse();
     fixture.crash(server("s4"), endNanos + SECOND, BAD);
@@ -193,7 +193,7 @@
   void extendsTheQuarantineByAStrike() {
     crashThreeTimes();
     fixture.crash(server("s4"), 5 * SECOND, BAD);
-    assertThat(quarantine.isQuarantined(BAD, 4 * SECOND + PartQuarantine.QUARANTINE_NANOS))
+    assertThat(quarantine.isQuarantined(BAD, 4 * SECOND + CrashQuarantine.QUARANTINE_NANOS))
         .isTrue();
     assertThat(fixture.quarantined()).containsExactly("bad");
   }
@@ -207,7 +207,7 @@
     assertThat(fixture.quarantined()).isEmpty();
     quarantine.applyStrike(hash("bad"), 3, 3 * SECOND, 3 * SECOND + MILLI);
     assertThat(fixture.quarantined()).containsExactly("bad");
-    assertThat(fixture.strikes()).extracting(PartQuarantine.Strike::nanos).containsOnly(SECOND);
+    assertThat(fixture.strikes()).extracting(CrashQuarantine.Strike::nanos).containsOnly(SECOND);
   }
 
   /** Announced strikes may arrive late and in another order. */
@@ -245,7 +245,7 @@
     assertThat(quarantine.isQuarantined(BAD, 2 * SECOND)).isTrue();
     assertThat(fixture.quarantined()).isEmpty();
     quarantine.applyQuarantine(hash("bad"), 2 * SECOND);
-    assertThat(quarantine.isQuarantined(BAD, SECOND + PartQuarantine.QUARANTINE_NANOS)).isFalse();
+    assertThat(quarantine.isQuarantined(BAD, SECOND + CrashQuarantine.QUARANTINE_NANOS)).isFalse();
     quarantine.recordCompletion(BAD, 3 * SECOND);
     assertThat(quarantine.quarantinedParts(3 * SECOND)).isEmpty();
   }
@@ -254,7 +254,7 @@
   @Test
   void announcementAfterTheEndDoesNotRenewTheQuarantine() {
     quarantine.applyQuarantine(hash("bad"), SECOND);
-    long endNanos = SECOND + PartQuarantine.QUARANTINE_NANOS;
+    long endNanos = SECOND + CrashQuarantine.QUARANTINE_NANOS;
     // Another instance learned it later, so that it lasts longer there.
     quarantine.applyQuarantine(hash("bad"), SECOND + MILLI);
     assertThat(quarantine.isQuarantined(BAD, endNanos)).isFalse();
@@ -277,12 +277,12 @@
   /** Callers that invent parts must not fill the memory. */
   @Test
   void boundsTheTrackedParts() {
-    for (int i = 0; i < 2 * PartQuarantine.MAX_PARTS; i++) {
+    for (int i = 0; i < 2 * CrashQuarantine.MAX_PARTS; i++) {
       quarantine.applyQuarantine(i, SECOND);
     }
     assertThat(quarantine.quarantinedParts(SECOND))
-        .hasSize(PartQuarantine.MAX_PARTS)
-        .contains(2L * PartQuarantine.MAX_PARTS - 1)
+        .hasSize(CrashQuarantine.MAX_PARTS)
+        .contains(2L * CrashQuarantine.MAX_PARTS - 1)
         .doesNotContain(0L);
   }
 
--- a/core/src/test/java/org/pollenrock/core/quarantine/IgnoredAnnouncements.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/IgnoredAnnouncements.java
@@ -1,9 +1,9 @@
 package org.pollenrock.core.quarantine;
 
 /** Listener for tests that don't depend on the announcements of a quarantine. */
-public final class IgnoredAnnouncements implements PartQuarantine.Listener {
+public final class IgnoredAnnouncements implements CrashQuarantine.Listener {
   @Override
-  public void struck(PartQuarantine.Strike strike) {}
+  public void struck(CrashQuarantine.Strike strike) {}
 
   @Override
   public void cleared(long part, long nanos) {}
--- a/core/src/test/java/org/pollenrock/core/quarantine/QuarantineExchangeTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/QuarantineExchangeTest.java
@@ -62,8 +62,8 @@
   }
 
   /** Instance that announces to all others what it observes. */
-  private static final class Instance implements PartQuarantine.Listener {
-    private final PartQuarantine quarantine = new PartQuarantine(this);
+  private static final class Instance implements CrashQuarantine.Listener {
+    private final CrashQuarantine quarantine = new CrashQuarantine(this);
     private final Simulation simulation;
 
     private Instance(Simulation simulation) {
@@ -71,7 +71,7 @@
     }
 
     @Override
-    public void struck(PartQuarantine.Strike strike) {
+    public void struck(CrashQuarantine.Strike strike) {
       simulation.sendToAll(
           this,
           other ->
--- a/core/src/test/java/org/pollenrock/core/quarantine/QuarantineFixture.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/QuarantineFixture.java
@@ -9,26 +9,26 @@
 import org.pollenrock.core.fleet.ListedBackend;
 
 /** Prompts, servers and announcements for the tests of this package. */
-final class QuarantineFixture implements PartQuarantine.Listener {
+final class QuarantineFixture implements CrashQuarantine.Listener {
   static final long MILLI = 1_000_000L;
   static final long SECOND = 1_000_000_000L;
   private static final String MODEL = "m";
 
-  private final PartQuarantine quarantine = new PartQuarantine(this);
-  private final List<PartQuarantine.Strike> strikes = new ArrayList<>();
+  private final CrashQuarantine quarantine = new CrashQuarantine(this);
+  private final List<CrashQuarantine.Strike> strikes = new ArrayList<>();
   private final List<Long> cleared = new ArrayList<>();
   private final List<String> quarantined = new ArrayList<>();
 
   static long hash(String partId) {
-    return PartQuarantine.hash(MODEL, partId);
+    return CrashQuarantine.hash(MODEL, partId);
   }
 
-  PartQuarantine quarantine() {
+  CrashQuarantine quarantine() {
     return quarantine;
   }
 
   /** Returns the announced strikes. */
-  List<PartQuarantine.Strike> strikes() {
+  List<CrashQuarantine.Strike> strikes() {
     return strikes;
   }
 
@@ -70,7 +70,7 @@
   }
 
   @Override
-  public void struck(PartQuarantine.Strike strike) {
+  public void struck(CrashQuarantine.Strike strike) {
     strikes.add(strike);
   }
 
--- a/core/src/test/java/org/pollenrock/core/quarantine/QuarantineLimitsTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/QuarantineLimitsTest.java
@@ -21,7 +21,7 @@
   private static final Prompt SOUND = prompt("system", "sound");
 
   private final QuarantineFixture fixture = new QuarantineFixture();
-  private final PartQuarantine quarantine = fixture.quarantine();
+  private final CrashQuarantine quarantine = fixture.quarantine();
 
   /** The only engine may crash for a reason of its own before anything has completed. */
   @Test
--- a/core/src/test/java/org/pollenrock/core/quarantine/TrialTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/TrialTest.java
@@ -22,7 +22,7 @@
   private static final long CONTACT_NANOS = 3 * SECOND;
 
   private final QuarantineFixture fixture = new QuarantineFixture();
-  private final PartQuarantine quarantine = fixture.quarantine();
+  private final CrashQuarantine quarantine = fixture.quarantine();
 
   private void crashThreeTimes(Prompt prompt) {
     for (int second = 1; second <= 3; second++) {
@@ -60,7 +60,7 @@
       int crashes = 0;
       int counted = 0;
       long countedFromNanos = Long.MAX_VALUE;
-      for (long nanos = SECOND; nanos < PartQuarantine.QUARANTINE_NANOS; nanos += 100 * MILLI) {
+      for (long nanos = SECOND; nanos < CrashQuarantine.QUARANTINE_NANOS; nanos += 100 * MILLI) {
         if (!own.quarantine().isQuarantined(bad, nanos)) {
           own.quarantine().recordSend(bad, nanos);
           own.crash(server("s" + crashes), nanos, bad);
--- a/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
+++ b/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
@@ -25,8 +25,8 @@
 import org.pollenrock.core.fleet.ListedBackend;
 import org.pollenrock.core.model.InstanceId;
 import org.pollenrock.core.placement.RendezvousHash;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 import org.pollenrock.core.quarantine.IgnoredAnnouncements;
-import org.pollenrock.core.quarantine.PartQuarantine;
 import org.pollenrock.core.weights.WeightsTargets;
 
 /**
@@ -149,7 +149,7 @@
               new ServerSelector(
                   SelectorSettings.defaults("dc"), new PrefixDirectory(), new PrefixStoreView()),
               new WeightsTargets(0),
-              new PartQuarantine(new IgnoredAnnouncements()),
+              new CrashQuarantine(new IgnoredAnnouncements()),
               limits,
               new RetryAllowanceSettings(1, 100_000, 10 * SECOND),
               now - 20 * SECOND);
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -15,7 +15,7 @@
 import org.pollenrock.core.dispatch.ServerSelector;
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.membership.UnknownInstances;
-import org.pollenrock.core.quarantine.PartQuarantine;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 import org.pollenrock.core.response.HeadCheck;
 import org.pollenrock.core.route.ActiveConfig;
 import org.pollenrock.core.weights.WeightsTargets;
@@ -321,7 +321,7 @@
    *
    * @return the quarantine
    */
-  public PartQuarantine quarantine() {
+  public CrashQuarantine quarantine() {
     return quarantineTask.quarantine();
   }
 
--- a/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/PeerGossip.java
@@ -24,7 +24,7 @@
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.model.InstanceId;
 import org.pollenrock.core.placement.RendezvousHash;
-import org.pollenrock.core.quarantine.PartQuarantine;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 import org.pollenrock.protocol.generated.EngineLoading;
 import org.pollenrock.protocol.generated.FleetNews;
 import org.pollenrock.protocol.generated.PrefixRead;
@@ -95,7 +95,7 @@
       Fleet fleet,
       PrefixDirectory directory,
       PrefixStoreView prefixStore,
-      PartQuarantine quarantine,
+      CrashQuarantine quarantine,
       RateLimitTask rateLimits,
       EventLog log) {
     this.loop = loop;
--- a/gateway/src/main/java/org/pollenrock/gateway/QuarantineGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QuarantineGossip.java
@@ -15,7 +15,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
-import org.pollenrock.core.quarantine.PartQuarantine;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 import org.pollenrock.protocol.generated.FleetNews;
 import org.pollenrock.protocol.generated.PartEvent;
 import org.pollenrock.protocol.generated.PartStrike;
@@ -31,7 +31,7 @@
  *
  * <p>All methods must be called on the event loop.
  */
-public final class QuarantineGossip implements PartQuarantine.Listener {
+public final class QuarantineGossip implements CrashQuarantine.Listener {
   /** Time for which strikes and clearings are batched before they are sent for the first time. */
   private static final long BATCH_MILLIS = 10;
 
@@ -85,7 +85,7 @@
      *
      * @param strike the strike
      */
-    record Struck(PartQuarantine.Strike strike) implements Event {}
+    record Struck(CrashQuarantine.Strike strike) implements Event {}
 
     /**
      * Clearing that this instance found.
@@ -114,7 +114,7 @@
   private record Pending(Event event, int sendCount, long dueNanos) {}
 
   private final EventLoop loop;
-  private final PartQuarantine quarantine;
+  private final CrashQuarantine quarantine;
   private final int position;
   private final LongSupplier clock;
   private final Sender sender;
@@ -144,7 +144,7 @@
    * @param sender sends the messages
    */
   QuarantineGossip(
-      EventLoop loop, PartQuarantine quarantine, int position, LongSupplier clock, Sender sender) {
+      EventLoop loop, CrashQuarantine quarantine, int position, LongSupplier clock, Sender sender) {
     this.loop = loop;
     this.clock = clock;
     this.nextRoundNanos = clock.getAsLong();
@@ -192,7 +192,7 @@
   }
 
   @Override
-  public void struck(PartQuarantine.Strike strike) {
+  public void struck(CrashQuarantine.Strike strike) {
     if (ownStruckParts.size() >= MAX_PENDING) {
       ownStruckParts.removeFirst();
     }
@@ -204,7 +204,7 @@
   public void cleared(long part, long nanos) {
     pending.removeIf(
         each ->
-            each.event() instanceof Event.Struck(PartQuarantine.Strike strike)
+            each.event() instanceof Event.Struck(CrashQuarantine.Strike strike)
                 && strike.part() == part
                 && strike.nanos() - nanos <= 0);
     long delayMillis =
@@ -261,7 +261,7 @@
         long sinceNanos = nowNanos - nanos(quarantined.getAgeMs());
         quarantine.applyQuarantine(part, sinceNanos);
         quarantine
-            .completionSince(part, sinceNanos - PartQuarantine.MAX_LATE_NANOS)
+            .completionSince(part, sinceNanos - CrashQuarantine.MAX_LATE_NANOS)
             .ifPresent(nanos -> addEvent(reply, new Event.Cleared(part, nanos), nowNanos));
       }
     } finally {
@@ -286,7 +286,7 @@
   }
 
   private void reportOwnQuarantine(long part) {
-    String partId = quarantine.report(part).map(PartQuarantine.PartReport::partId).orElse("");
+    String partId = quarantine.report(part).map(CrashQuarantine.PartReport::partId).orElse("");
     ownQuarantines.accept(part, partId);
   }
 
@@ -385,7 +385,7 @@
 
   private static void addEvent(FleetNews.Builder message, Event event, long nowNanos) {
     switch (event) {
-      case Event.Struck(PartQuarantine.Strike strike) ->
+      case Event.Struck(CrashQuarantine.Strike strike) ->
           message.addStrikes(
               PartStrike.newBuilder()
                   .setPart(strike.part())
--- a/gateway/src/main/java/org/pollenrock/gateway/QuarantineTask.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QuarantineTask.java
@@ -6,15 +6,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.pollenrock.core.quarantine.PartQuarantine;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 
 /** Owns the quarantine of parts of prompts, and logs strikes and the parts that enter and leave. */
-final class QuarantineTask implements PartQuarantine.Listener {
+final class QuarantineTask implements CrashQuarantine.Listener {
   private static final String STRUCK = "part_struck";
 
-  private final PartQuarantine quarantine = new PartQuarantine(this);
+  private final CrashQuarantine quarantine = new CrashQuarantine(this);
   private final EventLog log;
-  private final List<PartQuarantine.Listener> listeners = new ArrayList<>();
+  private final List<CrashQuarantine.Listener> listeners = new ArrayList<>();
 
   /** Ids of the quarantined parts whose quarantine was logged, by their hashes. */
   private final Map<Long, String> loggedParts = new LinkedHashMap<>();
@@ -24,12 +24,12 @@
   }
 
   /** Returns the quarantine. */
-  PartQuarantine quarantine() {
+  CrashQuarantine quarantine() {
     return quarantine;
   }
 
   /** Adds a receiver of the announcements of the quarantine. */
-  void addListener(PartQuarantine.Listener listener) {
+  void addListener(CrashQuarantine.Listener listener) {
     listeners.add(listener);
   }
 
@@ -39,7 +39,7 @@
   }
 
   @Override
-  public void struck(PartQuarantine.Strike strike) {
+  public void struck(CrashQuarantine.Strike strike) {
     logPart(STRUCK, EventLog.Importance.ROUTINE, strike.part());
     listeners.forEach(listener -> listener.struck(strike));
   }
@@ -95,18 +95,18 @@
     if (!loggedParts.containsKey(part)) {
       logPart("part_quarantined", EventLog.Importance.ESSENTIAL, part);
       loggedParts.put(
-          part, quarantine.report(part).map(PartQuarantine.PartReport::partId).orElse(""));
+          part, quarantine.report(part).map(CrashQuarantine.PartReport::partId).orElse(""));
     }
   }
 
   private void logPart(String event, EventLog.Importance importance, long part) {
-    Optional<PartQuarantine.PartReport> report = quarantine.report(part);
-    List<String> servers = report.map(PartQuarantine.PartReport::servers).orElse(List.of());
+    Optional<CrashQuarantine.PartReport> report = quarantine.report(part);
+    List<String> servers = report.map(CrashQuarantine.PartReport::servers).orElse(List.of());
     EventLog.Line line = log.line(event, importance);
     if (!event.equals(STRUCK)) {
       line.with("on_trial", String.valueOf(quarantine.isOnTrial(part)));
     }
-    line.with("part", report.map(PartQuarantine.PartReport::partId).orElse(""))
+    line.with("part", report.map(CrashQuarantine.PartReport::partId).orElse(""))
         .with("part_hash", Long.toHexString(part))
         .with("servers", String.join(",", servers))
         .with("server_count", servers.size())
--- a/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
@@ -14,7 +14,7 @@
 import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
-import org.pollenrock.core.quarantine.PartQuarantine;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 import org.pollenrock.core.route.ActiveConfig;
 import org.pollenrock.core.route.ServiceSpec;
 
@@ -63,7 +63,7 @@
   private final ActiveConfig configs;
   private final ControlClient control;
   private final ServerConnectionPools connectionPools;
-  private final PartQuarantine quarantine;
+  private final CrashQuarantine quarantine;
   private final RateLimitTask rateLimits;
   private final LoadReports loadReports;
   private final PeerGossip gossip;
@@ -83,7 +83,7 @@
       ActiveConfig configs,
       ControlClient control,
       ServerConnectionPools connectionPools,
-      PartQuarantine quarantine,
+      CrashQuarantine quarantine,
       RateLimitTask rateLimits,
       LoadReports loadReports,
       PeerGossip gossip,
@@ -130,7 +130,7 @@
     }
     long now = System.nanoTime();
     quarantine.recordBroken(backend, prompt, now);
-    watchedUntilNanos.put(backend, now + PartQuarantine.CONFIRMATION_NANOS);
+    watchedUntilNanos.put(backend, now + CrashQuarantine.CONFIRMATION_NANOS);
     if (hasEnded(backend)) {
       recordEnded(backend);
     } else if (checkedServers.add(backend)) {
--- a/gateway/src/test/java/org/pollenrock/gateway/QuarantineFleet.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/QuarantineFleet.java
@@ -17,7 +17,7 @@
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.ListedBackend;
 import org.pollenrock.core.placement.RendezvousHash;
-import org.pollenrock.core.quarantine.PartQuarantine;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 import org.pollenrock.protocol.generated.FleetNews;
 
 /**
@@ -43,8 +43,8 @@
   }
 
   /** Instance whose datagrams are delayed and lost at random. */
-  final class Instance implements PartQuarantine.Listener {
-    private final PartQuarantine quarantine = new PartQuarantine(this);
+  final class Instance implements CrashQuarantine.Listener {
+    private final CrashQuarantine quarantine = new CrashQuarantine(this);
     private final InetSocketAddress address;
     private final QuarantineGossip gossip;
     private final List<String> written = new ArrayList<>();
@@ -81,7 +81,7 @@
       return quarantine.isQuarantined(prompt, ticker.nanoTime());
     }
 
-    PartQuarantine quarantine() {
+    CrashQuarantine quarantine() {
       return quarantine;
     }
 
@@ -107,7 +107,7 @@
     }
 
     @Override
-    public void struck(PartQuarantine.Strike strike) {
+    public void struck(CrashQuarantine.Strike strike) {
       gossip.struck(strike);
     }
 
--- a/gateway/src/test/java/org/pollenrock/gateway/QuarantineGossipTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/QuarantineGossipTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.pollenrock.core.dispatch.Prompt;
-import org.pollenrock.core.quarantine.PartQuarantine;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 
 /**
  * Guards against instances that do not learn in time which part of prompts crashes servers, in
@@ -44,7 +44,7 @@
   @ValueSource(ints = {4, 38, 396})
   void strikesOfDifferentInstancesQuarantineThePartEverywhere(int size) {
     fleet.addInstances(size);
-    crashAtDifferentInstances(BAD, PartQuarantine.EPISODES);
+    crashAtDifferentInstances(BAD, CrashQuarantine.EPISODES);
     fleet.run(CONTACT_MILLIS);
     assertThat(quarantinedCount(BAD)).isEqualTo(size);
     assertThat(quarantinedCount(SOUND)).isZero();
@@ -59,18 +59,18 @@
   void onlyInstancesThatFoundAStrikeWriteTheQuarantine(long seed) {
     random.setSeed(seed);
     fleet.addInstances(38);
-    crashAtDifferentInstances(BAD, PartQuarantine.EPISODES);
+    crashAtDifferentInstances(BAD, CrashQuarantine.EPISODES);
     fleet.run(CONTACT_MILLIS);
     assertThat(instances.stream().flatMap(each -> each.written().stream()))
         .containsOnly("bad")
-        .hasSizeLessThanOrEqualTo(PartQuarantine.EPISODES);
+        .hasSizeLessThanOrEqualTo(CrashQuarantine.EPISODES);
   }
 
   @ParameterizedTest
   @ValueSource(ints = {4, 38, 396})
   void instanceThatStartsLaterLearnsTheQuarantine(int size) {
     fleet.addInstances(size);
-    crashAtDifferentInstances(BAD, PartQuarantine.EPISODES);
+    crashAtDifferentInstances(BAD, CrashQuarantine.EPISODES);
     fleet.run(10 * CONTACT_MILLIS);
     fleet.addInstances(1);
     fleet.run(CONTACT_MILLIS - 1_000);
@@ -83,7 +83,7 @@
     fleet.addInstances(size);
     List<QuarantineFleet.Instance> near = List.copyOf(instances.subList(0, size / 2));
     fleet.connect((from, to) -> near.contains(from) == near.contains(to));
-    for (int i = 0; i < PartQuarantine.EPISODES; i++) {
+    for (int i = 0; i < CrashQuarantine.EPISODES; i++) {
       near.get(random.nextInt(near.size())).crash(BAD);
       fleet.run(400);
     }
@@ -98,9 +98,9 @@
   @Test
   void quarantineEndsEverywhere() {
     fleet.addInstances(4);
-    crashAtDifferentInstances(BAD, PartQuarantine.EPISODES);
+    crashAtDifferentInstances(BAD, CrashQuarantine.EPISODES);
     fleet.run(
-        (int) TimeUnit.NANOSECONDS.toMillis(PartQuarantine.QUARANTINE_NANOS) + CONTACT_MILLIS);
+        (int) TimeUnit.NANOSECONDS.toMillis(CrashQuarantine.QUARANTINE_NANOS) + CONTACT_MILLIS);
     assertThat(quarantinedCount(BAD)).isZero();
   }
 
@@ -113,7 +113,7 @@
   void clearedPartIsClearedEverywhere(long seed) {
     random.setSeed(seed);
     fleet.addInstances(38);
-    crashAtDifferentInstances(SOUND, PartQuarantine.EPISODES);
+    crashAtDifferentInstances(SOUND, CrashQuarantine.EPISODES);
     fleet.run(CONTACT_MILLIS);
     assertThat(quarantinedCount(SOUND)).isEqualTo(38);
     instances.getFirst().quarantine().recordCompletion(SOUND, fleet.nowNanos());
--- a/gateway/src/test/java/org/pollenrock/gateway/QuarantineTrialTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/QuarantineTrialTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.dispatch.PromptPart;
-import org.pollenrock.core.quarantine.PartQuarantine;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 
 /**
  * Guards against sound parts that stay refused everywhere after crashes that they did not cause,
@@ -104,7 +104,7 @@
   @MethodSource("fleets")
   void oneCompletionClearsThePartEverywhere(int size, long seed) {
     start(size, seed);
-    crashEngines(PartQuarantine.EPISODES);
+    crashEngines(CrashQuarantine.EPISODES);
     assertThat(refusingCount()).isEqualTo(size);
     assertThat(fleet.instances()).allMatch(each -> each.written().isEmpty());
     assertRecovers();
@@ -117,7 +117,7 @@
     start(size, seed);
     List<QuarantineFleet.Instance> cutOff = List.copyOf(fleet.instances().subList(0, size / 2));
     fleet.connect((from, to) -> cutOff.contains(from) == cutOff.contains(to));
-    for (int i = 0; i < PartQuarantine.EPISODES; i++) {
+    for (int i = 0; i < CrashQuarantine.EPISODES; i++) {
       fleet.instances().getLast().crash(PROMPT);
       fleet.run(400);
     }
@@ -131,7 +131,7 @@
   @MethodSource("fleets")
   void partIsClearedEverywhereAfterRestartsOfHalfOfTheInstances(int size, long seed) {
     start(size, seed);
-    crashEngines(PartQuarantine.EPISODES);
+    crashEngines(CrashQuarantine.EPISODES);
     for (int i = 0; i < size / 2; i++) {
       fleet.restart(i);
     }
@@ -167,7 +167,7 @@
   @Test
   void oneInstanceTriesAtATime() {
     start(4, 1);
-    crashEngines(PartQuarantine.EPISODES);
+    crashEngines(CrashQuarantine.EPISODES);
     fleet.run(2_000);
     QuarantineFleet.Instance first = fleet.instances().getFirst();
     assertThat(send(first)).isTrue();
