--- a/core/src/main/java/org/pollenrock/core/dispatch/DispatchRequest.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/DispatchRequest.java
@@ -1,6 +1,8 @@
 package org.pollenrock.core.dispatch;
 
 import java.util.Optional;
+import org.pollenrock.core.quarantine.CrashSuspects;
+import org.pollenrock.core.quarantine.RequestFingerprint;
 
 /**
  * The properties of a request that server selection depends on.
@@ -8,6 +10,8 @@
  * @param id identity of the request, for logs
  * @param service name of the service that serves the request
  * @param prompt prompt of the request; empty for a plain request
+ * @param fingerprint what identifies the request among repetitions by callers; empty if its
+ *     repetitions need not be recognized
  * @param customer name of the customer; empty if the request has none
  * @param cacheScope cache scope, which identifies the customers that share cache entries
  * @param urgency urgency from 0, which is dispatched first, to 9
@@ -20,6 +24,7 @@
     String id,
     String service,
     Optional<Prompt> prompt,
+    Optional<RequestFingerprint> fingerprint,
     Optional<String> customer,
     String cacheScope,
     int urgency,
@@ -36,6 +41,15 @@
     return prompt.map(Prompt::tokens).orElse(0);
   }
 
+  /**
+   * Returns what of the request may crash the server that runs it.
+   *
+   * @return the request and its prompt
+   */
+  public CrashSuspects crashSuspects() {
+    return new CrashSuspects(prompt, fingerprint);
+  }
+
   /**
    * Returns the work that the request is for the servers of its service, in relation to other
    * requests for the same service.
--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -41,7 +41,7 @@
    * @param fleet the known servers
    * @param selector chooses a server for each request
    * @param weightsTargets target versions of the weights
-   * @param quarantine parts of prompts whose requests are refused
+   * @param quarantine requests and parts of prompts that are refused
    * @param rateLimits request rates that servers have named
    * @param allowanceSettings retry budget of each service
    * @param processStartNanos start time of this process
@@ -190,7 +190,7 @@
   }
 
   /**
-   * Removes the waiting requests of a service whose prompts have a quarantined part.
+   * Removes the waiting requests of a service that are quarantined or have a quarantined part.
    *
    * @param service name of the service
    * @param nowNanos current time
@@ -408,8 +408,7 @@
   }
 
   private boolean isQuarantined(DispatchRequest request, long nowNanos) {
-    return request.prompt().isPresent()
-        && quarantine.isQuarantined(request.prompt().get(), nowNanos);
+    return quarantine.isQuarantined(request.crashSuspects(), nowNanos);
   }
 
   private DispatchResult dispatch(
@@ -439,7 +438,7 @@
     if (resend) {
       retryAllowances.of(request.service()).tryResend(nowNanos);
     }
-    request.prompt().ifPresent(prompt -> quarantine.recordSend(prompt, nowNanos));
+    quarantine.recordSend(request.crashSuspects(), nowNanos);
     rateLimits.recordSend(chosen.backend(), nowNanos);
     chosen.backend().notices().recordRequest(nowNanos);
     chosen.backend().recordRequestStart(chosen.delayingTokens(), nowNanos);
--- a/core/src/main/java/org/pollenrock/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/CrashQuarantine.java
@@ -1,30 +1,36 @@
 package org.pollenrock.core.quarantine;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.IntSupplier;
-import org.pollenrock.core.collection.BoundedMap;
-import org.pollenrock.core.dispatch.Prompt;
-import org.pollenrock.core.dispatch.PromptPart;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.ListedBackend;
 import org.pollenrock.core.placement.RendezvousHash;
 
 /**
- * Detects shared parts of prompts that crash the servers that run them, and quarantines them.
+ * Detects shared parts of prompts, and single requests, that crash the servers that run them, and
+ * quarantines them. What is said of parts here holds for requests too, if not said otherwise.
  *
- * <p>A broken send makes the shared parts of its prompt suspect. If the server is found to have
- * ended, each of them gets a strike, and the sound ones among them are cleared by the next request
- * that completes. A part is quarantined when servers have ended under it in several episodes since
- * its last completion. Strikes in quick succession are one episode, so that a power failure, which
- * ends many servers at once, counts once for the parts that are in use everywhere.
+ * <p>A broken send makes the request and the shared parts of its prompt suspect. If the server is
+ * found to have ended, each of them gets a strike, and the sound ones among them are cleared by the
+ * next request that completes. A part is quarantined when servers have ended under it in several
+ * episodes since its last completion. Strikes in quick succession are one episode, so that a power
+ * failure, which ends many servers at once, counts once for the parts that are in use everywhere.
+ * Strikes of a request are episodes of their own if it was sent to one server after the other had
+ * ended.
  *
  * <p>A part that has completed before needs more episodes and a completion of other prompts since
  * the first of them, because servers that crash for another reason leave no part time to complete.
+ * This does not hold for requests: few come again, and one that has completed long ago may crash
+ * servers now. A request is always on trial, because completions of other requests don't show what
+ * ended its servers.
+ *
+ * <p>A part all of whose strikes are also strikes of one quarantined request is not quarantined,
+ * because the request explains them.
  *
  * <p>Crashes prove nothing against a part while no other prompt completes between them. Such a part
  * is on trial, see {@link TrialSchedule}: one completion clears it everywhere.
@@ -32,16 +38,19 @@
  * <p>Times are in nanoseconds of the same clock. Memory is bounded: the oldest entries leave first.
  */
 public final class CrashQuarantine {
-  /** Maximum number of parts with strikes that are tracked. */
-  public static final int MAX_PARTS = 4_096;
+  /** Maximum number of parts with strikes that are tracked, and of requests. */
+  public static final int MAX_ENTRIES = 4_096;
 
   /** Maximum number of parts whose last completion is remembered. */
   public static final int MAX_COMPLETED_PARTS = 16_384;
 
+  /** Maximum number of requests whose last completion is remembered. */
+  static final int MAX_COMPLETED_REQUESTS = 4_096;
+
   /** Time after the last strike for which a part is quarantined. */
   public static final long QUARANTINE_NANOS = 600_000_000_000L;
 
-  /** Time within which strikes count as one episode, from the first one on. */
+  /** Time within which strikes of a part count as one episode, from the first one on. */
   public static final long EPISODE_NANOS = 250_000_000L;
 
   /** Time for which a strike counts; announcements that clear it can be lost. */
@@ -50,7 +59,7 @@
   /** Time between a broken send and the detection that its server ended, in either order. */
   public static final long CONFIRMATION_NANOS = 3_000_000_000L;
 
-  /** Episodes that quarantine a part of which no completion is known. */
+  /** Episodes that quarantine a request, or a part of which no completion is known. */
   public static final int EPISODES = 3;
 
   /** Episodes that quarantine a part that has completed before. */
@@ -63,19 +72,20 @@
   static final int MAX_SERVERS = 1_024;
 
   private final Listener listener;
-  private final BoundedMap<Long, StruckSuspect> struckParts = new BoundedMap<>(MAX_PARTS);
+  private final StruckSuspects struckSuspects = new StruckSuspects();
   private final Completions completions = new Completions();
   private final SuspectServers suspectServers = new SuspectServers();
   private IntSupplier trialRank = () -> 0;
 
   /**
-   * Strike against a part: a server ended while it ran a request with the part.
+   * Strike against a part or request: a server ended while it ran a request.
    *
-   * @param part hash of the part, see {@link #hash}
+   * @param part hash of the part or request, see {@link CrashSuspects}
    * @param server hash of the server and its start
+   * @param sentNanos time at which the request was sent to the server
    * @param nanos time at which the request broke
    */
-  public record Strike(long part, long server, long nanos) {}
+  public record Strike(long part, long server, long sentNanos, long nanos) {}
 
   /** Receives what this instance announces to the others. */
   public interface Listener {
@@ -148,26 +158,19 @@
     trialRank = rank;
   }
 
-  /**
-   * Returns the hash that identifies a part of prompts for a model, the same in every process.
-   *
-   * @param model name of the model
-   * @param partId id of the part
-   * @return the hash
-   */
-  public static long hash(String model, String partId) {
-    return RendezvousHash.mix(RendezvousHash.hash(model) ^ RendezvousHash.hash(partId));
-  }
-
   /**
    * Records that the connection of a send was closed or reset before the response was complete.
    *
    * @param backend the server
-   * @param prompt prompt of the request
+   * @param suspects what of the request may have crashed the server
+   * @param sentNanos time at which the request was sent
    * @param nowNanos current time
    */
-  public void recordBroken(Backend backend, Prompt prompt, long nowNanos) {
-    strike(backend, suspectServers.recordBroken(hash(backend), prompt, nowNanos), nowNanos);
+  public void recordBroken(Backend backend, CrashSuspects suspects, long sentNanos, long nowNanos) {
+    strike(
+        backend,
+        suspectServers.recordBroken(hash(backend), suspects, sentNanos, nowNanos),
+        nowNanos);
   }
 
   /**
@@ -182,24 +185,31 @@
   }
 
   /**
-   * Records that a request has completed, which shows that the shared parts of its prompt are
-   * sound.
+   * Records that a request has completed, which shows that it and the shared parts of its prompt
+   * are sound.
    *
-   * @param prompt prompt of the request
-   * @param nowNanos time of the completion; a part that was struck after it is not cleared
+   * @param suspects the request
+   * @param nowNanos time of the completion; what was struck after it is not cleared
    */
-  public void recordCompletion(Prompt prompt, long nowNanos) {
-    completions.recordAny(nowNanos);
-    for (PromptPart part : prompt.sharedParts()) {
-      long hash = hash(prompt.model(), part.id());
-      StruckSuspect struck = struckParts.get(hash);
-      boolean announced = struck != null && struck.isAnnounced();
-      completions.record(hash, nowNanos);
-      if (clear(hash, nowNanos)) {
-        listener.cleared(hash, nowNanos);
-        if (announced) {
-          listener.released(hash);
-        }
+  public void recordCompletion(CrashSuspects suspects, long nowNanos) {
+    if (suspects.prompt().isPresent()) {
+      completions.recordAny(nowNanos);
+    }
+    suspects.parts().forEach(part -> recordCompletion(part.hash(), nowNanos));
+    // The hash of a request is computed only while it can matter.
+    if (struckSuspects.hasRequests() || suspectServers.isAnyRecent(nowNanos)) {
+      suspects.request().ifPresent(request -> recordCompletion(request.hash(), nowNanos));
+    }
+  }
+
+  private void recordCompletion(long hash, long nowNanos) {
+    StruckSuspect struck = struckSuspects.get(hash);
+    boolean announced = struck != null && struck.isAnnounced();
+    completions.record(hash, nowNanos);
+    if (clear(hash, nowNanos)) {
+      listener.cleared(hash, nowNanos);
+      if (announced) {
+        listener.released(hash);
       }
     }
   }
@@ -207,14 +217,13 @@
   /**
    * Applies a strike that another instance found.
    *
-   * @param part hash of the part
-   * @param server hash of the server and its start
-   * @param nanos time at which the request broke
+   * @param strike the strike
    * @param nowNanos current time
    */
-  public void applyStrike(long part, long server, long nanos, long nowNanos) {
+  public void applyStrike(Strike strike, long nowNanos) {
+    long part = strike.part();
     Optional<StruckSuspect> struck =
-        addStrike(new Strike(part, server, nanos), "", Long.toHexString(server), nowNanos);
+        addStrike(strike, "", Long.toHexString(strike.server()), nowNanos);
     OptionalLong completedNanos = completions.of(part);
     if (struck.isPresent()
         && completedNanos.isPresent()
@@ -247,7 +256,7 @@
     if (completionSince(part, nanos - MAX_LATE_NANOS).isPresent()) {
       return;
     }
-    StruckSuspect struck = struckParts.computeIfAbsent(part, key -> new StruckSuspect());
+    StruckSuspect struck = struckSuspects.getOrAdd(part);
     if (isQuarantined(part, struck, nanos)) {
       struck.announceTrial(nanos);
     } else {
@@ -269,9 +278,9 @@
    * @param nowNanos current time
    */
   public void applyStoredQuarantine(long part, long nanos, boolean onTrial, long nowNanos) {
-    boolean known = struckParts.containsKey(part);
+    boolean known = struckSuspects.contains(part);
     applyQuarantine(part, nanos);
-    StruckSuspect struck = struckParts.get(part);
+    StruckSuspect struck = struckSuspects.get(part);
     if (!known && struck != null) {
       struck.setHearsay(false);
       struck.setProven(!onTrial);
@@ -282,48 +291,54 @@
   }
 
   /**
-   * Returns whether a shared part of a prompt is quarantined and not to be tried now.
+   * Returns whether a request or a shared part of its prompt is quarantined and not to be tried
+   * now.
    *
-   * @param prompt the prompt
+   * @param suspects the request
    * @param nowNanos current time
-   * @return whether a request with the prompt has to be refused
+   * @return whether the request has to be refused
    */
-  public boolean isQuarantined(Prompt prompt, long nowNanos) {
-    if (struckParts.isEmpty()) {
-      return false;
-    }
-    for (PromptPart part : prompt.sharedParts()) {
-      long hash = hash(prompt.model(), part.id());
-      StruckSuspect struck = struckParts.get(hash);
-      if (struck != null
-          && isQuarantined(hash, struck, nowNanos)
-          && !struck.mayTry(nowNanos, completions, trialRank)) {
-        return true;
-      }
-    }
-    return false;
+  public boolean isQuarantined(CrashSuspects suspects, long nowNanos) {
+    return struckAmong(suspects).stream()
+        .map(CrashSuspects.Suspect::hash)
+        .anyMatch(
+            hash -> {
+              StruckSuspect struck = struckSuspects.get(hash);
+              return isQuarantined(hash, struck, nowNanos)
+                  && !struck.mayTry(nowNanos, completions, trialRank);
+            });
   }
 
   /**
-   * Records that a request is sent to a server. Quarantined parts of its prompt are tried by it.
+   * Records that a request is sent to a server. If it or a part of its prompt is quarantined, it is
+   * a trial.
    *
-   * @param prompt prompt of the request, of which no part had to be refused
+   * @param suspects the request, which had not to be refused
    * @param nowNanos current time
    */
-  public void recordSend(Prompt prompt, long nowNanos) {
-    if (struckParts.isEmpty()) {
-      return;
-    }
-    for (PromptPart part : prompt.sharedParts()) {
-      long hash = hash(prompt.model(), part.id());
-      StruckSuspect struck = struckParts.get(hash);
-      if (struck != null && isQuarantined(hash, struck, nowNanos)) {
+  public void recordSend(CrashSuspects suspects, long nowNanos) {
+    for (CrashSuspects.Suspect each : struckAmong(suspects)) {
+      StruckSuspect struck = struckSuspects.get(each.hash());
+      if (isQuarantined(each.hash(), struck, nowNanos)) {
         struck.recordTrial(nowNanos);
-        listener.tried(hash, nowNanos);
+        listener.tried(each.hash(), nowNanos);
       }
     }
   }
 
+  /** Returns the parts of a request, and itself, if they have strikes. */
+  private List<CrashSuspects.Suspect> struckAmong(CrashSuspects suspects) {
+    if (struckSuspects.isEmpty()) {
+      return List.of();
+    }
+    List<CrashSuspects.Suspect> struck = new ArrayList<>(suspects.parts());
+    if (struckSuspects.hasRequests()) {
+      suspects.request().ifPresent(struck::add);
+    }
+    struck.removeIf(each -> !struckSuspects.contains(each.hash()));
+    return struck;
+  }
+
   /**
    * Returns whether a quarantined part is on trial, so that it is sent from time to time.
    *
@@ -331,7 +346,7 @@
    * @return whether nothing has shown that others completed while servers ended under it
    */
   public boolean isOnTrial(long part) {
-    StruckSuspect struck = struckParts.get(part);
+    StruckSuspect struck = struckSuspects.get(part);
     return struck != null && !struck.isProven();
   }
 
@@ -341,7 +356,7 @@
    * @return whether there are no strikes
    */
   public boolean hasNoStrikes() {
-    return struckParts.isEmpty();
+    return struckSuspects.isEmpty();
   }
 
   /**
@@ -352,7 +367,7 @@
    * @return whether the quarantine was announced
    */
   public boolean isAnnounced(long part) {
-    StruckSuspect struck = struckParts.get(part);
+    StruckSuspect struck = struckSuspects.get(part);
     return struck != null && struck.isAnnounced();
   }
 
@@ -363,10 +378,7 @@
    * @return hashes of the parts
    */
   public List<Long> quarantinedParts(long nowNanos) {
-    return struckParts.entrySet().stream()
-        .filter(entry -> isQuarantined(entry.getKey(), entry.getValue(), nowNanos))
-        .map(Map.Entry::getKey)
-        .toList();
+    return struckSuspects.hashesOf((hash, struck) -> isQuarantined(hash, struck, nowNanos));
   }
 
   /**
@@ -391,7 +403,7 @@
    * @return the time; empty if the part was never quarantined
    */
   public OptionalLong quarantinedSinceNanos(long part) {
-    StruckSuspect struck = struckParts.get(part);
+    StruckSuspect struck = struckSuspects.get(part);
     return struck == null ? OptionalLong.empty() : struck.lastingSinceNanos();
   }
 
@@ -402,19 +414,20 @@
    * @return the report; empty if the part has no strikes
    */
   public Optional<PartReport> report(long part) {
-    return Optional.ofNullable(struckParts.get(part))
+    return Optional.ofNullable(struckSuspects.get(part))
         .map(struck -> new PartReport(struck.partId(), struck.serverIds()));
   }
 
   /** Returns the number of parts and servers about which something is stored. */
   int trackedEntries() {
-    return struckParts.size() + completions.size() + suspectServers.size();
+    return struckSuspects.size() + completions.size() + suspectServers.size();
   }
 
-  private void strike(Backend backend, List<SuspectServers.Suspect> suspects, long nowNanos) {
-    for (SuspectServers.Suspect suspect : suspects) {
-      Strike strike = new Strike(suspect.part(), hash(backend), suspect.nanos());
-      if (addStrike(strike, suspect.partId(), backend.entry().id(), nowNanos).isPresent()) {
+  private void strike(Backend backend, List<SuspectServers.BrokenSend> suspects, long nowNanos) {
+    for (SuspectServers.BrokenSend suspect : suspects) {
+      Strike strike =
+          new Strike(suspect.suspect().hash(), hash(backend), suspect.sentNanos(), suspect.nanos());
+      if (addStrike(strike, suspect.suspect().id(), backend.entry().id(), nowNanos).isPresent()) {
         listener.struck(strike);
       }
     }
@@ -423,13 +436,14 @@
   /** Adds a strike; returns the part unless it had a strike by the same server. */
   private Optional<StruckSuspect> addStrike(
       Strike strike, String partId, String serverId, long nowNanos) {
-    StruckSuspect struck = struckParts.computeIfAbsent(strike.part(), key -> new StruckSuspect());
-    struckParts.putLast(strike.part(), struck);
+    StruckSuspect struck = struckSuspects.refresh(strike.part());
     boolean quarantined = isQuarantined(strike.part(), struck, nowNanos);
     boolean wasAnnounced = quarantined && struck.isAnnounced();
     boolean added = struck.add(strike, partId, serverId);
     if (added && (quarantined || isDue(strike, struck))) {
-      boolean proven = struck.isProven() || othersCompletedSinceFirstStrike(strike, struck);
+      boolean proven =
+          !CrashSuspects.isRequest(strike.part())
+              && (struck.isProven() || othersCompletedSinceFirstStrike(strike, struck));
       struck.quarantine(strike.nanos());
       struck.setProven(proven);
       Set<Long> otherServers = new HashSet<>(struck.servers());
@@ -444,12 +458,12 @@
 
   /** Forgets the strikes of a part that completed after them; returns whether it had any. */
   private boolean clear(long part, long nanos) {
-    StruckSuspect struck = struckParts.get(part);
+    StruckSuspect struck = struckSuspects.get(part);
     if (struck == null || struck.hasStrikeAfter(nanos)) {
       return false;
     }
-    struckParts.remove(part);
-    struckParts.values().stream()
+    struckSuspects.remove(part);
+    struckSuspects.sameKind(part).values().stream()
         .filter(other -> struck.wasStruckByAll(other.servers()))
         .forEach(StruckSuspect::recordRivalCleared);
     return true;
@@ -460,10 +474,10 @@
         || !completions.isKnown(part) && struck.isBlamedForBurst(nowNanos);
   }
 
-  /** Returns whether the given servers have all struck another part too. */
+  /** Returns whether the given servers have all struck another part, or another request, too. */
   private boolean hasRival(long part, Set<Long> servers) {
     return !servers.isEmpty()
-        && struckParts.entrySet().stream()
+        && struckSuspects.sameKind(part).entrySet().stream()
             .anyMatch(other -> other.getKey() != part && other.getValue().wasStruckByAll(servers));
   }
 
@@ -487,12 +501,29 @@
       return true;
     }
     int episodes = struck.episodesAfter(sinceNanos);
+    if (CrashSuspects.isRequest(strike.part())) {
+      return episodes >= EPISODES;
+    }
+    if (isExplainedByRequest(struck, strike.nanos())) {
+      return false;
+    }
     if (!completions.isKnown(strike.part())) {
       return episodes >= EPISODES;
     }
     return othersCompletedSinceFirstStrike(strike, struck) && episodes >= EPISODES_IF_COMPLETED;
   }
 
+  /** Returns whether all strikes of a part are also strikes of one quarantined request. */
+  private boolean isExplainedByRequest(StruckSuspect part, long nanos) {
+    return !struckSuspects
+        .hashesOf(
+            (hash, struck) ->
+                CrashSuspects.isRequest(hash)
+                    && struck.isQuarantined(nanos)
+                    && struck.wasStruckByAll(part.servers()))
+        .isEmpty();
+  }
+
   private static long hash(Backend backend) {
     ListedBackend entry = backend.entry();
     return RendezvousHash.mix(backend.idHash() ^ RendezvousHash.mix(entry.startMillis()));
--- a/core/src/main/java/org/pollenrock/core/quarantine/StruckSuspect.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/StruckSuspect.java
@@ -8,18 +8,27 @@
 import java.util.function.IntSupplier;
 import org.pollenrock.core.collection.BoundedMap;
 
-/** Strikes against one part since its last completion, and its quarantine. */
+/** Strikes against one part or request since its last completion, and its quarantine. */
 final class StruckSuspect {
   /** Maximum number of strikes that are kept; more than a quarantine needs. */
   private static final int MAX_STRIKES = 64;
 
+  /**
+   * Time for which a request may seem to have been sent before it broke elsewhere, although it was
+   * sent afterwards: instances date what others report too late by the delay of the message.
+   */
+  private static final long MAX_OVERLAP_NANOS = 100_000_000L;
+
   /**
    * Strike by one server.
    *
    * @param serverId id of the server, for logs
+   * @param sentNanos time at which the request was sent
    * @param nanos time at which the request broke
    */
-  private record ServerStrike(String serverId, long nanos) {}
+  private record ServerStrike(String serverId, long sentNanos, long nanos) {}
+
+  private final boolean request;
 
   private final BoundedMap<Long, ServerStrike> strikesByServer = new BoundedMap<>(MAX_STRIKES);
   private String partId = "";
@@ -32,13 +41,22 @@
   private long quarantinedSinceNanos;
   private long quarantinedUntilNanos;
 
+  /**
+   * Creates a suspect without strikes.
+   *
+   * @param request whether it is a request, and not a part
+   */
+  StruckSuspect(boolean request) {
+    this.request = request;
+  }
+
   /** Adds a strike; returns false if the server had struck the part already. */
   boolean add(CrashQuarantine.Strike strike, String id, String serverId) {
     if (partId.isEmpty()) {
       partId = id;
     }
-    return strikesByServer.putIfAbsent(strike.server(), new ServerStrike(serverId, strike.nanos()))
-        == null;
+    ServerStrike added = new ServerStrike(serverId, strike.sentNanos(), strike.nanos());
+    return strikesByServer.putIfAbsent(strike.server(), added) == null;
   }
 
   /** Quarantines the part from the given time on, or extends its quarantine. */
@@ -85,8 +103,8 @@
 
   /** Returns the time of the last strike; empty if there is none. */
   OptionalLong lastStrikeNanos() {
-    List<Long> times = strikeTimes();
-    return times.isEmpty() ? OptionalLong.empty() : OptionalLong.of(times.getLast());
+    List<ServerStrike> strikes = sortedStrikes();
+    return strikes.isEmpty() ? OptionalLong.empty() : OptionalLong.of(strikes.getLast().nanos());
   }
 
   /** Records that this instance sends a request with the part. */
@@ -155,13 +173,14 @@
 
   /** Returns the pause before the next trial; empty if the quarantine ends before. */
   private OptionalLong trialPauseNanos(Completions completions) {
-    int episodes = countEpisodes(strikeTimes());
+    int episodes = countEpisodes(sortedStrikes());
     if (hearsay) {
       return TrialSchedule.pauseNanos(episodes + 1, true, true);
     }
     boolean othersCompleted = episodes > 0 && completions.anyAfter(lastStrikeNanos().orElseThrow());
     int known = quarantinedBefore ? CrashQuarantine.EPISODES : 1;
-    return TrialSchedule.pauseNanos(Math.max(0, episodes - known), announced, othersCompleted);
+    boolean announcedPart = announced && !request;
+    return TrialSchedule.pauseNanos(Math.max(0, episodes - known), announcedPart, othersCompleted);
   }
 
   /** Returns whether the part was quarantined before, so that one further strike suffices. */
@@ -171,19 +190,24 @@
 
   /** Returns the number of episodes of the strikes after a time. */
   int episodesAfter(long nanos) {
-    return countEpisodes(strikeTimes().stream().filter(time -> time - nanos > 0).toList());
+    return countEpisodes(
+        sortedStrikes().stream().filter(each -> each.nanos() - nanos > 0).toList());
   }
 
   /** Returns the time of the first strike after a time, or that time if there is none. */
   long firstStrikeAfter(long nanos) {
-    return strikeTimes().stream().filter(time -> time - nanos > 0).findFirst().orElse(nanos);
+    return sortedStrikes().stream()
+        .mapToLong(ServerStrike::nanos)
+        .filter(time -> time - nanos > 0)
+        .findFirst()
+        .orElse(nanos);
   }
 
   /** Returns whether a strike, or the start of the quarantine, came after a time. */
   boolean hasStrikeAfter(long nanos) {
     long sinceNanos = quarantinedSinceNanos - (hearsay ? CrashQuarantine.MAX_LATE_NANOS : 0);
     return quarantinedBefore && sinceNanos - nanos > 0
-        || strikeTimes().stream().anyMatch(time -> time - nanos > 0);
+        || strikesByServer.values().stream().anyMatch(each -> each.nanos() - nanos > 0);
   }
 
   String partId() {
@@ -194,22 +218,28 @@
     return strikesByServer.values().stream().map(ServerStrike::serverId).toList();
   }
 
-  private List<Long> strikeTimes() {
-    Collection<ServerStrike> strikes = strikesByServer.values();
-    List<Long> times = new ArrayList<>(strikes.stream().map(ServerStrike::nanos).toList());
-    times.sort((a, b) -> Long.signum(a - b));
-    return times;
+  private List<ServerStrike> sortedStrikes() {
+    List<ServerStrike> strikes = new ArrayList<>(strikesByServer.values());
+    strikes.sort((a, b) -> Long.signum(a.nanos() - b.nanos()));
+    return strikes;
   }
 
-  private static int countEpisodes(List<Long> sortedTimes) {
+  private int countEpisodes(List<ServerStrike> sortedStrikes) {
     int episodes = 0;
     long startNanos = 0;
-    for (long nanos : sortedTimes) {
-      if (episodes == 0 || nanos - startNanos >= CrashQuarantine.EPISODE_NANOS) {
+    for (ServerStrike strike : sortedStrikes) {
+      if (episodes == 0 || isNewEpisode(strike, startNanos)) {
         episodes++;
-        startNanos = nanos;
+        startNanos = strike.nanos();
       }
     }
     return episodes;
   }
+
+  /** Returns whether a strike is not of the episode that began at the given time. */
+  private boolean isNewEpisode(ServerStrike strike, long startNanos) {
+    return request
+        ? strike.sentNanos() - startNanos >= -MAX_OVERLAP_NANOS
+        : strike.nanos() - startNanos >= CrashQuarantine.EPISODE_NANOS;
+  }
 }
--- a/core/src/main/java/org/pollenrock/core/quarantine/TrialSchedule.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/TrialSchedule.java
@@ -10,7 +10,7 @@
  * <p>The pause before a trial counts from the last strike or trial, and grows fivefold with each
  * episode of strikes, so that a part that does crash servers ends few of them. It is short while
  * nothing else completes, since then the quarantine may refuse all requests there are, and shortest
- * if another part has the same strikes.
+ * if another part has the same strikes, or for a request.
  */
 final class TrialSchedule {
   /** Time between the trials of one instance and the next, in which the news of a trial arrives. */
@@ -36,7 +36,7 @@
    * Returns the pause before the next trial.
    *
    * @param furtherEpisodes number of episodes of strikes beyond those that began the quarantine
-   * @param announced whether no other part has the same strikes
+   * @param announced whether it is a part, and no other part has the same strikes
    * @param othersCompleted whether other prompts have completed since the last strike
    * @return the time in nanoseconds; empty if the quarantine ends before
    */
--- a/core/src/main/java/org/pollenrock/core/quarantine/package-info.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/package-info.java
@@ -1,2 +1,2 @@
-/** Keeps parts of prompts that crash servers away from further servers. */
+/** Keeps requests, and parts of prompts, that crash servers away from further servers. */
 package org.pollenrock.core.quarantine;
--- a/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/DispatcherTest.java
@@ -10,6 +10,7 @@
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.quarantine.CrashQuarantine;
+import org.pollenrock.core.quarantine.CrashSuspects;
 import org.pollenrock.core.quarantine.IgnoredAnnouncements;
 
 /**
@@ -118,7 +119,7 @@
     DispatchRequest request = promptRequest("r", "bad", 0);
     assertThat(dispatcher.submit(request, 0)).isInstanceOf(DispatchResult.Sent.class);
     int resendsLeft = dispatcher.remainingResends(1);
-    quarantine.applyQuarantine(CrashQuarantine.hash(Fixtures.MODEL, "bad"), 1);
+    quarantine.applyQuarantine(CrashSuspects.hash(Fixtures.MODEL, "bad"), 1);
     DispatchResult refused = new DispatchResult.Refused(DispatchResult.Cause.QUARANTINED);
     assertThat(dispatcher.submit(request, 1)).isEqualTo(refused);
     assertThat(dispatcher.resubmit(request, Set.of(), true, 1)).isEqualTo(refused);
@@ -137,7 +138,7 @@
     dispatcher.submit(promptRequest("bad", "bad", 0), 0);
     int waiting = dispatcher.waitingRequests();
     assertThat(dispatcher.removeQuarantined("llm", 1)).isEmpty();
-    quarantine.applyQuarantine(CrashQuarantine.hash(Fixtures.MODEL, "bad"), 1);
+    quarantine.applyQuarantine(CrashSuspects.hash(Fixtures.MODEL, "bad"), 1);
     assertThat(dispatcher.removeQuarantined("llm", 1))
         .extracting(entry -> entry.request().id())
         .containsExactly("bad");
@@ -148,7 +149,7 @@
   @Test
   void oneWaitingRequestTriesAQuarantinedPart() {
     long second = 1_000_000_000L;
-    long part = CrashQuarantine.hash(Fixtures.MODEL, "hot");
+    long part = CrashSuspects.hash(Fixtures.MODEL, "hot");
     quarantine.applyStoredQuarantine(part, 0, true, 0);
     fleet.applyEntry(Fixtures.engine("a", "near", 1), 0);
     List<Backend> busyServers = new ArrayList<>();
--- a/core/src/test/java/org/pollenrock/core/dispatch/StopPlanTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/StopPlanTest.java
@@ -29,6 +29,7 @@
         "ledger",
         Optional.empty(),
         Optional.empty(),
+        Optional.empty(),
         "shared",
         5,
         repeatable,
--- a/core/src/test/java/org/pollenrock/core/quarantine/CrashQuarantinePropertyTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/CrashQuarantinePropertyTest.java
@@ -14,16 +14,15 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
-import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.fleet.Backend;
 
 /** Checks the quarantine on random sequences of crashes and completions. */
 class CrashQuarantinePropertyTest {
   private static final int STEPS = 200;
   private static final int SERVERS = 6;
-  private static final List<Prompt> SOUND =
+  private static final List<CrashSuspects> SOUND =
       List.of(prompt("a"), prompt("a", "b"), prompt("a", "c"), prompt("d"));
-  private static final List<Prompt> BAD =
+  private static final List<CrashSuspects> BAD =
       List.of(prompt("a", "bad"), prompt("a", "bad", "e"), prompt("d", "bad"));
 
   /**
@@ -39,15 +38,15 @@
     for (int step = 0; step < STEPS; step++) {
       nowNanos += CrashQuarantine.EPISODE_NANOS + random.nextLong(SECOND);
       Backend server = server("s" + random.nextInt(SERVERS), step);
-      Prompt bad = BAD.get(random.nextInt(BAD.size()));
-      Prompt running = SOUND.get(random.nextInt(SOUND.size()));
+      CrashSuspects bad = BAD.get(random.nextInt(BAD.size()));
+      CrashSuspects running = SOUND.get(random.nextInt(SOUND.size()));
       if (random.nextInt(4) == 0) {
         fixture.crash(server, nowNanos, running);
       } else if (!fixture.quarantine().isQuarantined(bad, nowNanos)) {
         badCrashes++;
         fixture.crash(server, nowNanos, running, bad);
       }
-      for (Prompt sound : SOUND) {
+      for (CrashSuspects sound : SOUND) {
         if (random.nextInt(10) < 8) {
           fixture.quarantine().recordCompletion(sound, nowNanos + 2 * MILLI);
         }
@@ -57,7 +56,7 @@
     assertThat(fixture.quarantine().isQuarantined(prompt("bad"), nowNanos)).isTrue();
     // The part e occurs in no sound request.
     assertThat(fixture.quarantined()).contains("bad").isSubsetOf("bad", "e");
-    for (Prompt sound : SOUND) {
+    for (CrashSuspects sound : SOUND) {
       assertThat(fixture.quarantine().isQuarantined(sound, nowNanos)).isFalse();
     }
   }
@@ -83,7 +82,7 @@
     Random random = new Random(seed);
     QuarantineFixture fixture = new QuarantineFixture();
     for (int step = 0; step < 20_000; step++) {
-      Prompt prompt = prompt("p" + random.nextInt(), "q" + random.nextInt());
+      CrashSuspects prompt = prompt("p" + random.nextInt(), "q" + random.nextInt());
       if (random.nextBoolean()) {
         fixture.crash(server("s" + step), step * SECOND, prompt);
       } else {
@@ -92,7 +91,7 @@
     }
     assertThat(fixture.quarantine().trackedEntries())
         .isLessThanOrEqualTo(
-            CrashQuarantine.MAX_PARTS
+            CrashQuarantine.MAX_ENTRIES
                 + CrashQuarantine.MAX_COMPLETED_PARTS
                 + CrashQuarantine.MAX_SERVERS);
   }
@@ -100,7 +99,9 @@
   private static boolean isQuarantinedBy(long part, List<Long> strikeTimes) {
     QuarantineFixture fixture = new QuarantineFixture();
     for (int i = 0; i < strikeTimes.size(); i++) {
-      fixture.quarantine().applyStrike(part, i, strikeTimes.get(i), SECOND);
+      fixture
+          .quarantine()
+          .applyStrike(QuarantineFixture.strike(part, i, strikeTimes.get(i)), SECOND);
     }
     return !fixture.quarantine().quarantinedParts(SECOND).isEmpty();
   }
--- a/core/src/test/java/org/pollenrock/core/quarantine/CrashQuarantineTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/CrashQuarantineTest.java
@@ -6,9 +6,9 @@
 import static org.pollenrock.core.quarantine.QuarantineFixture.hash;
 import static org.pollenrock.core.quarantine.QuarantineFixture.prompt;
 import static org.pollenrock.core.quarantine.QuarantineFixture.server;
+import static org.pollenrock.core.quarantine.QuarantineFixture.strike;
 
 import org.junit.jupiter.api.Test;
-import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.fleet.Backend;
 
 /**
@@ -16,8 +16,8 @@
  * sound parts.
  */
 class CrashQuarantineTest {
-  private static final Prompt BAD = prompt("system", "bad");
-  private static final Prompt SOUND = prompt("system", "sound");
+  private static final CrashSuspects BAD = prompt("system", "bad");
+  private static final CrashSuspects SOUND = prompt("system", "sound");
 
   private final QuarantineFixture fixture = new QuarantineFixture();
   private final CrashQuarantine quarantine = fixture.quarantine();
@@ -66,7 +66,7 @@
   @Test
   void ignoresBrokenSendsOfServersThatLive() {
     for (int second = 1; second <= 9; second++) {
-      quarantine.recordBroken(server("s" + second), BAD, second * SECOND);
+      quarantine.recordBroken(server("s" + second), BAD, second * SECOND, second * SECOND);
     }
     assertThat(fixture.strikes()).isEmpty();
     quarantine.recordServerEnded(server("s1"), 9 * SECOND);
@@ -77,10 +77,10 @@
   @Test
   void countsABreakAfterTheDetectedEnd() {
     quarantine.recordServerEnded(server("s1"), SECOND);
-    quarantine.recordBroken(server("s1"), BAD, SECOND + MILLI);
+    quarantine.recordBroken(server("s1"), BAD, SECOND, SECOND + MILLI);
     assertThat(fixture.strikes()).hasSize(2);
     quarantine.recordBroken(
-        server("s1"), prompt("late"), SECOND + CrashQuarantine.CONFIRMATION_NANOS + 1);
+        server("s1"), prompt("late"), SECOND, SECOND + CrashQuarantine.CONFIRMATION_NANOS + 1);
     assertThat(fixture.strikes()).hasSize(2);
   }
 
@@ -202,10 +202,10 @@
   @Test
   void quarantinesByStrikesOfOtherInstances() {
     fixture.crash(server("s1"), SECOND, BAD);
-    quarantine.applyStrike(hash("bad"), 2, 2 * SECOND, 2 * SECOND + MILLI);
-    quarantine.applyStrike(hash("bad"), 2, 2 * SECOND, 3 * SECOND);
+    quarantine.applyStrike(strike(hash("bad"), 2, 2 * SECOND), 2 * SECOND + MILLI);
+    quarantine.applyStrike(strike(hash("bad"), 2, 2 * SECOND), 3 * SECOND);
     assertThat(fixture.quarantined()).isEmpty();
-    quarantine.applyStrike(hash("bad"), 3, 3 * SECOND, 3 * SECOND + MILLI);
+    quarantine.applyStrike(strike(hash("bad"), 3, 3 * SECOND), 3 * SECOND + MILLI);
     assertThat(fixture.quarantined()).containsExactly("bad");
     assertThat(fixture.strikes()).extracting(CrashQuarantine.Strike::nanos).containsOnly(SECOND);
   }
@@ -214,10 +214,10 @@
   @Test
   void appliesClearingsByTheirTime() {
     long part = hash("bad");
-    quarantine.applyStrike(part, 1, SECOND, 4 * SECOND);
+    quarantine.applyStrike(strike(part, 1, SECOND), 4 * SECOND);
     quarantine.applyClearing(part, 2 * SECOND, 4 * SECOND);
     assertThat(quarantine.report(part)).as("struck before the completion").isEmpty();
-    quarantine.applyStrike(part, 2, 3 * SECOND, 4 * SECOND);
+    quarantine.applyStrike(strike(part, 2, 3 * SECOND), 4 * SECOND);
     quarantine.applyClearing(part, 2 * SECOND, 5 * SECOND);
     assertThat(quarantine.report(part)).as("struck after the completion").isPresent();
   }
@@ -226,15 +226,15 @@
   @Test
   void vouchesForAPartBeforeItIsQuarantined() {
     quarantine.recordCompletion(SOUND, 1);
-    quarantine.applyStrike(hash("sound"), 1, SECOND, SECOND);
+    quarantine.applyStrike(strike(hash("sound"), 1, SECOND), SECOND);
     assertThat(fixture.cleared()).isEmpty();
-    quarantine.applyStrike(hash("sound"), 2, 2 * SECOND, 2 * SECOND);
+    quarantine.applyStrike(strike(hash("sound"), 2, 2 * SECOND), 2 * SECOND);
     assertThat(fixture.cleared()).containsExactly(hash("sound"));
     QuarantineFixture other = new QuarantineFixture();
-    other.quarantine().applyStrike(hash("sound"), 1, SECOND, SECOND);
-    other.quarantine().applyStrike(hash("sound"), 2, 2 * SECOND, 2 * SECOND);
+    other.quarantine().applyStrike(strike(hash("sound"), 1, SECOND), SECOND);
+    other.quarantine().applyStrike(strike(hash("sound"), 2, 2 * SECOND), 2 * SECOND);
     other.quarantine().applyClearing(hash("sound"), 1, 2 * SECOND);
-    other.quarantine().applyStrike(hash("sound"), 3, 3 * SECOND, 3 * SECOND);
+    other.quarantine().applyStrike(strike(hash("sound"), 3, 3 * SECOND), 3 * SECOND);
     assertThat(other.quarantined()).isEmpty();
   }
 
@@ -277,12 +277,13 @@
   /** Callers that invent parts must not fill the memory. */
   @Test
   void boundsTheTrackedParts() {
-    for (int i = 0; i < 2 * CrashQuarantine.MAX_PARTS; i++) {
-      quarantine.applyQuarantine(i, SECOND);
+    // Hashes of parts are even.
+    for (int i = 0; i < 2 * CrashQuarantine.MAX_ENTRIES; i++) {
+      quarantine.applyQuarantine(2L * i, SECOND);
     }
     assertThat(quarantine.quarantinedParts(SECOND))
-        .hasSize(CrashQuarantine.MAX_PARTS)
-        .contains(2L * CrashQuarantine.MAX_PARTS - 1)
+        .hasSize(CrashQuarantine.MAX_ENTRIES)
+        .contains(2 * (2L * CrashQuarantine.MAX_ENTRIES - 1))
         .doesNotContain(0L);
   }
 
--- a/core/src/test/java/org/pollenrock/core/quarantine/QuarantineExchangeTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/QuarantineExchangeTest.java
@@ -16,7 +16,6 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.constraints.IntRange;
-import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.fleet.Backend;
 
 /**
@@ -40,15 +39,16 @@
   private static final double LOSS = 0.2;
   private static final long[] SEND_DELAYS_NANOS = {0, 250 * MILLI, 1_000 * MILLI};
   private static final int RECIPIENTS = 3;
-  private static final List<Prompt> SOUND =
+  private static final List<CrashSuspects> SOUND =
       List.of(prompt("a"), prompt("a", "b"), prompt("a", "b", "c"), prompt("d"));
-  private static final List<Prompt> BAD = List.of(prompt("a", "bad"), prompt("a", "bad", "b"));
+  private static final List<CrashSuspects> BAD =
+      List.of(prompt("a", "bad"), prompt("a", "bad", "b"));
 
   /** Something that happens at a time. */
   private record Event(long nanos, long order, Runnable action) {}
 
   /** Request under way at a server. */
-  private record Running(Instance instance, Prompt prompt) {}
+  private record Running(Instance instance, CrashSuspects prompt) {}
 
   /** Server with the requests that it runs; a crashed one is replaced by one with a new id. */
   private static final class Server {
@@ -73,10 +73,7 @@
     @Override
     public void struck(CrashQuarantine.Strike strike) {
       simulation.sendToAll(
-          this,
-          other ->
-              other.quarantine.applyStrike(
-                  strike.part(), strike.server(), strike.nanos(), simulation.nowNanos));
+          this, other -> other.quarantine.applyStrike(strike, simulation.nowNanos));
     }
 
     @Override
@@ -176,7 +173,7 @@
     }
 
     /** Sends a request to a server, where it completes unless the server crashes before. */
-    private void request(Instance instance, Prompt prompt) {
+    private void request(Instance instance, CrashSuspects prompt) {
       if (instance.quarantine.isQuarantined(prompt, nowNanos)) {
         return;
       }
@@ -206,7 +203,10 @@
         badCrashes.add(nowNanos);
       }
       for (Running running : server.running) {
-        running.instance().quarantine.recordBroken(server.backend, running.prompt(), nowNanos);
+        running
+            .instance()
+            .quarantine
+            .recordBroken(server.backend, running.prompt(), nowNanos, nowNanos);
       }
       server.running.clear();
       for (Instance instance : instances) {
@@ -242,14 +242,14 @@
     }
 
     private void step(boolean bad, double badChance) {
-      for (Prompt prompt : SOUND) {
+      for (CrashSuspects prompt : SOUND) {
         request(randomInstance(), prompt);
       }
       if (bad && random.nextDouble() < badChance) {
         request(randomInstance(), BAD.get(random.nextInt(BAD.size())));
       }
       for (Instance instance : instances) {
-        for (Prompt prompt : SOUND) {
+        for (CrashSuspects prompt : SOUND) {
           assertThat(instance.quarantine.isQuarantined(prompt, nowNanos)).isFalse();
         }
       }
--- a/core/src/test/java/org/pollenrock/core/quarantine/QuarantineFixture.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/QuarantineFixture.java
@@ -1,8 +1,10 @@
 package org.pollenrock.core.quarantine;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.dispatch.PromptPart;
 import org.pollenrock.core.fleet.Backend;
@@ -20,7 +22,12 @@
   private final List<String> quarantined = new ArrayList<>();
 
   static long hash(String partId) {
-    return CrashQuarantine.hash(MODEL, partId);
+    return CrashSuspects.hash(MODEL, partId);
+  }
+
+  /** Returns a strike by a send that broke at once. */
+  static CrashQuarantine.Strike strike(long part, long server, long nanos) {
+    return new CrashQuarantine.Strike(part, server, nanos, nanos);
   }
 
   CrashQuarantine quarantine() {
@@ -43,13 +50,22 @@
   }
 
   /** Returns a prompt with the given shared parts and a part of its own. */
-  static Prompt prompt(String... sharedPartIds) {
+  static CrashSuspects prompt(String... sharedPartIds) {
     List<PromptPart> parts = new ArrayList<>();
     for (String id : sharedPartIds) {
       parts.add(new PromptPart(id, 100));
     }
     parts.add(new PromptPart("own", 20));
-    return new Prompt(MODEL, 100 * sharedPartIds.length + 20, 10, parts);
+    return new CrashSuspects(
+        Optional.of(new Prompt(MODEL, 100 * sharedPartIds.length + 20, 10, parts)),
+        Optional.empty());
+  }
+
+  /** Returns a request with the given body and shared parts of its prompt. */
+  static CrashSuspects request(String body, String... sharedPartIds) {
+    RequestFingerprint fingerprint =
+        new RequestFingerprint("customer", "/path", () -> ByteBuffer.wrap(body.getBytes()));
+    return new CrashSuspects(prompt(sharedPartIds).prompt(), Optional.of(fingerprint));
   }
 
   static Backend server(String id) {
@@ -62,9 +78,9 @@
   }
 
   /** Breaks the sends with the given prompts, and ends their server a millisecond later. */
-  void crash(Backend server, long nanos, Prompt... prompts) {
-    for (Prompt prompt : prompts) {
-      quarantine.recordBroken(server, prompt, nanos);
+  void crash(Backend server, long nanos, CrashSuspects... prompts) {
+    for (CrashSuspects prompt : prompts) {
+      quarantine.recordBroken(server, prompt, nanos, nanos);
     }
     quarantine.recordServerEnded(server, nanos + MILLI);
   }
--- a/core/src/test/java/org/pollenrock/core/quarantine/QuarantineLimitsTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/QuarantineLimitsTest.java
@@ -7,7 +7,6 @@
 import static org.pollenrock.core.quarantine.QuarantineFixture.server;
 
 import org.junit.jupiter.api.Test;
-import org.pollenrock.core.dispatch.Prompt;
 
 /**
  * Guards against the quarantine of sound parts of which no completion is known, and against a late
@@ -17,8 +16,8 @@
   /** Time in which an observation has to reach all instances. */
   private static final long CONTACT_NANOS = 3 * SECOND;
 
-  private static final Prompt BAD = prompt("system", "bad");
-  private static final Prompt SOUND = prompt("system", "sound");
+  private static final CrashSuspects BAD = prompt("system", "bad");
+  private static final CrashSuspects SOUND = prompt("system", "sound");
 
   private final QuarantineFixture fixture = new QuarantineFixture();
   private final CrashQuarantine quarantine = fixture.quarantine();
--- a/core/src/test/java/org/pollenrock/core/quarantine/TrialTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/TrialTest.java
@@ -8,15 +8,14 @@
 import static org.pollenrock.core.quarantine.QuarantineFixture.server;
 
 import org.junit.jupiter.api.Test;
-import org.pollenrock.core.dispatch.Prompt;
 
 /**
  * Guards against sound parts that are refused for minutes although one completion would show that
  * they are sound, and against trials that let a bad part end server after server.
  */
 class TrialTest {
-  private static final Prompt PROMPT = prompt("system", "hot");
-  private static final Prompt BAD = prompt("system", "bad");
+  private static final CrashSuspects PROMPT = prompt("system", "hot");
+  private static final CrashSuspects BAD = prompt("system", "bad");
 
   /** Time after the fifth crash from which requests count. */
   private static final long CONTACT_NANOS = 3 * SECOND;
@@ -24,14 +23,14 @@
   private final QuarantineFixture fixture = new QuarantineFixture();
   private final CrashQuarantine quarantine = fixture.quarantine();
 
-  private void crashThreeTimes(Prompt prompt) {
+  private void crashThreeTimes(CrashSuspects prompt) {
     for (int second = 1; second <= 3; second++) {
       fixture.crash(server("s" + second), second * SECOND, prompt);
     }
   }
 
   /** Sends a request as soon as it is accepted, and returns when. */
-  private long sendFirstAccepted(Prompt prompt, long fromNanos) {
+  private long sendFirstAccepted(CrashSuspects prompt, long fromNanos) {
     long nanos = fromNanos;
     while (quarantine.isQuarantined(prompt, nanos)) {
       nanos += 100 * MILLI;
@@ -55,7 +54,7 @@
   /** A part that ends each server that runs it may reach three after the fifth. */
   @Test
   void badPartEndsFewServersWhileNothingElseCompletes() {
-    for (Prompt bad : new Prompt[] {PROMPT, prompt("alone")}) {
+    for (CrashSuspects bad : new CrashSuspects[] {PROMPT, prompt("alone")}) {
       QuarantineFixture own = new QuarantineFixture();
       int crashes = 0;
       int counted = 0;
@@ -146,7 +145,7 @@
       fixture.crash(server("s" + i), SECOND + i * MILLI, prompt("system", "rare"));
     }
     quarantine.recordCompletion(prompt("system"), 2 * SECOND);
-    Prompt rare = prompt("system", "rare");
+    CrashSuspects rare = prompt("system", "rare");
     assertThat(quarantine.isQuarantined(rare, 3 * SECOND)).isFalse();
     assertThat(quarantine.isQuarantined(rare, 5 * SECOND)).isTrue();
     long sentNanos = sendFirstAccepted(rare, 5 * SECOND);
--- a/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
+++ b/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
@@ -189,6 +189,7 @@
               prompt.isPresent() ? "llm" : "ledger",
               prompt,
               Optional.empty(),
+              Optional.empty(),
               "shared",
               3,
               true,
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -285,6 +285,7 @@
             metadata.id(),
             route.serviceFor(metadata.id()),
             route.prefixAffinity() ? metadata.prompt() : Optional.empty(),
+            Optional.of(fingerprint),
             customerAccess.map(CustomerAccess::name),
             CustomerAccess.cacheScope(customerAccess),
             route.urgency(
--- a/gateway/src/main/java/org/pollenrock/gateway/QuarantineGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QuarantineGossip.java
@@ -21,7 +21,8 @@
 import org.pollenrock.protocol.generated.PartStrike;
 
 /**
- * Exchanges strikes, clearings and quarantines of parts of prompts with the other instances.
+ * Exchanges strikes, clearings and quarantines of requests and parts of prompts with the other
+ * instances. What is said of parts holds for requests too.
  *
  * <p>Strikes and clearings are sent to all instances at once and repeated, since datagrams may be
  * lost; of many instances that find the same part sound, few send a clearing. Quarantined parts are
@@ -253,8 +254,12 @@
             clearing.getPart(), nowNanos - nanos(clearing.getAgeMs()), nowNanos);
       }
       for (PartStrike strike : message.getStrikesList()) {
+        long brokenNanos = nowNanos - nanos(strike.getAgeMs());
+        long sentNanos = brokenNanos - nanos(strike.getRanMs());
         quarantine.applyStrike(
-            strike.getPart(), strike.getServer(), nowNanos - nanos(strike.getAgeMs()), nowNanos);
+            new CrashQuarantine.Strike(
+                strike.getPart(), strike.getServer(), sentNanos, brokenNanos),
+            nowNanos);
       }
       for (PartEvent quarantined : message.getQuarantinedList()) {
         long part = quarantined.getPart();
@@ -391,6 +396,7 @@
                   .setPart(strike.part())
                   .setServer(strike.server())
                   .setAgeMs(ageMillis(strike.nanos(), nowNanos))
+                  .setRanMs(ageMillis(strike.sentNanos(), strike.nanos()))
                   .build());
       case Event.Cleared(long part, long nanos) ->
           message.addClearings(
--- a/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
@@ -11,17 +11,17 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.Fleet;
 import org.pollenrock.core.quarantine.CrashQuarantine;
+import org.pollenrock.core.quarantine.CrashSuspects;
 import org.pollenrock.core.route.ActiveConfig;
 import org.pollenrock.core.route.ServiceSpec;
 
 /**
  * Tracks which servers are missing, that is, don't respond, probes them until they respond again,
- * and announces both to the other instances. Tells the quarantine of parts of prompts which servers
- * have ended after a send to them broke.
+ * and announces both to the other instances. Tells the quarantine which servers have ended after a
+ * send to them broke.
  *
  * <p>Probes spare callers' requests from being sent to a missing server. Any response to a probe
  * shows that the server is reachable. The health that the response reports is ignored, since
@@ -53,10 +53,10 @@
    * Response that the end of its connection has completed, unless the server crashed.
    *
    * @param backend the server
-   * @param prompt prompt of the request
+   * @param suspects the request
    * @param nanos time of the end
    */
-  private record PendingCompletion(Backend backend, Prompt prompt, long nanos) {}
+  private record PendingCompletion(Backend backend, CrashSuspects suspects, long nanos) {}
 
   private final EventLoop loop;
   private final Fleet fleet;
@@ -121,15 +121,12 @@
   }
 
   /**
-   * Records that the connection of a send to an engine was lost, and checks at once whether the
-   * engine has ended, before more requests with the same parts are sent elsewhere.
+   * Records that the connection of a send to a server was lost, and checks at once whether the
+   * server has ended, before the request, or others with the same parts, are sent elsewhere.
    */
-  void recordBroken(Backend backend, Prompt prompt) {
-    if (prompt.sharedParts().isEmpty()) {
-      return;
-    }
+  void recordBroken(Backend backend, CrashSuspects suspects, long sentNanos) {
     long now = System.nanoTime();
-    quarantine.recordBroken(backend, prompt, now);
+    quarantine.recordBroken(backend, suspects, sentNanos, now);
     watchedUntilNanos.put(backend, now + CrashQuarantine.CONFIRMATION_NANOS);
     if (hasEnded(backend)) {
       recordEnded(backend);
@@ -139,20 +136,21 @@
   }
 
   /**
-   * Records that a request to an engine has completed.
+   * Records that a request to a server has completed.
    *
    * @param endedWithConnection whether the end of the connection ended the response, as a crash of
-   *     the engine does; the completion then counts once the engine is seen to live on
+   *     the server does; the completion then counts once the server is seen to live on
    */
-  void recordCompletion(Backend backend, Prompt prompt, boolean endedWithConnection) {
+  void recordCompletion(
+      Backend backend, CrashSuspects suspects, long sentNanos, boolean endedWithConnection) {
     long now = System.nanoTime();
     if (!endedWithConnection) {
-      quarantine.recordCompletion(prompt, now);
+      quarantine.recordCompletion(suspects, now);
       return;
     }
-    recordBroken(backend, prompt);
+    recordBroken(backend, suspects, sentNanos);
     if (pendingCompletions.size() < MAX_PENDING_COMPLETIONS) {
-      pendingCompletions.add(new PendingCompletion(backend, prompt, now));
+      pendingCompletions.add(new PendingCompletion(backend, suspects, now));
     }
   }
 
@@ -196,7 +194,7 @@
     while (!pendingCompletions.isEmpty() && now - pendingCompletions.peek().nanos() > ALIVE_NANOS) {
       PendingCompletion completion = pendingCompletions.remove();
       if (!hasEnded(completion.backend())) {
-        quarantine.recordCompletion(completion.prompt(), completion.nanos());
+        quarantine.recordCompletion(completion.suspects(), completion.nanos());
       }
     }
   }
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -328,8 +328,8 @@
   }
 
   /**
-   * Records that the response was complete, which clears its prompt of suspicion. If the end of the
-   * connection ended the response, the server may have crashed and has to be seen alive first.
+   * Records that the response was complete, which clears the request of suspicion. If the end of
+   * the connection ended the response, the server may have crashed and has to be seen alive first.
    */
   void recordComplete() {
     boolean success = responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
@@ -337,10 +337,10 @@
       components.dispatcher().recordCompletion(request, System.nanoTime());
       recordSpeed(System.nanoTime());
     }
-    if (success && request.prompt().isPresent()) {
+    if (success) {
       components
           .reachability()
-          .recordCompletion(backend, request.prompt().get(), endsWithConnection);
+          .recordCompletion(backend, request.crashSuspects(), sentNanos, endsWithConnection);
     }
   }
 
@@ -360,7 +360,7 @@
   }
 
   private void recordBroken() {
-    request.prompt().ifPresent(prompt -> components.reachability().recordBroken(backend, prompt));
+    components.reachability().recordBroken(backend, request.crashSuspects(), sentNanos);
   }
 
   /** Fails the send since this instance has no memory for the response. */
--- a/gateway/src/test/java/org/pollenrock/gateway/QuarantineFleet.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/QuarantineFleet.java
@@ -4,10 +4,12 @@
 import io.netty.util.concurrent.MockTicker;
 import io.netty.util.concurrent.Ticker;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
@@ -18,6 +20,8 @@
 import org.pollenrock.core.fleet.ListedBackend;
 import org.pollenrock.core.placement.RendezvousHash;
 import org.pollenrock.core.quarantine.CrashQuarantine;
+import org.pollenrock.core.quarantine.CrashSuspects;
+import org.pollenrock.core.quarantine.RequestFingerprint;
 import org.pollenrock.protocol.generated.FleetNews;
 
 /**
@@ -77,7 +81,7 @@
       }
     }
 
-    boolean isQuarantined(Prompt prompt) {
+    boolean isQuarantined(CrashSuspects prompt) {
       return quarantine.isQuarantined(prompt, ticker.nanoTime());
     }
 
@@ -96,13 +100,13 @@
     }
 
     /** Crashes a server by a request of this instance. */
-    void crash(Prompt prompt) {
+    void crash(CrashSuspects prompt) {
       Backend server =
           new Backend(
               new ListedBackend(
                   "engine-" + ++crashes, 1, "llm", "10.0.0.1", 80, "dc", 8, true, Map.of()),
               ticker.nanoTime());
-      quarantine.recordBroken(server, prompt, ticker.nanoTime());
+      quarantine.recordBroken(server, prompt, ticker.nanoTime(), ticker.nanoTime());
       quarantine.recordServerEnded(server, ticker.nanoTime());
     }
 
@@ -132,10 +136,20 @@
     }
   }
 
+  /** Returns a request with the given body, whose prompt has one shared part. */
+  static CrashSuspects request(String body) {
+    RequestFingerprint fingerprint =
+        new RequestFingerprint("customer", "/path", () -> ByteBuffer.wrap(body.getBytes()));
+    return new CrashSuspects(prompt("shared").prompt(), Optional.of(fingerprint));
+  }
+
   /** Returns a prompt with one shared part. */
-  static Prompt prompt(String sharedPart) {
-    return new Prompt(
-        "m", 120, 10, List.of(new PromptPart(sharedPart, 100), new PromptPart("own", 20)));
+  static CrashSuspects prompt(String sharedPart) {
+    return new CrashSuspects(
+        Optional.of(
+            new Prompt(
+                "m", 120, 10, List.of(new PromptPart(sharedPart, 100), new PromptPart("own", 20)))),
+        Optional.empty());
   }
 
   List<Instance> instances() {
--- a/gateway/src/test/java/org/pollenrock/gateway/QuarantineGossipTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/QuarantineGossipTest.java
@@ -8,8 +8,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.quarantine.CrashQuarantine;
+import org.pollenrock.core.quarantine.CrashSuspects;
 
 /**
  * Guards against instances that do not learn in time which part of prompts crashes servers, in
@@ -21,22 +21,22 @@
 
   private static final int MAX_DATAGRAM_BYTES = 1_400;
   private static final long SEED = 7301;
-  private static final Prompt BAD = QuarantineFleet.prompt("bad");
-  private static final Prompt SOUND = QuarantineFleet.prompt("sound");
+  private static final CrashSuspects BAD = QuarantineFleet.prompt("bad");
+  private static final CrashSuspects SOUND = QuarantineFleet.prompt("sound");
 
   private final Random random = new Random(SEED);
   private final QuarantineFleet fleet = new QuarantineFleet(random);
   private final List<QuarantineFleet.Instance> instances = fleet.instances();
 
   /** Crashes servers at different instances, each as an episode of its own. */
-  private void crashAtDifferentInstances(Prompt prompt, int count) {
+  private void crashAtDifferentInstances(CrashSuspects prompt, int count) {
     for (int i = 0; i < count; i++) {
       fleet.run(i == 0 ? 0 : 400);
       instances.get(random.nextInt(instances.size())).crash(prompt);
     }
   }
 
-  private long quarantinedCount(Prompt prompt) {
+  private long quarantinedCount(CrashSuspects prompt) {
     return instances.stream().filter(each -> each.isQuarantined(prompt)).count();
   }
 
@@ -50,6 +50,26 @@
     assertThat(quarantinedCount(SOUND)).isZero();
   }
 
+  /** Crashes by one request follow faster than those by a part, and other requests complete. */
+  @ParameterizedTest
+  @ValueSource(ints = {4, 38, 396})
+  void requestThatCrashesServersAtDifferentInstancesIsRefusedEverywhere(int size) {
+    CrashSuspects bad = QuarantineFleet.request("bad");
+    CrashSuspects sound = QuarantineFleet.request("sound");
+    fleet.addInstances(size);
+    for (int i = 0; i < CrashQuarantine.EPISODES; i++) {
+      instances.get(random.nextInt(size)).crash(bad);
+      fleet.run(60);
+      instances.forEach(each -> each.quarantine().recordCompletion(sound, fleet.nowNanos()));
+    }
+    fleet.run(CONTACT_MILLIS);
+    assertThat(quarantinedCount(bad)).isEqualTo(size);
+    assertThat(quarantinedCount(sound)).isZero();
+    fleet.addInstances(1);
+    fleet.run(CONTACT_MILLIS);
+    assertThat(instances.getLast().isQuarantined(bad)).isTrue();
+  }
+
   /**
    * The writers of the store must stay few, however many instances the strikes reach, but one must
    * write even if it has missed the strikes of the others.
--- a/gateway/src/test/java/org/pollenrock/gateway/QuarantineTrialTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/QuarantineTrialTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -13,6 +14,7 @@
 import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.dispatch.PromptPart;
 import org.pollenrock.core.quarantine.CrashQuarantine;
+import org.pollenrock.core.quarantine.CrashSuspects;
 
 /**
  * Guards against sound parts that stay refused everywhere after crashes that they did not cause,
@@ -32,12 +34,18 @@
   private static final int RECOVERY_MILLIS = 12_000;
 
   /** All requests have both shared parts. */
-  private static final Prompt PROMPT =
-      new Prompt(
-          "m",
-          220,
-          10,
-          List.of(new PromptPart("a", 100), new PromptPart("b", 100), new PromptPart("own", 20)));
+  private static final CrashSuspects PROMPT =
+      new CrashSuspects(
+          Optional.of(
+              new Prompt(
+                  "m",
+                  220,
+                  10,
+                  List.of(
+                      new PromptPart("a", 100),
+                      new PromptPart("b", 100),
+                      new PromptPart("own", 20)))),
+          Optional.empty());
 
   private final Random random = new Random();
   private final QuarantineFleet fleet = new QuarantineFleet(random);
--- a/gateway/src/test/java/org/pollenrock/gateway/WaitingNewsTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/WaitingNewsTest.java
@@ -48,6 +48,7 @@
         "r" + number,
         "ledger",
         Optional.empty(),
+        Optional.empty(),
         Optional.of("customer"),
         "shared",
         3,
