--- a/core/src/main/java/org/pollenrock/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/CrashQuarantine.java
@@ -71,7 +71,7 @@
   /** Maximum number of servers whose broken sends or end are remembered. */
   static final int MAX_SERVERS = 1_024;
 
-  private final Listener listener;
+  private final QuarantineListener listener;
   private final StruckSuspects struckSuspects = new StruckSuspects();
   private final Completions completions = new Completions();
   private final SuspectServers suspectServers = new SuspectServers();
@@ -87,50 +87,6 @@
    */
   public record Strike(long part, long server, long sentNanos, long nanos) {}
 
-  /** Receives what this instance announces to the others. */
-  public interface Listener {
-    /**
-     * Called when this instance has found a strike that was not known before.
-     *
-     * @param strike the strike
-     */
-    void struck(Strike strike);
-
-    /**
-     * Called when a request with a struck part has completed, or when strikes of other instances
-     * concern a part that is known to have completed before.
-     *
-     * @param part hash of the part
-     * @param nanos time of the completion
-     */
-    void cleared(long part, long nanos);
-
-    /**
-     * Called when a strike, found or applied, has quarantined a part here.
-     *
-     * @param part hash of the part
-     * @param partId id of the part; empty if this instance has only its hash
-     */
-    void quarantined(long part, String partId);
-
-    /**
-     * Called when this instance has sent a request with a part that is on trial, so that no other
-     * instance does the same.
-     *
-     * @param part hash of the part
-     * @param nanos time of the send
-     */
-    default void tried(long part, long nanos) {}
-
-    /**
-     * Called when a request of this instance has completed with a part whose quarantine had been
-     * announced.
-     *
-     * @param part hash of the part
-     */
-    default void released(long part) {}
-  }
-
   /**
    * Part with strikes, for logs.
    *
@@ -145,7 +101,7 @@
    *
    * @param listener receives the announcements
    */
-  public CrashQuarantine(Listener listener) {
+  public CrashQuarantine(QuarantineListener listener) {
     this.listener = listener;
   }
 
--- a/core/src/test/java/org/pollenrock/core/quarantine/IgnoredAnnouncements.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/IgnoredAnnouncements.java
@@ -1,7 +1,7 @@
 package org.pollenrock.core.quarantine;
 
 /** Listener for tests that don't depend on the announcements of a quarantine. */
-public final class IgnoredAnnouncements implements CrashQuarantine.Listener {
+public final class IgnoredAnnouncements implements QuarantineListener {
   @Override
   public void struck(CrashQuarantine.Strike strike) {}
 
--- a/core/src/test/java/org/pollenrock/core/quarantine/QuarantineExchangeTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/QuarantineExchangeTest.java
@@ -62,7 +62,7 @@
   }
 
   /** Instance that announces to all others what it observes. */
-  private static final class Instance implements CrashQuarantine.Listener {
+  private static final class Instance implements QuarantineListener {
     private final CrashQuarantine quarantine = new CrashQuarantine(this);
     private final Simulation simulation;
 
--- a/core/src/test/java/org/pollenrock/core/quarantine/QuarantineFixture.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/QuarantineFixture.java
@@ -11,7 +11,7 @@
 import org.pollenrock.core.fleet.ListedBackend;
 
 /** Prompts, servers and announcements for the tests of this package. */
-final class QuarantineFixture implements CrashQuarantine.Listener {
+final class QuarantineFixture implements QuarantineListener {
   static final long MILLI = 1_000_000L;
   static final long SECOND = 1_000_000_000L;
   private static final String MODEL = "m";
--- a/gateway/src/main/java/org/pollenrock/gateway/QuarantineGossip.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QuarantineGossip.java
@@ -16,6 +16,7 @@
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.pollenrock.core.quarantine.CrashQuarantine;
+import org.pollenrock.core.quarantine.QuarantineListener;
 import org.pollenrock.protocol.generated.FleetNews;
 import org.pollenrock.protocol.generated.PartEvent;
 import org.pollenrock.protocol.generated.PartStrike;
@@ -32,7 +33,7 @@
  *
  * <p>All methods must be called on the event loop.
  */
-public final class QuarantineGossip implements CrashQuarantine.Listener {
+public final class QuarantineGossip implements QuarantineListener {
   /** Time for which strikes and clearings are batched before they are sent for the first time. */
   private static final long BATCH_MILLIS = 10;
 
--- a/gateway/src/main/java/org/pollenrock/gateway/QuarantineTask.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/QuarantineTask.java
@@ -7,14 +7,15 @@
 import java.util.Optional;
 import java.util.Set;
 import org.pollenrock.core.quarantine.CrashQuarantine;
+import org.pollenrock.core.quarantine.QuarantineListener;
 
 /** Owns the quarantine of parts of prompts, and logs strikes and the parts that enter and leave. */
-final class QuarantineTask implements CrashQuarantine.Listener {
+final class QuarantineTask implements QuarantineListener {
   private static final String STRUCK = "part_struck";
 
   private final CrashQuarantine quarantine = new CrashQuarantine(this);
   private final EventLog log;
-  private final List<CrashQuarantine.Listener> listeners = new ArrayList<>();
+  private final List<QuarantineListener> listeners = new ArrayList<>();
 
   /** Ids of the quarantined parts whose quarantine was logged, by their hashes. */
   private final Map<Long, String> loggedParts = new LinkedHashMap<>();
@@ -29,7 +30,7 @@
   }
 
   /** Adds a receiver of the announcements of the quarantine. */
-  void addListener(CrashQuarantine.Listener listener) {
+  void addListener(QuarantineListener listener) {
     listeners.add(listener);
   }
 
--- a/gateway/src/test/java/org/pollenrock/gateway/QuarantineFleet.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/QuarantineFleet.java
@@ -21,6 +21,7 @@
 import org.pollenrock.core.placement.RendezvousHash;
 import org.pollenrock.core.quarantine.CrashQuarantine;
 import org.pollenrock.core.quarantine.CrashSuspects;
+import org.pollenrock.core.quarantine.QuarantineListener;
 import org.pollenrock.core.quarantine.RequestFingerprint;
 import org.pollenrock.protocol.generated.FleetNews;
 
@@ -47,7 +48,7 @@
   }
 
   /** Instance whose datagrams are delayed and lost at random. */
-  final class Instance implements CrashQuarantine.Listener {
+  final class Instance implements QuarantineListener {
     private final CrashQuarantine quarantine = new CrashQuarantine(this);
     private final InetSocketAddress address;
     private final QuarantineGossip gossip;
