--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -53,7 +53,6 @@
   private Optional<CustomerAccess> customerAccess = Optional.empty();
   private long configVersion;
   private DispatchRequest request;
-  private RequestFingerprint fingerprint;
   private ScheduledFuture<?> deadlineTimer;
   private QuotaHold quotaHold;
   private Optional<QuotaExcess> quotaExcess = Optional.empty();
@@ -277,16 +276,14 @@
   private void admit() {
     long limitMillis =
         Math.min(route.timeoutMillis(), metadata.deadlineMillis().orElse(route.timeoutMillis()));
-    fingerprint =
-        new RequestFingerprint(
-            customerAccess.map(CustomerAccess::name).orElse(""), head.uri(), body::nioBuffer);
+    Optional<String> customer = customerAccess.map(CustomerAccess::name);
     request =
         new DispatchRequest(
             metadata.id(),
             route.serviceFor(metadata.id()),
             route.prefixAffinity() ? metadata.prompt() : Optional.empty(),
-            Optional.of(fingerprint),
-            customerAccess.map(CustomerAccess::name),
+            Optional.of(new RequestFingerprint(customer.orElse(""), head.uri(), body::nioBuffer)),
+            customer,
             CustomerAccess.cacheScope(customerAccess),
             route.urgency(
                 customerAccess.map(CustomerAccess::priority).orElse(OptionalInt.empty()),
@@ -476,9 +473,7 @@
 
   private void logFailure(ServerSend from, SendFailure failure, String cause, NextStep step) {
     String promptParts = metadata.sharedPartIds().orElse(null);
-    String requestHash =
-        failure == SendFailure.BROKEN ? Long.toHexString(fingerprint.hash()) : null;
-    from.logFailure(failure, cause, relay.eventCount(), step, promptParts, requestHash);
+    from.logFailure(failure, cause, relay.eventCount(), step, promptParts);
   }
 
   private void logRequest(String outcome, int status, String cause, long totalNanos) {
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -17,6 +17,7 @@
 import org.pollenrock.core.dispatch.SendFailure;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.LoadReport;
+import org.pollenrock.core.quarantine.CrashSuspects;
 import org.pollenrock.core.route.Route;
 import org.pollenrock.core.route.RouteKind;
 
@@ -109,13 +110,14 @@
 
   /** Logs the failure of the send, what had been relayed before, and what follows. */
   void logFailure(
-      SendFailure failure,
-      String cause,
-      long relayedEvents,
-      NextStep next,
-      String promptParts,
-      String requestHash) {
-    sendLog.failure(backend, failure, cause, relayedEvents, next, promptParts, requestHash);
+      SendFailure failure, String cause, long relayedEvents, NextStep next, String promptParts) {
+    Optional<String> requestHash =
+        request
+            .fingerprint()
+            .filter(fingerprint -> failure == SendFailure.BROKEN)
+            .map(fingerprint -> Long.toHexString(CrashSuspects.hash(fingerprint)));
+    sendLog.failure(
+        backend, failure, cause, relayedEvents, next, promptParts, requestHash.orElse(null));
   }
 
   /** Gives up the send without notifying the owner. */
