--- a/core/src/main/java/org/pollenrock/core/fleet/ListedBackend.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/ListedBackend.java
@@ -8,6 +8,7 @@
  * @param id identifier of the server, unchanged by a restart
  * @param startMillis Unix time of this incarnation's start in milliseconds; 0 if the entry does not
  *     state it
+ * @param softwareVersion version of the server's software, which is not that of the weights
  * @param service service that the server belongs to
  * @param host IP address
  * @param port TCP port
@@ -20,6 +21,7 @@
 public record ListedBackend(
     String id,
     long startMillis,
+    String softwareVersion,
     String service,
     String host,
     int port,
--- a/core/src/test/java/org/pollenrock/core/dispatch/Fixtures.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/Fixtures.java
@@ -29,11 +29,12 @@
 
   private static ListedBackend engine(String id, String host, String dataCentre, long weights) {
     return new ListedBackend(
-        id, 1, "llm", host, 8000, dataCentre, 32, true, Map.of(MODEL, weights));
+        id, 1, "v1", "llm", host, 8000, dataCentre, 32, true, Map.of(MODEL, weights));
   }
 
   static ListedBackend plainServer(String id, String dataCentre, int slots) {
-    return new ListedBackend(id, 1, "ledger", "10.0.0.1", 8000, dataCentre, slots, true, Map.of());
+    return new ListedBackend(
+        id, 1, "v1", "ledger", "10.0.0.1", 8000, dataCentre, slots, true, Map.of());
   }
 
   static Prompt prompt(String sharedPartId, int sharedTokens, int ownTokens) {
--- a/core/src/test/java/org/pollenrock/core/dispatch/ServerHoldTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/ServerHoldTest.java
@@ -42,7 +42,7 @@
 
   private static ListedBackend entry(int server) {
     return new ListedBackend(
-        "s" + server, 1, SERVICE, "10.0.0." + server, 80, "near", 50, true, Map.of());
+        "s" + server, 1, "v1", SERVICE, "10.0.0." + server, 80, "near", 50, true, Map.of());
   }
 
   private static DispatchRequest request(long nowNanos) {
--- a/core/src/test/java/org/pollenrock/core/fleet/BackendTest.java
+++ b/core/src/test/java/org/pollenrock/core/fleet/BackendTest.java
@@ -12,7 +12,7 @@
 
   private final Backend backend =
       new Backend(
-          new ListedBackend("a", 1, "s", "10.0.0.1", 80, "dc", 8, true, Map.of("m", 1L)), 0);
+          new ListedBackend("a", 1, "v1", "s", "10.0.0.1", 80, "dc", 8, true, Map.of("m", 1L)), 0);
 
   @Test
   void loadIsOwnRequestsPlusDecayingReportedLoad() {
--- a/core/src/test/java/org/pollenrock/core/fleet/FleetTest.java
+++ b/core/src/test/java/org/pollenrock/core/fleet/FleetTest.java
@@ -17,7 +17,7 @@
 
   private static ListedBackend entry(String id, long startMillis, boolean ready) {
     return new ListedBackend(
-        id, startMillis, "service", "10.0.0.1", 80, "dc", 8, ready, Map.of("model", 1L));
+        id, startMillis, "v1", "service", "10.0.0.1", 80, "dc", 8, ready, Map.of("model", 1L));
   }
 
   @Test
--- a/core/src/test/java/org/pollenrock/core/fleet/LeavingServerTest.java
+++ b/core/src/test/java/org/pollenrock/core/fleet/LeavingServerTest.java
@@ -20,7 +20,7 @@
 
   private static ListedBackend entry(int server, long startMillis, boolean ready) {
     return new ListedBackend(
-        "s" + server, startMillis, SERVICE, "10.0.0." + server, 80, "dc", 8, ready, Map.of());
+        "s" + server, startMillis, "v1", SERVICE, "10.0.0." + server, 80, "dc", 8, ready, Map.of());
   }
 
   private static ServerNotice leaving(String serverId) {
--- a/core/src/test/java/org/pollenrock/core/fleet/LoadingPauseTest.java
+++ b/core/src/test/java/org/pollenrock/core/fleet/LoadingPauseTest.java
@@ -12,7 +12,9 @@
 
   private final Backend backend =
       new Backend(
-          new ListedBackend("e", 1, "llm", "10.0.0.1", 80, "dc", SLOTS, true, Map.of("m", 1L)), 0);
+          new ListedBackend(
+              "e", 1, "v1", "llm", "10.0.0.1", 80, "dc", SLOTS, true, Map.of("m", 1L)),
+          0);
 
   /** The instance that announced the load dies, or all further announcements are lost. */
   @Test
--- a/core/src/test/java/org/pollenrock/core/quarantine/QuarantineFixture.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/QuarantineFixture.java
@@ -74,7 +74,8 @@
 
   static Backend server(String id, long startMillis) {
     return new Backend(
-        new ListedBackend(id, startMillis, "llm", "10.0.0.1", 80, "near", 8, true, Map.of()), 0);
+        new ListedBackend(id, startMillis, "v1", "llm", "10.0.0.1", 80, "near", 8, true, Map.of()),
+        0);
   }
 
   /** Breaks the sends with the given prompts, and ends their server a millisecond later. */
--- a/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
+++ b/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
@@ -363,7 +363,7 @@
   }
 
   private static ListedBackend entry(String id, String service, Map<String, Long> weights) {
-    return new ListedBackend(id, 1, service, "10.0.0.1", 8000, "dc", 64, true, weights);
+    return new ListedBackend(id, 1, "v1", service, "10.0.0.1", 8000, "dc", 64, true, weights);
   }
 
   private boolean isEverLimited(String server) {
--- a/core/src/test/java/org/pollenrock/core/weights/RolloutUnderLoadTest.java
+++ b/core/src/test/java/org/pollenrock/core/weights/RolloutUnderLoadTest.java
@@ -50,7 +50,7 @@
     for (int i = 0; i < count; i++) {
       ListedBackend entry =
           new ListedBackend(
-              "e" + i, 1, "llm", "10.0.0.1", 80, "dc", SLOTS, true, Map.of(MODEL, 1L));
+              "e" + i, 1, "v1", "llm", "10.0.0.1", 80, "dc", SLOTS, true, Map.of(MODEL, 1L));
       engines.put(new Backend(entry, 0), new FakeEngine());
     }
   }
--- a/core/src/test/java/org/pollenrock/core/weights/WeightsRolloutTest.java
+++ b/core/src/test/java/org/pollenrock/core/weights/WeightsRolloutTest.java
@@ -38,7 +38,7 @@
       backend =
           new Backend(
               new ListedBackend(
-                  "e" + index, 1, "llm", "10.0.0.1", 80, "dc", 8, true, Map.of(MODEL, 1L)),
+                  "e" + index, 1, "v1", "llm", "10.0.0.1", 80, "dc", 8, true, Map.of(MODEL, 1L)),
               0);
     }
 
--- a/gateway/src/main/java/org/pollenrock/gateway/CallerRequestMetadata.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerRequestMetadata.java
@@ -18,6 +18,8 @@
  *     them readably
  * @param lastEventNumber number of the last event that the caller has received; empty when it
  *     requests the stream from its start
+ * @param resumedId id of the attempt of the caller that brought the first event of the stream that
+ *     this request takes up; empty if it begins a stream, or the caller does not tell
  * @param unreadableHeaders names of headers whose values could not be parsed; these headers are
  *     treated as absent
  */
@@ -28,6 +30,7 @@
     Optional<Prompt> prompt,
     OptionalLong tokens,
     OptionalLong lastEventNumber,
+    Optional<String> resumedId,
     List<String> unreadableHeaders) {
   /** Maximum length of the ids of parts in a log line, in characters. */
   private static final int MAX_LOGGED_IDS_LENGTH = 200;
--- a/gateway/src/main/java/org/pollenrock/gateway/RequestLog.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/RequestLog.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.pollenrock.core.dispatch.DispatchRequest;
 import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.dispatch.Selection;
@@ -75,6 +76,11 @@
         .with("cause", ending.cause().orElse(null))
         .with("sends", handling.sendCount())
         .with("server", choice.map(chosen -> chosen.backend().entry().id()).orElse(null))
+        .with(
+            "software",
+            choice.map(chosen -> chosen.backend().entry().softwareVersion()).orElse(null))
+        .with("resumed_id", metadata.resumedId().orElse(null))
+        .with("after_event", afterEvent(metadata))
         .with("placement", choice.map(chosen -> chosen.reason().name()).orElse(null))
         .with("time_percent", timePercent(choice))
         .with("fetched_from", choice.flatMap(Selection.Chosen::fetchFrom).orElse(null))
@@ -106,6 +112,12 @@
         .orElse(null);
   }
 
+  /** Returns the event after which the caller takes up a stream; null if it begins one. */
+  private static String afterEvent(CallerRequestMetadata metadata) {
+    OptionalLong number = metadata.lastEventNumber();
+    return number.isPresent() ? Long.toString(number.getAsLong()) : null;
+  }
+
   private static String figure(double amount) {
     return String.format(Locale.ROOT, "%.1f", amount);
   }
--- a/gateway/src/test/java/org/pollenrock/gateway/CacheGossipTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/CacheGossipTest.java
@@ -32,7 +32,7 @@
   private static final long TIMEOUT_SECONDS = 30;
   private static final long PART = PrefixDirectory.key("shared@1", "dossier");
   private static final ListedBackend ENGINE =
-      new ListedBackend("engine", 1, "llm", "10.0.0.1", 8000, "dc", 8, true, Map.of("m", 1L));
+      new ListedBackend("engine", 1, "v1", "llm", "10.0.0.1", 8000, "dc", 8, true, Map.of("m", 1L));
 
   /** Gossip of one instance with its own view of the engine. */
   private static final class Instance {
--- a/gateway/src/test/java/org/pollenrock/gateway/CallerRequestMetadataTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/CallerRequestMetadataTest.java
@@ -20,6 +20,7 @@
         Optional.of(new Prompt("m", 100, 10, parts)),
         OptionalLong.empty(),
         OptionalLong.empty(),
+        Optional.empty(),
         List.of());
   }
 
--- a/gateway/src/test/java/org/pollenrock/gateway/QuarantineFleet.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/QuarantineFleet.java
@@ -105,7 +105,7 @@
       Backend server =
           new Backend(
               new ListedBackend(
-                  "engine-" + ++crashes, 1, "llm", "10.0.0.1", 80, "dc", 8, true, Map.of()),
+                  "engine-" + ++crashes, 1, "v1", "llm", "10.0.0.1", 80, "dc", 8, true, Map.of()),
               ticker.nanoTime());
       quarantine.recordBroken(server, prompt, ticker.nanoTime(), ticker.nanoTime());
       quarantine.recordServerEnded(server, ticker.nanoTime());
--- a/gateway/src/test/java/org/pollenrock/gateway/ServerSpeedGossipTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/ServerSpeedGossipTest.java
@@ -36,7 +36,8 @@
   void addServer() {
     now = System.nanoTime();
     fleet.applyEntry(
-        new ListedBackend("server", 7, "ledger", "10.0.0.1", 8000, "dc", 6, true, Map.of()), now);
+        new ListedBackend("server", 7, "v1", "ledger", "10.0.0.1", 8000, "dc", 6, true, Map.of()),
+        now);
     server = fleet.all().iterator().next();
   }
 
--- a/gateway/src/test/java/org/pollenrock/gateway/WaitingNewsTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/WaitingNewsTest.java
@@ -31,7 +31,7 @@
     EventLog log = new EventLog(OutputStream.nullOutputStream());
     Fleet fleet = new Fleet();
     fleet.applyEntry(
-        new ListedBackend("a", 1, "ledger", "10.0.0.1", 8000, "dc", 2, true, Map.of()), 0);
+        new ListedBackend("a", 1, "v1", "ledger", "10.0.0.1", 8000, "dc", 2, true, Map.of()), 0);
     return new Dispatcher(
         fleet,
         new ServerSelector(
--- a/gateway/src/test/java/org/pollenrock/gateway/WorkGossipRoundTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/WorkGossipRoundTest.java
@@ -46,7 +46,8 @@
   @Test
   void everyRoundTellsSomethingWhileWorkLasts() throws Exception {
     fleet.applyEntry(
-        new ListedBackend("engine", 1, "llm", "10.0.0.1", 8000, "dc", 8, true, Map.of("m", 1L)),
+        new ListedBackend(
+            "engine", 1, "v1", "llm", "10.0.0.1", 8000, "dc", 8, true, Map.of("m", 1L)),
         System.nanoTime());
     Backend engine = fleet.all().iterator().next();
     InetSocketAddress own = freeAddress();
