Let streams go on only at the software version that began them

Cause: neither the version of a server nor the stream that a request takes up was read, so that a continued stream went to the server that suited its prompt best. A move within a response did the same. Six of the seven tests of StreamVersionTest failed. Change: a request is bound to the version of its first response; the dispatcher offers it to no other server, by whatever way. A caller's request is bound to the origin of the attempt that it names. Origins are stored while a service has had several versions within the last 30 s or two stream lives, and read from the store when a caller takes a stream up; so they outlive all instances. What can't be told is refused at once. StreamVersionTest passes.

--- a/core/src/main/java/org/pollenrock/core/dispatch/DispatchRequest.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/DispatchRequest.java
@@ -1,6 +1,8 @@
 package org.pollenrock.core.dispatch;
 
 import java.util.Optional;
+import org.pollenrock.core.fleet.Backend;
+import org.pollenrock.core.origin.StreamOrigin;
 import org.pollenrock.core.quarantine.CrashSuspects;
 import org.pollenrock.core.quarantine.RequestFingerprint;
 
@@ -9,6 +11,8 @@
  *
  * @param id identity of the request, for logs
  * @param service name of the service that serves the request
+ * @param softwareVersion version of the software of the servers that may take the request; empty if
+ *     any may
  * @param prompt prompt of the request; empty for a plain request
  * @param fingerprint what identifies the request among repetitions by callers; empty if its
  *     repetitions need not be recognized
@@ -23,6 +27,7 @@
 public record DispatchRequest(
     String id,
     String service,
+    Optional<String> softwareVersion,
     Optional<Prompt> prompt,
     Optional<RequestFingerprint> fingerprint,
     Optional<String> customer,
@@ -41,6 +46,40 @@
     return prompt.map(Prompt::tokens).orElse(0);
   }
 
+  /**
+   * Returns this request, to be taken only by servers at which its stream can go on.
+   *
+   * @param origin origin of the stream
+   * @return the request for the service and software version of the origin
+   */
+  public DispatchRequest continuing(StreamOrigin origin) {
+    return new DispatchRequest(
+        id,
+        origin.service(),
+        Optional.of(origin.softwareVersion()),
+        prompt,
+        fingerprint,
+        customer,
+        cacheScope,
+        urgency,
+        repeatable,
+        targetLatencyMillis,
+        arrivalNanos,
+        deadlineNanos);
+  }
+
+  /**
+   * Returns whether the software of a server may take the request.
+   *
+   * @param server the server
+   * @return false if the request continues a stream of another version
+   */
+  public boolean accepts(Backend server) {
+    return softwareVersion
+        .filter(version -> !version.equals(server.entry().softwareVersion()))
+        .isEmpty();
+  }
+
   /**
    * Returns what of the request may crash the server that runs it.
    *
--- a/core/src/main/java/org/pollenrock/core/dispatch/DispatchResult.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/DispatchResult.java
@@ -51,7 +51,9 @@
     STOPPING,
     /** The request bodies in memory exceed their limit in bytes. */
     MEMORY,
-    /** A part of the prompt is quarantined because servers crashed under it. */
+    /** Nothing tells which software version has begun the stream that the request takes up. */
+    UNKNOWN_ORIGIN,
+    /** The request, or a part of its prompt, is quarantined because servers crashed under it. */
     QUARANTINED,
     /** All servers that could take the request have named request rates that are used up. */
     RATE_LIMITED,
--- a/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/Dispatcher.java
@@ -170,8 +170,10 @@
       if (model.isEmpty()) {
         break;
       }
-      // A long prompt may only be too late for these servers, and a resend avoids some of them.
+      // A long prompt may only be too late for these servers, and a resend or a stream that goes on
+      // avoids some of them.
       if (entry.triedServers().isEmpty()
+          && entry.request().softwareVersion().isEmpty()
           && entry.request().promptTokens() <= Route.SHORT_PROMPT_MAX_TOKENS) {
         busyModels.add(model.get());
       }
@@ -238,16 +240,20 @@
   }
 
   /**
-   * Removes the waiting requests of a service that has no server any more.
+   * Removes the waiting requests of a service that has no server any more, and those that continue
+   * a stream for which it has none.
    *
    * @param service name of the service
    * @param nowNanos current time
    * @return the removed entries, whose requests the caller of this method has to refuse
    */
   public List<QueueEntry> removeUnserved(String service, long nowNanos) {
-    return fleet.usableServers(service).isEmpty()
-        ? queues.removeIf(service, entry -> true, nowNanos)
-        : List.of();
+    if (queues.queue(service).size() == 0) {
+      return List.of();
+    }
+    List<Backend> servers = fleet.usableServers(service);
+    return queues.removeIf(
+        service, entry -> servers.stream().noneMatch(entry.request()::accepts), nowNanos);
   }
 
   /**
@@ -466,7 +472,8 @@
   }
 
   private static boolean serves(Backend server, DispatchRequest request) {
-    return request.prompt().isEmpty() || server.serves(request.prompt().get().model());
+    return (request.prompt().isEmpty() || server.serves(request.prompt().get().model()))
+        && request.accepts(server);
   }
 
   private Selection selectServer(
@@ -476,6 +483,10 @@
             .prompt()
             .map(prompt -> weightsTargets.requirement(prompt.model(), nowNanos))
             .orElse(WeightsRequirement.NONE);
-    return selector.select(request, servers, triedServers, requirement, nowNanos);
+    List<Backend> eligible =
+        request.softwareVersion().isEmpty()
+            ? servers
+            : servers.stream().filter(request::accepts).toList();
+    return selector.select(request, eligible, triedServers, requirement, nowNanos);
   }
 }
--- a/core/src/main/java/org/pollenrock/core/dispatch/NextStep.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/NextStep.java
@@ -13,5 +13,14 @@
   /** Responds that the outcome is unknown. */
   ANSWER_UNKNOWN,
   /** Aborts the response in a way that the caller can't mistake for a complete response. */
-  BREAK_OFF
+  BREAK_OFF;
+
+  /**
+   * Returns whether the request is sent again.
+   *
+   * @return whether it is sent from its start or to continue its response
+   */
+  public boolean isResend() {
+    return this == RESEND || this == RESUME;
+  }
 }
--- a/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -43,6 +44,7 @@
   private record UnlistedServer(ListedBackend entry, ServerNotices notices) {}
 
   private boolean listRead;
+  private long membershipVersion;
   private boolean listUnavailable;
   private long removalsDeferredUntilNanos = Long.MIN_VALUE;
   private long listRestoredNanos = Long.MIN_VALUE;
@@ -68,6 +70,7 @@
       Backend added = new Backend(entry, knownNotices(entry), nowNanos);
       byId.put(entry.id(), added);
       byIdHash.put(added.idHash(), added);
+      membershipVersion++;
       usableByService.clear();
       return true;
     }
@@ -237,6 +240,31 @@
                 .toList());
   }
 
+  /**
+   * Returns the software versions of the known servers of each service, also of draining ones.
+   *
+   * @return the versions by the names of the services
+   */
+  public Map<String, Set<String>> softwareVersions() {
+    Map<String, Set<String>> versions = new HashMap<>();
+    for (Backend backend : byId.values()) {
+      ListedBackend entry = backend.entry();
+      versions
+          .computeIfAbsent(entry.service(), service -> new HashSet<>())
+          .add(entry.softwareVersion());
+    }
+    return versions;
+  }
+
+  /**
+   * Returns a number that changes whenever a server is added or removed.
+   *
+   * @return the number
+   */
+  public long membershipVersion() {
+    return membershipVersion;
+  }
+
   /**
    * Finds a server by the hash of its identifier.
    *
@@ -300,6 +328,7 @@
     Backend removed = byId.remove(id);
     if (removed != null) {
       byIdHash.remove(removed.idHash());
+      membershipVersion++;
       usableByService.clear();
       unlistedServers.put(id, new UnlistedServer(removed.entry(), removed.notices()));
     }
--- a/core/src/main/java/org/pollenrock/core/route/Route.java
+++ b/core/src/main/java/org/pollenrock/core/route/Route.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
 import org.pollenrock.core.placement.RendezvousHash;
 
 /**
@@ -57,6 +58,15 @@
     return kind == RouteKind.IDEMPOTENT || kind == RouteKind.STREAM && resumable;
   }
 
+  /**
+   * Returns the maximum time for which a caller waits for a response.
+   *
+   * @return the time in nanoseconds
+   */
+  public long timeoutNanos() {
+    return TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+  }
+
   /**
    * Returns the service of a request. A request gets the same service in every process.
    *
@@ -81,6 +91,16 @@
     return services.get(0).service();
   }
 
+  /**
+   * Returns whether requests of the route may go to a service.
+   *
+   * @param service name of the service
+   * @return whether it shares the requests
+   */
+  public boolean sendsTo(String service) {
+    return services.stream().anyMatch(weighted -> weighted.service().equals(service));
+  }
+
   /**
    * Returns the urgency of a request.
    *
--- a/core/src/test/java/org/pollenrock/core/dispatch/Fixtures.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/Fixtures.java
@@ -49,6 +49,7 @@
     return new DispatchRequest(
         id,
         prompt.isPresent() ? "llm" : "ledger",
+        Optional.empty(),
         prompt,
         Optional.empty(),
         Optional.empty(),
@@ -65,6 +66,7 @@
     return new DispatchRequest(
         id,
         "llm",
+        Optional.empty(),
         Optional.of(prompt),
         Optional.empty(),
         Optional.empty(),
--- a/core/src/test/java/org/pollenrock/core/dispatch/SharedServers.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/SharedServers.java
@@ -59,6 +59,7 @@
         new DispatchRequest(
             "r" + created++,
             "service",
+            Optional.empty(),
             prompt,
             Optional.empty(),
             Optional.of(customer),
@@ -82,6 +83,7 @@
         "service",
         Optional.empty(),
         Optional.empty(),
+        Optional.empty(),
         Optional.of(customer),
         "shared",
         5,
--- a/core/src/test/java/org/pollenrock/core/dispatch/StopPlanTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/StopPlanTest.java
@@ -30,6 +30,7 @@
         Optional.empty(),
         Optional.empty(),
         Optional.empty(),
+        Optional.empty(),
         "shared",
         5,
         repeatable,
--- a/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
+++ b/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
@@ -187,6 +187,7 @@
           new DispatchRequest(
               "r" + requestCount++,
               prompt.isPresent() ? "llm" : "ledger",
+              Optional.empty(),
               prompt,
               Optional.empty(),
               Optional.empty(),
--- a/gateway/src/main/java/org/pollenrock/gateway/CallerRequestMetadata.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerRequestMetadata.java
@@ -45,6 +45,11 @@
     return prompt.map(Prompt::sharedTokens).orElse(0);
   }
 
+  /** Returns whether the request takes up a stream that has begun before. */
+  boolean continuesStream() {
+    return resumedId.isPresent() || lastEventNumber.isPresent();
+  }
+
   /**
    * Returns the ids of the shared parts of the prompt for a log line, separated by commas and cut
    * off at a maximum length; empty if the request shares no part.
--- a/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Exchange.java
@@ -10,14 +10,12 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.pollenrock.core.dispatch.DispatchRequest;
 import org.pollenrock.core.dispatch.DispatchResult;
 import org.pollenrock.core.dispatch.FailurePolicy;
 import org.pollenrock.core.dispatch.NextStep;
-import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.dispatch.QueueEntry;
 import org.pollenrock.core.dispatch.Selection;
 import org.pollenrock.core.dispatch.SendFailure;
@@ -25,7 +23,6 @@
 import org.pollenrock.core.dispatch.SendState;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.limits.QuotaExcess;
-import org.pollenrock.core.quarantine.RequestFingerprint;
 import org.pollenrock.core.route.CustomerAccess;
 import org.pollenrock.core.route.CustomerQuota;
 import org.pollenrock.core.route.Route;
@@ -151,6 +148,7 @@
   @Override
   public void streamStarted(ServerSend from, HttpResponse serverResponse) {
     relay.begin(serverResponse);
+    request = components.streamOrigins().bind(route, request, from.backend().entry());
   }
 
   @Override
@@ -201,7 +199,7 @@
   @Override
   public Optional<Selection.Chosen> claimReplacement(ServerSend from) {
     SendProgress ifBroken = progress.with(from.backend().entry().id(), SendFailure.BROKEN);
-    if (!isResend(FailurePolicy.nextStep(SendFailure.BROKEN, sendState(ifBroken)))
+    if (!FailurePolicy.nextStep(SendFailure.BROKEN, sendState(ifBroken)).isResend()
         || !hasTimeToResend()) {
       return Optional.empty();
     }
@@ -233,7 +231,7 @@
       finish("caller_left", 0, cause);
       return;
     }
-    boolean shouldResend = isResend(step);
+    boolean shouldResend = step.isResend();
     if (shouldResend && hasTimeToResend()) {
       boolean counted = failure != SendFailure.NOT_SENT;
       DispatchResult next =
@@ -265,10 +263,6 @@
         route.resumable() && relay.lastEventNumber().isPresent());
   }
 
-  private static boolean isResend(NextStep step) {
-    return step == NextStep.RESEND || step == NextStep.RESUME;
-  }
-
   private boolean hasTimeToResend() {
     return request.deadlineNanos() - System.nanoTime() > MIN_RESEND_NANOS;
   }
@@ -276,29 +270,19 @@
   private void admit() {
     long limitMillis =
         Math.min(route.timeoutMillis(), metadata.deadlineMillis().orElse(route.timeoutMillis()));
-    Optional<String> customer = customerAccess.map(CustomerAccess::name);
     request =
-        new DispatchRequest(
-            metadata.id(),
-            route.serviceFor(metadata.id()),
-            route.prefixAffinity() ? metadata.prompt() : Optional.empty(),
-            Optional.of(new RequestFingerprint(customer.orElse(""), head.uri(), body::nioBuffer)),
-            customer,
-            CustomerAccess.cacheScope(customerAccess),
-            route.urgency(
-                customerAccess.map(CustomerAccess::priority).orElse(OptionalInt.empty()),
-                metadata.prompt().map(Prompt::tokens).orElse(0)),
-            route.isRepeatable(),
-            route.targetLatencyMillis(),
-            arrivedNanos,
-            arrivedNanos + limitMillis * 1_000_000);
+        CallerRequests.toDispatchRequest(
+            head, body, metadata, route, customerAccess, arrivedNanos, limitMillis);
     deadlineTimer =
         components
             .loop()
-            .schedule(this::expire, limitMillis + DEADLINE_GRACE_MILLIS, TimeUnit.MILLISECONDS);
+            .schedule(
+                () -> end("deadline", DispatchResult.Cause.WAITED),
+                limitMillis + DEADLINE_GRACE_MILLIS,
+                TimeUnit.MILLISECONDS);
     Optional<CustomerQuota> quota = customerAccess.flatMap(CustomerAccess::quota);
     if (quota.isEmpty()) {
-      handleDispatch(components.dispatcher().submit(request, arrivedNanos));
+      submit();
       return;
     }
     double cost = quota.get().cost(metadata.tokens());
@@ -308,7 +292,24 @@
 
   @Override
   public void quotaGranted() {
-    handleDispatch(components.dispatcher().submit(request, System.nanoTime()));
+    submit();
+  }
+
+  private void submit() {
+    components.streamOrigins().resolve(route, metadata, request, this::dispatch);
+  }
+
+  /** Dispatches the request; one that takes up a stream only to servers at which it can go on. */
+  private void dispatch(Optional<DispatchRequest> resolved) {
+    if (finished) {
+      return;
+    }
+    if (resolved.isPresent()) {
+      request = resolved.get();
+      handleDispatch(components.dispatcher().submit(request, System.nanoTime()));
+    } else {
+      refuse(DispatchResult.Cause.UNKNOWN_ORIGIN);
+    }
   }
 
   @Override
@@ -353,10 +354,6 @@
     send.start(head, body);
   }
 
-  private void expire() {
-    end("deadline", DispatchResult.Cause.WAITED);
-  }
-
   /** Answers the request although it is still in progress, for a reason on this side. */
   void end(String cause, DispatchResult.Cause refusal) {
     if (finished) {
@@ -472,8 +469,8 @@
   }
 
   private void logFailure(ServerSend from, SendFailure failure, String cause, NextStep step) {
-    String promptParts = metadata.sharedPartIds().orElse(null);
-    from.logFailure(failure, cause, relay.eventCount(), step, promptParts);
+    from.logFailure(
+        failure, cause, relay.eventCount(), step, metadata.sharedPartIds().orElse(null));
   }
 
   private void logRequest(String outcome, int status, String cause, long totalNanos) {
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -59,6 +59,7 @@
   private final ControlClient controlClient;
   private final PeerGossip gossip;
   private final QuotaTask quotas;
+  private final StreamOriginTask streamOrigins;
   private final ReachabilityMonitor reachability;
   private final LoopMonitor loopMonitor;
   private final List<Runnable> sweepTasks = new ArrayList<>();
@@ -91,8 +92,9 @@
     selector = new ServerSelector(settings.selector(), directory, prefixStore);
     dispatcher = createDispatcher(settings);
     gossip = createGossip(settings);
-    quotas = createQuotas(settings);
-    quarantineTask.addListener(gossip.quarantineGossip());
+    quotas = new QuotaTask(loop, configs, gossip, settings.quotaMargins(), log);
+    gossip.addPart(quotas);
+    streamOrigins = new StreamOriginTask(loop, fleet, System::nanoTime, log);
     HeadCheck headCheck = new HeadCheck(serverProtocol.identifyingHeaders());
     connectionPools =
         new ServerConnectionPools(loop, new ServerConnectionObserver(metrics, log), headCheck);
@@ -104,6 +106,8 @@
     loopMonitor = new LoopMonitor(loop, metrics, log);
     LoadReports loadReports = new LoadReports(serverProtocol, metrics, log);
     reachability = createReachabilityMonitor(settings.gossipAddress(), loadReports);
+    ServerSpeedTask serverSpeeds = new ServerSpeedTask(selector.speedMeter(), fleet, log);
+    gossip.addPart(serverSpeeds);
     GatewayComponents components =
         new GatewayComponents(
             loop,
@@ -123,8 +127,9 @@
             reachability,
             rateLimits,
             loadReports,
-            createServerSpeeds(),
+            serverSpeeds,
             quotas,
+            streamOrigins,
             serverGate,
             loopMonitor,
             () -> refusingRequests);
@@ -138,11 +143,10 @@
             bodyMemory,
             metrics,
             log);
-    readinessListener = createReadinessListener(settings);
+    readinessListener = new PageListener(loop, settings.readinessAddress(), this::readinessPage);
     StatePages pages = new StatePages(this, metrics);
     operatorListener =
         settings.operatorAddress().map(address -> new PageListener(loop, address, pages));
-    addSuspensionListener(weightsTargets::recordSuspension);
     GatewayGauges.register(
         metrics, this, bodyMemory, callerListener, quarantineTask, rateLimits.limits(), log);
   }
@@ -160,6 +164,7 @@
     readinessListener.start();
     callerListener.start();
     loopMonitor.start();
+    addSuspensionListener(weightsTargets::recordSuspension);
     loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
   }
 
@@ -317,7 +322,16 @@
   }
 
   /**
-   * Returns the quarantine of parts of prompts that crash servers.
+   * Returns what is known of the software versions at which streams have begun.
+   *
+   * @return the task
+   */
+  public StreamOriginTask streamOrigins() {
+    return streamOrigins;
+  }
+
+  /**
+   * Returns the quarantine of requests and parts of prompts that crash servers.
    *
    * @return the quarantine
    */
@@ -410,6 +424,10 @@
         System.nanoTime());
   }
 
+  private Page readinessPage(String path) {
+    return Page.empty(isReady() ? 200 : 503);
+  }
+
   private PeerGossip createGossip(GatewaySettings settings) {
     PeerGossip created =
         new PeerGossip(
@@ -423,26 +441,10 @@
             rateLimits,
             log);
     created.addPart(new WaitingNews(dispatcher.queues()));
+    quarantineTask.addListener(created.quarantineGossip());
     return created;
   }
 
-  private ServerSpeedTask createServerSpeeds() {
-    ServerSpeedTask serverSpeeds = new ServerSpeedTask(selector.speedMeter(), fleet, log);
-    gossip.addPart(serverSpeeds);
-    return serverSpeeds;
-  }
-
-  private QuotaTask createQuotas(GatewaySettings settings) {
-    QuotaTask task = new QuotaTask(loop, configs, gossip, settings.quotaMargins(), log);
-    gossip.addPart(task);
-    return task;
-  }
-
-  private PageListener createReadinessListener(GatewaySettings settings) {
-    return new PageListener(
-        loop, settings.readinessAddress(), path -> Page.empty(isReady() ? 200 : 503));
-  }
-
   private ServerGate createServerGate(
       InetSocketAddress gossipAddress, ServerProtocol serverProtocol) {
     return new ServerNoticeTask(
@@ -482,6 +484,7 @@
     quarantineTask.sweep(now);
     gossip.announceRates(now);
     quotas.sweep();
+    streamOrigins.applyServers();
     queuedExchanges.sweep();
     sweepTasks.forEach(Runnable::run);
     if (++sweepCount % SWEEPS_PER_CONNECTION_SWEEP == 0) {
--- a/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/GatewayComponents.java
@@ -30,6 +30,7 @@
  * @param loadReports records the load that servers report
  * @param serverSpeeds measures the speed of servers
  * @param quotas quotas of customers
+ * @param streamOrigins software versions at which streams have begun
  * @param serverGate keeps sends from servers that want none
  * @param loopMonitor delays work while the event loop is late
  * @param refusingRequests whether new requests are refused
@@ -54,6 +55,7 @@
     LoadReports loadReports,
     ServerSpeedTask serverSpeeds,
     QuotaTask quotas,
+    StreamOriginTask streamOrigins,
     ServerGate serverGate,
     LoopMonitor loopMonitor,
     BooleanSupplier refusingRequests) {}
--- a/gateway/src/test/java/org/pollenrock/gateway/WaitingNewsTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/WaitingNewsTest.java
@@ -49,6 +49,7 @@
         "ledger",
         Optional.empty(),
         Optional.empty(),
+        Optional.empty(),
         Optional.of("customer"),
         "shared",
         3,
