--- a/core/src/main/java/org/pollenrock/core/route/Route.java
+++ b/core/src/main/java/org/pollenrock/core/route/Route.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.OptionalInt;
-import java.util.concurrent.TimeUnit;
 import org.pollenrock.core.placement.RendezvousHash;
 
 /**
@@ -64,7 +63,7 @@
    * @return the time in nanoseconds
    */
   public long timeoutNanos() {
-    return TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+    return timeoutMillis * 1_000_000;
   }
 
   /**
