--- a/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerConnection.java
@@ -279,7 +279,7 @@
 
   private void readBody(HttpContent content) {
     ByteBuf bytes = content.content();
-    int receivedBytes = body == null ? 0 : body.readableBytes();
+    long receivedBytes = body == null ? 0 : body.readableBytes();
     if (receivedBytes + bytes.readableBytes() > listener.bounds().maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large");
       return;
