Tell customers apart whose names differ beyond Latin-1

Cause: header values are sent as Latin-1, and other letters become a question mark without an error. The cache scope of an isolated customer escapes all bytes but letters, digits and -._, so that it is plain ASCII and different for different names; scopes of plain names stay as they are.

--- a/core/src/main/java/org/pollenrock/core/route/CustomerAccess.java
+++ b/core/src/main/java/org/pollenrock/core/route/CustomerAccess.java
@@ -1,5 +1,7 @@
 package org.pollenrock.core.route;
 
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
 import java.util.Optional;
 import java.util.OptionalInt;
 
@@ -22,7 +24,24 @@
   public static String cacheScope(Optional<CustomerAccess> access) {
     return access
         .filter(CustomerAccess::isolated)
-        .map(customer -> "customer-" + customer.name())
+        .map(customer -> "customer-" + escape(customer.name()))
         .orElse("shared");
   }
+
+  /**
+   * Escapes a name, so that it can be sent as a header and no two names become one: each byte of
+   * its UTF-8 but letters, digits and {@code -._} is written as % and two digits.
+   */
+  private static String escape(String name) {
+    StringBuilder escaped = new StringBuilder();
+    for (byte each : name.getBytes(StandardCharsets.UTF_8)) {
+      boolean plain =
+          each >= 'a' && each <= 'z'
+              || each >= 'A' && each <= 'Z'
+              || each >= '0' && each <= '9'
+              || "-._".indexOf(each) >= 0;
+      escaped.append(plain ? Character.toString(each) : "%" + HexFormat.of().toHexDigits(each));
+    }
+    return escaped.toString();
+  }
 }
