Continue streams of a fleet that never had another software version

Cause: a service counted as settled only after one version alone had been listed for 30 s, also where the store had no record of any other. These callers don't name the attempt that began the stream. Change: a service of which the store has no record is settled at once, until another version is listed; the record tells so. Origins are stored from the start all the same, since another version may follow.

--- a/core/src/main/java/org/pollenrock/core/origin/SoftwareHistory.java
+++ b/core/src/main/java/org/pollenrock/core/origin/SoftwareHistory.java
@@ -8,9 +8,9 @@
 /**
  * Software versions of the servers of each service, and since when no others are listed.
  *
- * <p>A service is settled while one version alone has been listed for longer than any stream lasts.
- * Then every stream that can still go on has begun at that version, and no origin needs to be
- * stored.
+ * <p>A service is settled while one version alone has been listed for longer than any stream lasts,
+ * or since the service was listed first. Then every stream that can still go on has begun at that
+ * version.
  */
 public final class SoftwareHistory {
   /** Minimum time for which a version must have been the only one, whatever streams last. */
@@ -24,8 +24,9 @@
    *
    * @param versions the versions; not empty
    * @param sinceNanos time since which just these are listed
+   * @param first whether the service has had no other versions before
    */
-  public record Listing(Set<String> versions, long sinceNanos) {
+  public record Listing(Set<String> versions, long sinceNanos, boolean first) {
     /** Copies the versions. */
     public Listing {
       versions = Set.copyOf(versions);
@@ -51,7 +52,7 @@
     if (versions.isEmpty() || known != null && known.versions().equals(versions)) {
       return false;
     }
-    listings.put(service, new Listing(versions, nowNanos));
+    listings.put(service, new Listing(versions, nowNanos, false));
     return true;
   }
 
@@ -91,6 +92,16 @@
     return Map.copyOf(listings);
   }
 
+  /**
+   * Records that no instance has seen a service with other versions than now.
+   *
+   * @param service name of the service
+   */
+  public void recordFirst(String service) {
+    listings.computeIfPresent(
+        service, (name, listing) -> new Listing(listing.versions(), listing.sinceNanos(), true));
+  }
+
   /**
    * Returns the version at which all streams of a service have begun that can still go on.
    *
@@ -100,10 +111,30 @@
    * @return the version; empty unless the service is settled
    */
   public Optional<String> settledVersion(String service, long streamNanos, long nowNanos) {
-    long settledNanos = Math.max(MIN_SETTLED_NANOS, STREAM_LIVES * streamNanos);
     return listing(service)
         .filter(listing -> listing.versions().size() == 1)
-        .filter(listing -> nowNanos - listing.sinceNanos() >= settledNanos)
+        .filter(listing -> listing.first() || isOld(listing, streamNanos, nowNanos))
         .map(listing -> listing.versions().iterator().next());
   }
+
+  /**
+   * Returns whether the origins of streams have to be stored: while several versions are listed, or
+   * were until recently, and at first, when others may follow.
+   *
+   * @param service name of the service
+   * @param streamNanos longest time that a stream of the service lasts
+   * @param nowNanos current time
+   * @return whether an instance that starts could not tell the origins otherwise
+   */
+  public boolean needsOrigins(String service, long streamNanos, long nowNanos) {
+    return listing(service)
+        .filter(listing -> listing.versions().size() == 1)
+        .filter(listing -> isOld(listing, streamNanos, nowNanos))
+        .isEmpty();
+  }
+
+  private static boolean isOld(Listing listing, long streamNanos, long nowNanos) {
+    long settledNanos = Math.max(MIN_SETTLED_NANOS, STREAM_LIVES * streamNanos);
+    return nowNanos - listing.sinceNanos() >= settledNanos;
+  }
 }
--- a/core/src/test/java/org/pollenrock/core/origin/SoftwareHistoryTest.java
+++ b/core/src/test/java/org/pollenrock/core/origin/SoftwareHistoryTest.java
@@ -50,11 +50,12 @@
     history.applyListed(SERVICE, Set.of("v2"), 0);
     assertThat(
             history.applyStored(
-                SERVICE, new SoftwareHistory.Listing(Set.of("v1", "v2"), -100 * SECOND)))
+                SERVICE, new SoftwareHistory.Listing(Set.of("v1", "v2"), -100 * SECOND, false)))
         .isFalse();
     assertThat(isSettled(SECOND)).isFalse();
     assertThat(
-            history.applyStored(SERVICE, new SoftwareHistory.Listing(Set.of("v2"), -100 * SECOND)))
+            history.applyStored(
+                SERVICE, new SoftwareHistory.Listing(Set.of("v2"), -100 * SECOND, false)))
         .isTrue();
     assertThat(isSettled(SECOND)).isTrue();
   }
@@ -63,8 +64,22 @@
   @Test
   void laterTimeOfTheStoreCounts() {
     history.applyListed(SERVICE, Set.of("v1"), 0);
-    history.applyStored(SERVICE, new SoftwareHistory.Listing(Set.of("v1"), 20 * SECOND));
+    history.applyStored(SERVICE, new SoftwareHistory.Listing(Set.of("v1"), 20 * SECOND, false));
     assertThat(isSettled(40 * SECOND)).isFalse();
     assertThat(isSettled(50 * SECOND)).isTrue();
   }
+
+  /** At its first start a fleet must not refuse streams for half a minute. */
+  @Test
+  void firstVersionIsSettledAtOnceUntilAnotherFollows() {
+    history.applyListed(SERVICE, Set.of("v1"), 0);
+    history.recordFirst(SERVICE);
+    assertThat(isSettled(0)).isTrue();
+    assertThat(history.needsOrigins(SERVICE, STREAM, 0)).isTrue();
+    assertThat(history.needsOrigins(SERVICE, STREAM, 30 * SECOND)).isFalse();
+    history.applyListed(SERVICE, Set.of("v1", "v2"), 40 * SECOND);
+    history.applyListed(SERVICE, Set.of("v1"), 41 * SECOND);
+    assertThat(isSettled(42 * SECOND)).isFalse();
+    assertThat(history.needsOrigins(SERVICE, STREAM, 42 * SECOND)).isTrue();
+  }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/StreamOriginTask.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/StreamOriginTask.java
@@ -18,9 +18,10 @@
  * Records which software version begins each stream that may go on elsewhere, and finds it for
  * callers that take a stream up.
  *
- * <p>While a service is settled at one version, streams are recorded in memory only. Otherwise they
- * are stored, so that every instance finds them. A stream whose origin is not found, and can't be
- * told from the versions that serve, must not go on. All methods must be called on the event loop.
+ * <p>While a service has had one version alone for long, streams are recorded in memory only.
+ * Otherwise they are stored, so that every instance finds them. A stream whose origin is not found,
+ * and can't be told from the versions that serve, must not go on. All methods must be called on the
+ * event loop.
  */
 public final class StreamOriginTask {
   /** Time after which the store is read again for a stream that it did not have. */
@@ -160,7 +161,7 @@
     applyServers();
     long now = clock.getAsLong();
     origins.recordStart(id, origin, now);
-    if (history.settledVersion(origin.service(), streamNanos, now).isEmpty()) {
+    if (history.needsOrigins(origin.service(), streamNanos, now)) {
       store.ifPresent(each -> each.append(Map.of(id, origin)));
     }
   }
