--- a/core/src/main/java/org/pollenrock/core/route/RoutingConfig.java
+++ b/core/src/main/java/org/pollenrock/core/route/RoutingConfig.java
@@ -9,7 +9,7 @@
  * @param version version of the configuration; newer configurations have higher versions
  * @param routes the routes
  * @param servicesByName services by name
- * @param customersByKey customers by API key
+ * @param customersByKey customers by API key, as it is read from a header
  * @param requiresApiKey whether requests need an API key unless their route is anonymous
  * @param callerBounds limits on callers
  * @param prefixStoreAddress address of the prefix store, if there is one
