Forward and match request targets by their bytes

A route whose host or path prefix is beyond ASCII was never found; a host with the Kelvin sign counted as one with a "k". The decoder reads a target as Latin-1, the encoder of the library writes it as UTF-8; prefixes and hosts were compared as texts, hosts without regard to the case of all letters of Unicode. Change: ServerRequestEncoder writes the bytes that were received. Host, path prefix and health path are kept as a request has them; only ASCII letters of hosts are compared without regard to case.

--- a/core/src/main/java/org/pollenrock/core/route/Route.java
+++ b/core/src/main/java/org/pollenrock/core/route/Route.java
@@ -8,8 +8,9 @@
  * Rule for the requests to one host whose paths start with a given prefix.
  *
  * @param name name of the route
- * @param host host name in lower case and without a port
- * @param pathPrefix prefix of the path; starts and ends with a slash
+ * @param host host name without a port, as it is read from a header; ASCII letters are compared
+ *     without regard to case
+ * @param pathPrefix prefix of the path, as it is read from a request; starts and ends with a slash
  * @param kind whether requests may be repeated, and the form of the responses
  * @param services services that share the requests; not empty
  * @param timeoutMillis maximum time for which a caller waits for a response
--- a/core/src/main/java/org/pollenrock/core/route/RouteTable.java
+++ b/core/src/main/java/org/pollenrock/core/route/RouteTable.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
@@ -26,7 +25,7 @@
    */
   public RouteTable(List<Route> routes) {
     for (Route route : routes) {
-      routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+      routesByHost.computeIfAbsent(toLowerCase(route.host()), host -> new ArrayList<>()).add(route);
     }
     routesByHost.values().forEach(hostRoutes -> hostRoutes.sort(LONGEST_FIRST));
     size = routes.size();
@@ -66,6 +65,18 @@
   private static String hostName(String host) {
     int colon = host.lastIndexOf(':');
     String name = colon < 0 ? host : host.substring(0, colon);
-    return name.toLowerCase(Locale.ROOT);
+    return toLowerCase(name);
+  }
+
+  /** Returns a name with the letters of ASCII in lower case; other letters differ by case. */
+  private static String toLowerCase(String name) {
+    StringBuilder lower = new StringBuilder(name);
+    for (int i = 0; i < name.length(); i++) {
+      char letter = name.charAt(i);
+      if (letter >= 'A' && letter <= 'Z') {
+        lower.setCharAt(i, (char) (letter - 'A' + 'a'));
+      }
+    }
+    return lower.toString();
   }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/HttpConnection.java
@@ -12,7 +12,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -159,7 +158,7 @@
     pipeline
         .addLast(byteCounter())
         .addLast(decoder)
-        .addLast(new HttpRequestEncoder())
+        .addLast(new ServerRequestEncoder())
         .addLast(this);
   }
 
