--- a/core/src/main/java/org/pollenrock/core/route/Route.java
+++ b/core/src/main/java/org/pollenrock/core/route/Route.java
@@ -77,7 +77,7 @@
     if (services.size() == 1) {
       return services.get(0).service();
     }
-    int total = 0;
+    long total = 0;
     for (WeightedService weighted : services) {
       total += weighted.weight();
     }
--- a/core/src/main/java/org/pollenrock/core/route/WeightedService.java
+++ b/core/src/main/java/org/pollenrock/core/route/WeightedService.java
@@ -6,7 +6,7 @@
  * @param service name of the service
  * @param weight share of the requests, relative to the other services of the route; not negative
  */
-public record WeightedService(String service, int weight) {
+public record WeightedService(String service, long weight) {
   /** Checks the weight. */
   public WeightedService {
     if (weight < 0) {
