Continue no stream at a service whose share is 0

What callers saw: a stream that a caller took up went on at the service that began it, also after a split had set that service's weight to 0. Cause: Route.sendsTo looked for the service among those of the split and not at its share; only the first choice of a service did. Change: a service without a weight gets no requests of the route. Result: the new test of RoutingConfigTest failed before and passes.

--- a/core/src/main/java/org/pollenrock/core/route/Route.java
+++ b/core/src/main/java/org/pollenrock/core/route/Route.java
@@ -95,10 +95,11 @@
    * Returns whether requests of the route may go to a service.
    *
    * @param service name of the service
-   * @return whether it shares the requests
+   * @return whether it gets a share of the requests
    */
   public boolean sendsTo(String service) {
-    return services.stream().anyMatch(weighted -> weighted.service().equals(service));
+    return services.stream()
+        .anyMatch(weighted -> weighted.weight() > 0 && weighted.service().equals(service));
   }
 
   /**
--- a/core/src/test/java/org/pollenrock/core/route/RoutingConfigTest.java
+++ b/core/src/test/java/org/pollenrock/core/route/RoutingConfigTest.java
@@ -121,4 +121,12 @@
   private static Route findRoute(RoutingConfig config, String path) {
     return config.routes().find("host.example", path).orElseThrow();
   }
+
+  /** A service from which a split has taken all requests must not get streams that go on either. */
+  @Test
+  void serviceWithoutAShareGetsNoRequests() {
+    Route split = route("/", false, new WeightedService("a", 1), new WeightedService("b", 0));
+    assertThat(split.sendsTo("a")).isTrue();
+    assertThat(split.sendsTo("b")).isFalse();
+  }
 }
