--- a/core/src/main/java/org/pollenrock/core/claim/Digest256.java
+++ b/core/src/main/java/org/pollenrock/core/claim/Digest256.java
@@ -1,9 +1,8 @@
 package org.pollenrock.core.claim;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
+import org.pollenrock.core.digest.Sha256;
 import org.pollenrock.core.model.CustomerId;
 import org.pollenrock.core.record.RecordReader;
 import org.pollenrock.core.record.RecordWriter;
@@ -25,7 +24,7 @@
    * @return the SHA-256 digest of the bytes
    */
   public static Digest256 of(byte[] body) {
-    return finish(sha256(), body);
+    return finish(Sha256.newDigest(), body);
   }
 
   /**
@@ -38,10 +37,10 @@
    * @return SHA-256 digest of the three parts, each preceded by its length
    */
   public static Digest256 ofKey(CustomerId customer, String service, IdempotencyKey key) {
-    MessageDigest digest = sha256();
-    update(digest, customer.value());
-    update(digest, service);
-    update(digest, key.value());
+    MessageDigest digest = Sha256.newDigest();
+    Sha256.update(digest, customer.value());
+    Sha256.update(digest, service);
+    Sha256.update(digest, key.value());
     return finish(digest, new byte[0]);
   }
 
@@ -54,22 +53,8 @@
     writer.writeLong(first).writeLong(second).writeLong(third).writeLong(fourth);
   }
 
-  private static void update(MessageDigest digest, String part) {
-    byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
-    digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).array());
-    digest.update(bytes);
-  }
-
   private static Digest256 finish(MessageDigest digest, byte[] last) {
     ByteBuffer buffer = ByteBuffer.wrap(digest.digest(last));
     return new Digest256(buffer.getLong(), buffer.getLong(), buffer.getLong(), buffer.getLong());
   }
-
-  private static MessageDigest sha256() {
-    try {
-      return MessageDigest.getInstance("SHA-256");
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("the Java platform does not provide SHA-256", e);
-    }
-  }
 }
--- /dev/null
+++ b/core/src/main/java/org/pollenrock/core/digest/package-info.java
@@ -0,0 +1,2 @@
+/** Cryptographic digests of texts and bytes. */
+package org.pollenrock.core.digest;
--- a/core/src/main/java/org/pollenrock/core/prefix/PrefixFingerprinter.java
+++ b/core/src/main/java/org/pollenrock/core/prefix/PrefixFingerprinter.java
@@ -4,9 +4,9 @@
 import java.nio.charset.StandardCharsets;
 import java.security.DigestException;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.pollenrock.core.digest.Sha256;
 import org.pollenrock.core.model.AdapterId;
 
 /**
@@ -23,21 +23,14 @@
   private static final int KEY_BYTES = 16;
   private static final int MAX_CACHED_SCOPES = 4096;
 
-  private final MessageDigest digest;
+  private final MessageDigest digest = Sha256.newDigest();
   private final byte[] output = new byte[DIGEST_BYTES];
   private final byte[] parentKey = new byte[KEY_BYTES];
   private final ByteBuffer outputView = ByteBuffer.wrap(output);
   private final Map<CacheScope, ScopeDigest> scopeDigests = new ScopeDigestCache();
 
   /** Creates a fingerprinter with SHA-256. */
-  public PrefixFingerprinter() {
-    try {
-      digest = MessageDigest.getInstance("SHA-256");
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException(
-          "SHA-256 is not available, although every Java platform must provide it", e);
-    }
-  }
+  public PrefixFingerprinter() {}
 
   /**
    * Computes the content digests of the full blocks of a prompt. Needed once for each prompt.
--- a/core/src/main/java/org/pollenrock/core/quarantine/RequestFingerprint.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/RequestFingerprint.java
@@ -1,11 +1,10 @@
 package org.pollenrock.core.quarantine;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
+import org.pollenrock.core.digest.Sha256;
 
 /**
  * Identifies what a request asks for: its target, customer and body. It is the same for all
@@ -46,22 +45,10 @@
   }
 
   private long digest() {
-    MessageDigest digest;
-    try {
-      digest = MessageDigest.getInstance("SHA-256");
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every Java platform has SHA-256", e);
-    }
-    update(digest, customer);
-    update(digest, target);
+    MessageDigest digest = Sha256.newDigest();
+    Sha256.update(digest, customer);
+    Sha256.update(digest, target);
     digest.update(body.get());
     return ByteBuffer.wrap(digest.digest()).getLong();
   }
-
-  /** Adds a text with its length, so that no two sequences of texts have the same bytes. */
-  private static void update(MessageDigest digest, String text) {
-    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-    digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).flip());
-    digest.update(bytes);
-  }
 }
--- a/core/src/main/java/org/pollenrock/core/settings/ApiKeyHash.java
+++ b/core/src/main/java/org/pollenrock/core/settings/ApiKeyHash.java
@@ -5,6 +5,7 @@
 import java.security.MessageDigest;
 import java.util.HexFormat;
 import java.util.Optional;
+import org.pollenrock.core.digest.Sha256;
 
 /**
  * SHA-256 of an API key; the key itself is nowhere in the settings.
--- a/core/src/main/java/org/pollenrock/core/settings/SnapshotCodec.java
+++ b/core/src/main/java/org/pollenrock/core/settings/SnapshotCodec.java
@@ -14,6 +14,7 @@
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
+import org.pollenrock.core.digest.Sha256;
 
 /** Bytes of a snapshot: compressed, and split into records of bounded size. */
 public final class SnapshotCodec {
--- a/core/src/main/java/org/pollenrock/core/settings/SnapshotSchedule.java
+++ b/core/src/main/java/org/pollenrock/core/settings/SnapshotSchedule.java
@@ -5,6 +5,7 @@
 import java.security.MessageDigest;
 import java.util.Collection;
 import java.util.Objects;
+import org.pollenrock.core.digest.Sha256;
 import org.pollenrock.core.model.InstanceId;
 
 /**
--- a/core/src/main/java/org/pollenrock/core/settings/StateDigest.java
+++ b/core/src/main/java/org/pollenrock/core/settings/StateDigest.java
@@ -3,6 +3,7 @@
 import java.security.MessageDigest;
 import java.util.Arrays;
 import java.util.HexFormat;
+import org.pollenrock.core.digest.Sha256;
 
 /**
  * SHA-256 of a tree, kept so that a change costs little.
