Move sharing customers to another cache scope when one leaves them

Cause: the scope of all customers that are not isolated was the constant "shared", whoever had a part in it. Change: the scope that customers share carries a digest of their names, so that all that it holds was made by customers that still share it. An instance finds it from the configuration in force alone, also one that starts later, and on the way back. Keys of caches, of the store of prompts, of gossip and of fetches contain the scope, and follow. The scope is found when a server is selected. A removed customer counts as one that has left; one without keys stays. A new or leaving customer costs the others one more reading of their prompts.

--- a/core/src/main/java/org/pollenrock/core/dispatch/CacheDirectives.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/CacheDirectives.java
@@ -15,6 +15,8 @@
  */
 public record CacheDirectives(
     String salt, OptionalLong weights, Optional<String> fetchFrom, Optional<String> saveTo) {
+  private static final char VERSION_MARK = '@';
+
   /**
    * Creates directives that use only the engine's own cache.
    *
@@ -27,6 +29,15 @@
         salt(scope, weights.orElse(0)), weights, Optional.empty(), Optional.empty());
   }
 
+  /**
+   * Returns the cache scope.
+   *
+   * @return the scope, which identifies the customers that share cache entries
+   */
+  public String scope() {
+    return salt.substring(0, salt.lastIndexOf(VERSION_MARK));
+  }
+
   /**
    * Returns the cache salt of a scope and a version of the weights.
    *
@@ -35,6 +46,6 @@
    * @return the cache salt
    */
   public static String salt(String scope, long weights) {
-    return scope + "@" + weights;
+    return scope + VERSION_MARK + weights;
   }
 }
--- a/core/src/main/java/org/pollenrock/core/dispatch/DispatchRequest.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/DispatchRequest.java
@@ -17,7 +17,6 @@
  * @param fingerprint what identifies the request among repetitions by callers; empty if its
  *     repetitions need not be recognized
  * @param customer name of the customer; empty if the request has none
- * @param cacheScope cache scope, which identifies the customers that share cache entries
  * @param urgency urgency from 0, which is dispatched first, to 9
  * @param repeatable whether the request may run more than once
  * @param targetLatencyMillis time within which a response counts as on time
@@ -31,7 +30,6 @@
     Optional<Prompt> prompt,
     Optional<RequestFingerprint> fingerprint,
     Optional<String> customer,
-    String cacheScope,
     int urgency,
     boolean repeatable,
     long targetLatencyMillis,
@@ -60,7 +58,6 @@
         prompt,
         fingerprint,
         customer,
-        cacheScope,
         urgency,
         repeatable,
         targetLatencyMillis,
--- a/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
+++ b/core/src/main/java/org/pollenrock/core/dispatch/ServerSelector.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Function;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.placement.RendezvousHash;
 
@@ -37,6 +38,7 @@
   private final ServerCosts costs;
   private final PrefixDirectory directory;
   private final PrefixStoreView prefixStore;
+  private final Function<Optional<String>, String> cacheScopes;
   private final LatenessEstimator lateness = new LatenessEstimator();
   private final SpeedMeter speedMeter;
   private double meanPromptTokens = INITIAL_MEAN_TOKENS;
@@ -49,14 +51,24 @@
    * @param settings parameters of the selection
    * @param directory servers that have cached shared prefixes
    * @param prefixStore view of the prefix store
+   * @param cacheScopes returns the scope in which prompts of a customer, if there is one, are
+   *     cached now; a request may be sent after the scope has changed
    */
   public ServerSelector(
-      SelectorSettings settings, PrefixDirectory directory, PrefixStoreView prefixStore) {
+      SelectorSettings settings,
+      PrefixDirectory directory,
+      PrefixStoreView prefixStore,
+      Function<Optional<String>, String> cacheScopes) {
     this.settings = settings;
     this.costs = new ServerCosts(settings);
     this.speedMeter = new SpeedMeter(settings.dataCentre());
     this.directory = directory;
     this.prefixStore = prefixStore;
+    this.cacheScopes = cacheScopes;
+  }
+
+  private String scope(DispatchRequest request) {
+    return cacheScopes.apply(request.customer());
   }
 
   /**
@@ -76,7 +88,7 @@
     if (weights.isEmpty()) {
       return List.of();
     }
-    String salt = CacheDirectives.salt(request.cacheScope(), weights.getAsLong());
+    String salt = CacheDirectives.salt(scope(request), weights.getAsLong());
     List<Long> partsToAnnounce = new ArrayList<>();
     for (PromptPart part : prompt.sharedParts()) {
       long key = PrefixDirectory.key(salt, part.id());
@@ -229,7 +241,7 @@
   }
 
   /** Selects an avoided server. The engine gets its cache salt, but fetches and saves nothing. */
-  private static Selection selectAvoided(
+  private Selection selectAvoided(
       DispatchRequest request, Backend server, Selection.Reason reason) {
     return request
         .prompt()
@@ -239,15 +251,14 @@
                     server,
                     reason,
                     Optional.of(
-                        CacheDirectives.localOnly(
-                            request.cacheScope(), weightsVersion(prompt, server))),
+                        CacheDirectives.localOnly(scope(request), weightsVersion(prompt, server))),
                     prompt.tokens(),
                     0,
                     false))
         .orElseGet(() -> new Selection.Chosen(server, reason));
   }
 
-  private static Selection selectLastResort(
+  private Selection selectLastResort(
       DispatchRequest request, List<Backend> avoided, long nowNanos) {
     return avoided.stream()
         .min(
@@ -327,9 +338,9 @@
     Prompt prompt = request.prompt().orElseThrow();
     OptionalLong weights = weightsVersion(prompt, target);
     if (weights.isEmpty() || prompt.sharedTokens() == 0) {
-      return CacheDirectives.localOnly(request.cacheScope(), weights);
+      return CacheDirectives.localOnly(scope(request), weights);
     }
-    String salt = CacheDirectives.salt(request.cacheScope(), weights.getAsLong());
+    String salt = CacheDirectives.salt(scope(request), weights.getAsLong());
     Optional<String> fetchFrom =
         source(prompt, salt, target, cached, available)
             .or(() -> possibleSource(request, target, available, nowNanos));
@@ -380,7 +391,7 @@
     return weights.isEmpty()
         ? 0
         : prefixStore.storedTokens(
-            prompt, CacheDirectives.salt(request.cacheScope(), weights.getAsLong()));
+            prompt, CacheDirectives.salt(scope(request), weights.getAsLong()));
   }
 
   /**
@@ -392,7 +403,7 @@
     Prompt prompt = request.prompt().orElseThrow();
     long version = target.weightsVersion(prompt.model()).orElseThrow();
     List<PromptPart> parts = prompt.sharedParts();
-    String salt = CacheDirectives.salt(request.cacheScope(), version);
+    String salt = CacheDirectives.salt(scope(request), version);
     long key = PrefixDirectory.key(salt, parts.get(parts.size() - 1).id());
     return directory.possibleHolders(key, nowNanos).stream()
         .filter(server -> server != target && available.contains(server))
@@ -418,7 +429,7 @@
       server.weightsVersion(prompt.model()).ifPresent(versions::add);
     }
     for (long version : versions) {
-      String salt = CacheDirectives.salt(request.cacheScope(), version);
+      String salt = CacheDirectives.salt(scope(request), version);
       int prefixTokens = 0;
       for (PromptPart part : prompt.sharedParts()) {
         for (Backend holder : directory.holders(PrefixDirectory.key(salt, part.id()), nowNanos)) {
--- a/core/src/main/java/org/pollenrock/core/route/ActiveConfig.java
+++ b/core/src/main/java/org/pollenrock/core/route/ActiveConfig.java
@@ -1,9 +1,12 @@
 package org.pollenrock.core.route;
 
 import java.util.Optional;
+import java.util.Set;
 
 /** Holds the routing configuration in force. Within a process, its version only increases. */
 public final class ActiveConfig {
+  private static final CacheScopes NONE_SHARING = new CacheScopes(Set.of());
+
   private RoutingConfig current;
 
   /** Creates a holder without a configuration. */
@@ -32,6 +35,16 @@
     return Optional.ofNullable(current);
   }
 
+  /**
+   * Returns the scope in which prompts of a customer are cached now.
+   *
+   * @param customer name of the customer; empty for requests without one
+   * @return the scope by the configuration in force; shared with none until one is known
+   */
+  public String cacheScope(Optional<String> customer) {
+    return (current == null ? NONE_SHARING : current.cacheScopes()).scopeOf(customer);
+  }
+
   /**
    * Returns the limits on callers.
    *
--- a/core/src/main/java/org/pollenrock/core/route/RoutingConfig.java
+++ b/core/src/main/java/org/pollenrock/core/route/RoutingConfig.java
@@ -10,6 +10,7 @@
  * @param routes the routes
  * @param servicesByName services by name
  * @param customersByKey customers by API key, as it is read from a header
+ * @param cacheScopes scopes in which prompts of customers are cached
  * @param requiresApiKey whether requests need an API key unless their route is anonymous
  * @param callerBounds limits on callers
  * @param prefixStoreAddress address of the prefix store, if there is one
@@ -19,6 +20,7 @@
     RouteTable routes,
     Map<String, ServiceSpec> servicesByName,
     Map<String, CustomerAccess> customersByKey,
+    CacheScopes cacheScopes,
     boolean requiresApiKey,
     CallerBounds callerBounds,
     Optional<String> prefixStoreAddress) {
--- a/core/src/test/java/org/pollenrock/core/dispatch/CachePressureTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/CachePressureTest.java
@@ -104,7 +104,8 @@
     PrefixDirectory directory = new PrefixDirectory();
     PrefixStoreView store = new PrefixStoreView();
     ServerSelector selector =
-        new ServerSelector(SelectorSettings.defaults("near"), directory, store);
+        new ServerSelector(
+            SelectorSettings.defaults("near"), directory, store, customer -> "shared");
     store.setAddress(Optional.of("10.9.9.9:80"));
     store.setReachable(true);
     List<Backend> servers = new ArrayList<>();
--- a/core/src/test/java/org/pollenrock/core/dispatch/Fixtures.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/Fixtures.java
@@ -53,7 +53,6 @@
         prompt,
         Optional.empty(),
         Optional.empty(),
-        "shared",
         urgency,
         true,
         600,
@@ -70,7 +69,6 @@
         Optional.of(prompt),
         Optional.empty(),
         Optional.empty(),
-        "shared",
         3,
         true,
         targetLatencyMillis,
@@ -83,7 +81,10 @@
     return new Dispatcher(
         fleet,
         new ServerSelector(
-            SelectorSettings.defaults("near"), new PrefixDirectory(), new PrefixStoreView()),
+            SelectorSettings.defaults("near"),
+            new PrefixDirectory(),
+            new PrefixStoreView(),
+            customer -> "shared"),
         new WeightsTargets(0),
         quarantine,
         new ServerRateLimits(
--- a/core/src/test/java/org/pollenrock/core/dispatch/LongPromptOverloadTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/LongPromptOverloadTest.java
@@ -92,7 +92,10 @@
     Random random = new Random(seed);
     ServerSelector selector =
         new ServerSelector(
-            SelectorSettings.defaults("near"), new PrefixDirectory(), new PrefixStoreView());
+            SelectorSettings.defaults("near"),
+            new PrefixDirectory(),
+            new PrefixStoreView(),
+            customer -> "shared");
     List<Engine> engines = new ArrayList<>();
     List<Backend> backends = new ArrayList<>();
     for (int i = 0; i < engineCount; i++) {
--- a/core/src/test/java/org/pollenrock/core/dispatch/ServerSelectorTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/ServerSelectorTest.java
@@ -20,7 +20,7 @@
   private final PrefixStoreView store = new PrefixStoreView();
   private final PrefixDirectory directory = new PrefixDirectory();
   private final ServerSelector selector =
-      new ServerSelector(SelectorSettings.defaults("near"), directory, store);
+      new ServerSelector(SelectorSettings.defaults("near"), directory, store, customer -> "shared");
 
   private static List<Backend> engines(long... weights) {
     List<Backend> servers = new ArrayList<>();
@@ -54,7 +54,10 @@
   void instancesAgreeOnTheHomeOfAPrefixWithoutCommunication() {
     ServerSelector other =
         new ServerSelector(
-            SelectorSettings.defaults("near"), new PrefixDirectory(), new PrefixStoreView());
+            SelectorSettings.defaults("near"),
+            new PrefixDirectory(),
+            new PrefixStoreView(),
+            customer -> "shared");
     List<Backend> servers = engines(1, 1, 1, 1, 1, 1, 1, 1);
     for (int i = 0; i < 50; i++) {
       DispatchRequest request = promptRequest("dossier-" + i, 5000);
--- a/core/src/test/java/org/pollenrock/core/dispatch/StopPlanTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/StopPlanTest.java
@@ -31,7 +31,6 @@
         Optional.empty(),
         Optional.empty(),
         Optional.empty(),
-        "shared",
         5,
         repeatable,
         600,
--- a/core/src/test/java/org/pollenrock/core/dispatch/UnevenEnginesTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/UnevenEnginesTest.java
@@ -19,7 +19,10 @@
   private final List<Backend> engines = new ArrayList<>();
   private final ServerSelector selector =
       new ServerSelector(
-          SelectorSettings.defaults("near"), new PrefixDirectory(), new PrefixStoreView());
+          SelectorSettings.defaults("near"),
+          new PrefixDirectory(),
+          new PrefixStoreView(),
+          customer -> "shared");
 
   UnevenEnginesTest() {
     for (int i = 0; i < ENGINES; i++) {
--- a/core/src/test/java/org/pollenrock/core/dispatch/UnevenServersTest.java
+++ b/core/src/test/java/org/pollenrock/core/dispatch/UnevenServersTest.java
@@ -39,7 +39,10 @@
     private final boolean learning;
     private final ServerSelector selector =
         new ServerSelector(
-            SelectorSettings.defaults("near"), new PrefixDirectory(), new PrefixStoreView());
+            SelectorSettings.defaults("near"),
+            new PrefixDirectory(),
+            new PrefixStoreView(),
+            customer -> "shared");
     private final List<Backend> servers = new ArrayList<>();
     private final PriorityQueue<Running> running =
         new PriorityQueue<>((a, b) -> Long.compare(a.endNanos(), b.endNanos()));
--- a/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
+++ b/core/src/test/java/org/pollenrock/core/ratelimit/RateLimitSimulation.java
@@ -147,7 +147,10 @@
           new Dispatcher(
               fleet,
               new ServerSelector(
-                  SelectorSettings.defaults("dc"), new PrefixDirectory(), new PrefixStoreView()),
+                  SelectorSettings.defaults("dc"),
+                  new PrefixDirectory(),
+                  new PrefixStoreView(),
+                  customer -> "shared"),
               new WeightsTargets(0),
               new CrashQuarantine(new IgnoredAnnouncements()),
               limits,
@@ -191,7 +194,6 @@
               prompt,
               Optional.empty(),
               Optional.empty(),
-              "shared",
               3,
               true,
               600,
--- a/core/src/test/java/org/pollenrock/core/route/RoutingConfigTest.java
+++ b/core/src/test/java/org/pollenrock/core/route/RoutingConfigTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -38,6 +39,7 @@
         new RouteTable(List.of(routes)),
         Map.of(),
         Map.of("key", OWNER),
+        new CacheScopes(Set.of()),
         true,
         CallerBounds.DEFAULT,
         Optional.empty());
--- a/gateway/src/main/java/org/pollenrock/gateway/CallerRequests.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/CallerRequests.java
@@ -42,7 +42,6 @@
         route.prefixAffinity() ? metadata.prompt() : Optional.empty(),
         Optional.of(new RequestFingerprint(customer.orElse(""), head.uri(), body::nioBuffer)),
         customer,
-        CustomerAccess.cacheScope(customerAccess),
         route.urgency(
             customerAccess.map(CustomerAccess::priority).orElse(OptionalInt.empty()),
             metadata.prompt().map(Prompt::tokens).orElse(0)),
--- a/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/Gateway.java
@@ -89,7 +89,7 @@
     rateLimits =
         new RateLimitTask(
             Peer.id(settings.gossipAddress().getAddress()), fleet, serverProtocol, log);
-    selector = new ServerSelector(settings.selector(), directory, prefixStore);
+    selector = new ServerSelector(settings.selector(), directory, prefixStore, configs::cacheScope);
     dispatcher = createDispatcher(settings);
     gossip = createGossip(settings);
     quotas = new QuotaTask(loop, configs, gossip, settings.quotaMargins(), log);
--- a/gateway/src/main/java/org/pollenrock/gateway/RequestLog.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/RequestLog.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.pollenrock.core.dispatch.CacheDirectives;
 import org.pollenrock.core.dispatch.DispatchRequest;
 import org.pollenrock.core.dispatch.Prompt;
 import org.pollenrock.core.dispatch.Selection;
@@ -89,7 +90,12 @@
             "prompt",
             metadata.prompt().map(Prompt::affinityHash).map(Long::toHexString).orElse(null))
         .with("weights", weightsVersion(metadata, choice))
-        .with("cache_scope", request.map(DispatchRequest::cacheScope).orElse(null))
+        .with(
+            "cache_scope",
+            choice
+                .flatMap(Selection.Chosen::cacheDirectives)
+                .map(CacheDirectives::scope)
+                .orElse(null))
         .with("prompt_tokens", request.map(DispatchRequest::promptTokens).orElse(0L))
         .with("shared_tokens", metadata.sharedTokens())
         .with("quota_left", excess.map(quota -> figure(quota.balance())).orElse(null))
--- a/gateway/src/test/java/org/pollenrock/gateway/ServerSpeedGossipTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/ServerSpeedGossipTest.java
@@ -25,7 +25,10 @@
   private final ServerSpeedTask task =
       new ServerSpeedTask(
           new ServerSelector(
-                  SelectorSettings.defaults("dc"), new PrefixDirectory(), new PrefixStoreView())
+                  SelectorSettings.defaults("dc"),
+                  new PrefixDirectory(),
+                  new PrefixStoreView(),
+                  customer -> "shared")
               .speedMeter(),
           fleet,
           new EventLog(OutputStream.nullOutputStream()));
--- a/gateway/src/test/java/org/pollenrock/gateway/WaitingNewsTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/WaitingNewsTest.java
@@ -35,7 +35,10 @@
     return new Dispatcher(
         fleet,
         new ServerSelector(
-            SelectorSettings.defaults("dc"), new PrefixDirectory(), new PrefixStoreView()),
+            SelectorSettings.defaults("dc"),
+            new PrefixDirectory(),
+            new PrefixStoreView(),
+            customer -> "shared"),
         new WeightsTargets(0),
         new QuarantineTask(log).quarantine(),
         new RateLimitTask(new InstanceId("own"), fleet, new NoServerProtocol(), log).limits(),
@@ -51,7 +54,6 @@
         Optional.empty(),
         Optional.empty(),
         Optional.of("customer"),
-        "shared",
         3,
         true,
         600,
