Check that the list of servers is current before a stream goes on

What callers see, from a report of another system: streams that began at servers of a new software version went on at another version, at an instance that was cut off or stood still while those servers joined. Cause: where the store names no origin, an instance takes the only version that it knows, whenever it last read the list of servers. (1) Its poll may be silent for up to 1.9 s after its other calls are answered. (2) Of entries that are read together only the last state was looked at, so that a version that came and went was missed. (3) After records had been deleted, the list was read anew, and the time since when a version serves alone stayed. Change: a version counts as settled only after the list has been read to its end once the stream was taken up; each entry counts, also of servers that are gone again; after a gap the time counts anew, unless the store has kept an earlier one. What can't be confirmed is refused.

--- a/core/src/main/java/org/pollenrock/core/origin/SoftwareHistory.java
+++ b/core/src/main/java/org/pollenrock/core/origin/SoftwareHistory.java
@@ -1,6 +1,7 @@
 package org.pollenrock.core.origin;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -56,6 +57,36 @@
     return true;
   }
 
+  /**
+   * Applies the version of one server that is listed, whether or not it is still listed once all
+   * entries that were read together are applied.
+   *
+   * @param service service of the server
+   * @param version its version
+   * @param nowNanos current time
+   * @return whether the service had servers of other versions only
+   */
+  public boolean applyVersion(String service, String version, long nowNanos) {
+    Listing known = listings.get(service);
+    if (known == null || known.versions().contains(version)) {
+      return false;
+    }
+    Set<String> versions = new HashSet<>(known.versions());
+    versions.add(version);
+    listings.put(service, new Listing(versions, nowNanos, false));
+    return true;
+  }
+
+  /**
+   * Records that other versions may have been listed in the meantime, since the list could not be
+   * followed without a gap. What the store has kept may tell more.
+   *
+   * @param nowNanos current time
+   */
+  public void recordGap(long nowNanos) {
+    listings.replaceAll((service, listing) -> new Listing(listing.versions(), nowNanos, false));
+  }
+
   /**
    * Applies what the store has kept. Its time goes before the own one, since this instance may have
    * started later, or may have missed other versions in between.
--- a/core/src/test/java/org/pollenrock/core/origin/SoftwareHistoryTest.java
+++ b/core/src/test/java/org/pollenrock/core/origin/SoftwareHistoryTest.java
@@ -82,4 +82,31 @@
     assertThat(isSettled(42 * SECOND)).isFalse();
     assertThat(history.needsOrigins(SERVICE, STREAM, 42 * SECOND)).isTrue();
   }
+
+  /** A server may be listed and removed again between two looks at the list. */
+  @Test
+  void versionThatCameAndWentCounts() {
+    assertThat(history.applyVersion(SERVICE, "v1", 0)).isFalse();
+    history.applyListed(SERVICE, Set.of("v1"), 0);
+    history.recordFirst(SERVICE);
+    assertThat(history.applyVersion(SERVICE, "v1", 40 * SECOND)).isFalse();
+    assertThat(isSettled(40 * SECOND)).isTrue();
+    assertThat(history.applyVersion(SERVICE, "v2", 40 * SECOND)).isTrue();
+    assertThat(isSettled(40 * SECOND)).isFalse();
+    history.applyListed(SERVICE, Set.of("v1"), 40 * SECOND);
+    assertThat(isSettled(69 * SECOND)).isFalse();
+    assertThat(isSettled(70 * SECOND)).isTrue();
+  }
+
+  /** After a gap in the list only what the store has kept tells that no other version served. */
+  @Test
+  void versionsAreSettledAfterAGapOnlyIfTheStoreTellsSo() {
+    SoftwareHistory.Listing stored = new SoftwareHistory.Listing(Set.of("v1"), 0, true);
+    history.applyListed(SERVICE, Set.of("v1"), 0);
+    history.recordFirst(SERVICE);
+    history.recordGap(100 * SECOND);
+    assertThat(isSettled(100 * SECOND)).isFalse();
+    assertThat(history.applyStored(SERVICE, stored)).isTrue();
+    assertThat(isSettled(100 * SECOND)).isTrue();
+  }
 }
--- a/gateway/src/main/java/org/pollenrock/gateway/StreamOriginStore.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/StreamOriginStore.java
@@ -20,6 +20,17 @@
    */
   void readNew(Consumer<Boolean> result);
 
+  /**
+   * Reads the list of servers up to its end, and applies to the task the versions of servers that
+   * this instance does not know yet.
+   *
+   * @param result called with whether the list was read without a gap
+   */
+  void readVersions(Consumer<Boolean> result);
+
+  /** Reads which software versions other instances have stored, and applies them to the task. */
+  void readListings();
+
   /**
    * Stores that other software versions of a service are listed than before.
    *
--- a/gateway/src/main/java/org/pollenrock/gateway/StreamOriginTask.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/StreamOriginTask.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -84,13 +85,32 @@
         finish(found);
         return;
       }
-      Optional<StreamOrigin> settled = settledOrigin();
-      if (settled.isPresent() || again) {
+      if (settledOrigin().isPresent()) {
+        // The own list of servers may be old, and the origin stored late or never.
+        store.orElseThrow().readVersions(current -> handleVersions(current, again));
+      } else {
+        readAgainOrRefuse(again);
+      }
+    }
+
+    private void handleVersions(boolean current, boolean again) {
+      Optional<StreamOrigin> settled = current ? settledOrigin() : Optional.empty();
+      if (settled.isPresent() || !current) {
         finish(settled);
-        return;
+      } else {
+        readAgainOrRefuse(again);
+      }
+    }
+
+    /**
+     * Reads the store once more, since the instance that began the stream may be about to write.
+     */
+    private void readAgainOrRefuse(boolean again) {
+      if (again) {
+        finish(Optional.empty());
+      } else {
+        loop.schedule(() -> readStore(true), READ_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
       }
-      // The instance that began the stream may be about to store it.
-      loop.schedule(() -> readStore(true), READ_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private Optional<StreamOrigin> settledOrigin() {
@@ -215,15 +235,41 @@
         .forEach(
             (service, versions) -> {
               if (history.applyListed(service, versions, now)) {
-                log.line("software_versions")
-                    .with("service", service)
-                    .with("versions", String.join(",", versions))
-                    .write();
-                store.ifPresent(each -> storeUnsettled(each, service, now));
+                handleOtherVersions(service, now);
               }
             });
   }
 
+  /**
+   * Applies the software version of a server that is listed, or was until another entry followed.
+   *
+   * @param service service of the server
+   * @param version version of its software
+   */
+  public void applyVersion(String service, String version) {
+    applyServers();
+    long now = clock.getAsLong();
+    if (history.applyVersion(service, version, now)) {
+      handleOtherVersions(service, now);
+    }
+  }
+
+  /** Records that the list of servers was replaced, so that servers may have come and gone. */
+  public void recordListGap() {
+    applyServers();
+    history.recordGap(clock.getAsLong());
+    store.ifPresent(StreamOriginStore::readListings);
+  }
+
+  private void handleOtherVersions(String service, long now) {
+    Set<String> versions = history.listing(service).orElseThrow().versions();
+    log.line("software_versions")
+        .with("service", service)
+        .with("versions", String.join(",", versions))
+        .write();
+    store.ifPresent(each -> storeUnsettled(each, service, now));
+  }
+
   /** Stores what is needed once a service has other versions than before. */
   private void storeUnsettled(StreamOriginStore target, String service, long now) {
     target.storeListing(service);
--- a/standin/src/main/java/org/pollenrock/standin/platform/KeyedStoreStandin.java
+++ b/standin/src/main/java/org/pollenrock/standin/platform/KeyedStoreStandin.java
@@ -69,6 +69,8 @@
   private final Map<String, Topic> topics = new HashMap<>();
   private final List<Runnable> heldAnswers = new ArrayList<>();
   private final List<StandinRequest> heldCalls = new ArrayList<>();
+  private final List<Runnable> heldPolls = new ArrayList<>();
+  private String heldTopic = "";
   private boolean down;
   private boolean hanging;
   private int lostAnswers;
@@ -151,6 +153,24 @@
         .count();
   }
 
+  /**
+   * Makes polls that wait for records of a topic go unanswered, as those on silent connections;
+   * reads that don't wait are answered.
+   *
+   * @param topic the topic
+   */
+  public synchronized void holdPolls(String topic) {
+    heldTopic = topic;
+  }
+
+  /** Answers the polls that {@link #holdPolls} has held, and all that follow. */
+  public synchronized void releasePolls() {
+    heldTopic = "";
+    List<Runnable> polls = List.copyOf(heldPolls);
+    heldPolls.clear();
+    polls.forEach(Runnable::run);
+  }
+
   /**
    * Loses the answers of the next appends, which are carried out.
    *
@@ -284,6 +304,11 @@
       respondJson(exchange, GONE, "{\"first\":" + topic.first + "}");
       return;
     }
+    long waitMillis = request.number("wait_ms", 0);
+    if (waitMillis > 0 && isHeld(topic)) {
+      heldPolls.add(() -> read(topic, request, exchange));
+      return;
+    }
     if (from < topic.end()) {
       respond(topic, from, exchange);
       return;
@@ -292,7 +317,9 @@
     Runnable answer =
         () -> {
           synchronized (this) {
-            if (hanging) {
+            if (waitMillis > 0 && isHeld(topic)) {
+              heldPolls.add(() -> respondOnce(answered, topic, from, exchange));
+            } else if (hanging) {
               heldAnswers.add(() -> respondOnce(answered, topic, from, exchange));
             } else {
               respondOnce(answered, topic, from, exchange);
@@ -300,7 +327,11 @@
           }
         };
     topic.polls.add(answer);
-    group.schedule(answer, request.number("wait_ms", 0), TimeUnit.MILLISECONDS);
+    group.schedule(answer, waitMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private boolean isHeld(Topic topic) {
+    return !heldTopic.isEmpty() && topic == topic(heldTopic);
   }
 
   private void respondOnce(boolean[] answered, Topic topic, long from, StandinExchange exchange) {
