Acquit the parts of a prompt once its answer has gone on

Cause: the quarantine of parts takes a crash as evidence against each run that it cuts off, however far the answer had come. Long answers can't complete between crashes that short ones escape, and the completions of the short ones count as the proof that the engine is sound otherwise. Change: a stream that has gone on for 0.5 s after its first event clears the parts of its prompt, here and by gossip at the other instances; the engine has read them and begun the answer. The request itself stays suspect until it completes, as one that crashes servers late does so again. A part that ends engines at the begin of an answer is quarantined as before (PromptPartCrashTest, QuarantineTrialTest). Result: PromptPartCrashTest.partOfLongStreamsThatWereCutOffIsNotRefused failed before (503 at the fourth engine) and passes.

--- a/core/src/main/java/org/pollenrock/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/CrashQuarantine.java
@@ -53,6 +53,12 @@
   /** Time within which strikes of a part count as one episode, from the first one on. */
   public static final long EPISODE_NANOS = 250_000_000L;
 
+  /**
+   * Time after the first event of a stream at which its server is known to have read the prompt and
+   * begun the answer, so that the parts of the prompt don't crash it.
+   */
+  public static final long READ_PROOF_NANOS = 500_000_000L;
+
   /** Time for which a strike counts; announcements that clear it can be lost. */
   static final long STRIKE_VALID_NANOS = QUARANTINE_NANOS;
 
@@ -142,9 +148,10 @@
 
   /**
    * Records that a request has completed, which shows that it and the shared parts of its prompt
-   * are sound.
+   * are sound. The parts alone are so once a stream has gone on for {@link #READ_PROOF_NANOS}: a
+   * long run is cut off by a crash with another cause which shorter ones escape.
    *
-   * @param suspects the request
+   * @param suspects the request, or its prompt alone
    * @param nowNanos time of the completion; what was struck after it is not cleared
    */
   public void recordCompletion(CrashSuspects suspects, long nowNanos) {
--- a/core/src/main/java/org/pollenrock/core/quarantine/CrashSuspects.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/CrashSuspects.java
@@ -56,6 +56,15 @@
     return (hash & REQUEST_BIT) != 0;
   }
 
+  /**
+   * Returns the prompt as the only suspect.
+   *
+   * @return the suspects without the request
+   */
+  public CrashSuspects withoutRequest() {
+    return new CrashSuspects(prompt, Optional.empty());
+  }
+
   /** Returns the shared parts of the prompt. */
   List<Suspect> parts() {
     if (prompt.isEmpty()) {
--- a/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ReachabilityMonitor.java
@@ -154,6 +154,11 @@
     }
   }
 
+  /** Records that a server has gone on with the answer to a prompt. */
+  void recordPromptRead(CrashSuspects suspects) {
+    quarantine.recordCompletion(suspects.withoutRequest(), System.nanoTime());
+  }
+
   /** Records that a server has ended or is not reachable. */
   void recordEnded(Backend backend) {
     quarantine.recordServerEnded(backend, System.nanoTime());
--- a/gateway/src/main/java/org/pollenrock/gateway/ResponseMode.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ResponseMode.java
@@ -15,6 +15,11 @@
   /** The body is passed to the owner as it arrives. */
   STREAM;
 
+  /** Returns whether the body is that of an executed request. */
+  boolean isPassedOn() {
+    return this == PLAIN || this == STREAM;
+  }
+
   /** Returns how the body of the response is used. */
   BodyUse bodyUse() {
     return switch (this) {
--- a/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/ServerSend.java
@@ -17,6 +17,7 @@
 import org.pollenrock.core.dispatch.SendFailure;
 import org.pollenrock.core.fleet.Backend;
 import org.pollenrock.core.fleet.LoadReport;
+import org.pollenrock.core.quarantine.CrashQuarantine;
 import org.pollenrock.core.quarantine.CrashSuspects;
 import org.pollenrock.core.route.Route;
 import org.pollenrock.core.route.RouteKind;
@@ -59,6 +60,8 @@
   /** Whether the connection has carried a response to another request during the send. */
   private boolean foreignSeen;
 
+  private boolean promptRead;
+
   private final SilenceCheck silenceCheck;
   private final SendLog sendLog;
 
@@ -249,9 +252,7 @@
   public void contentReceived(ByteBuf bytes) {
     long now = System.nanoTime();
     backend.recordReceived(now);
-    if (!responseStarted
-        && !closed
-        && (mode == ResponseMode.STREAM || mode == ResponseMode.PLAIN)) {
+    if (!responseStarted && !closed && mode.isPassedOn()) {
       responseStarted = true;
       responseStartNanos = now;
       backend.recordResponseStart(unreadTokens);
@@ -260,6 +261,7 @@
       PromptReadNews.announce(components, request, context, backend, now);
     }
     if (mode == ResponseMode.STREAM) {
+      recordPromptRead(now);
       owner.streamBytesReceived(this, bytes);
     } else if (mode == ResponseMode.PLAIN) {
       appendPlainBody(bytes);
@@ -268,6 +270,13 @@
     }
   }
 
+  private void recordPromptRead(long now) {
+    if (!promptRead && !closed && now - responseStartNanos >= CrashQuarantine.READ_PROOF_NANOS) {
+      promptRead = true;
+      components.reachability().recordPromptRead(request.crashSuspects());
+    }
+  }
+
   @Override
   public boolean responseEnded() {
     if (!closed) {
@@ -334,12 +343,9 @@
    * the connection ended the response, the server may have crashed and has to be seen alive first.
    */
   void recordComplete() {
-    boolean success = responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
-    if (success) {
+    if (responseHead.status().codeClass() == HttpStatusClass.SUCCESS) {
       components.dispatcher().recordCompletion(request, System.nanoTime());
       recordSpeed(System.nanoTime());
-    }
-    if (success) {
       components
           .reachability()
           .recordCompletion(backend, request.crashSuspects(), sentNanos, endsWithConnection);
@@ -419,16 +425,11 @@
   }
 
   private void recordWeightsVersion(ServerResponseMetadata metadata) {
-    request
-        .prompt()
-        .ifPresent(
-            prompt ->
-                metadata
-                    .weightsVersion()
-                    .ifPresent(
-                        version ->
-                            backend.recordWeightsVersion(
-                                prompt.model(), version, System.nanoTime())));
+    if (request.prompt().isPresent() && metadata.weightsVersion().isPresent()) {
+      String model = request.prompt().get().model();
+      long version = metadata.weightsVersion().getAsLong();
+      backend.recordWeightsVersion(model, version, System.nanoTime());
+    }
   }
 
   private void appendPlainBody(ByteBuf bytes) {
