Try a request again soon that had run for long before its server ended

Cause: a trial comes late while others complete, whatever the run was like that the crash cut off. Change: the first trial comes 5 s after the last crash if the request had run for a second at one of the servers, and five times as long after each further crash: three trials in ten minutes, as before. Result: requestThatHasRunForLongIsTriedSoon failed before (20 s); lateCrashesEndFewServers bounds the servers that such a request ends.

--- a/core/src/main/java/org/pollenrock/core/quarantine/StruckSuspect.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/StruckSuspect.java
@@ -175,12 +175,18 @@
   private OptionalLong trialPauseNanos(Completions completions) {
     int episodes = countEpisodes(sortedStrikes());
     if (hearsay) {
-      return TrialSchedule.pauseNanos(episodes + 1, true, true);
+      return TrialSchedule.pauseNanos(episodes + 1, true, true, false);
     }
     boolean othersCompleted = episodes > 0 && completions.anyAfter(lastStrikeNanos().orElseThrow());
     int known = quarantinedBefore ? CrashQuarantine.EPISODES : 1;
     boolean announcedPart = announced && !request;
-    return TrialSchedule.pauseNanos(Math.max(0, episodes - known), announcedPart, othersCompleted);
+    return TrialSchedule.pauseNanos(
+        Math.max(0, episodes - known), announcedPart, othersCompleted, request && hasRunLong());
+  }
+
+  private boolean hasRunLong() {
+    return strikesByServer.values().stream()
+        .anyMatch(each -> each.nanos() - each.sentNanos() >= TrialSchedule.LONG_RUN_NANOS);
   }
 
   /** Returns whether the part was quarantined before, so that one further strike suffices. */
--- a/core/src/main/java/org/pollenrock/core/quarantine/TrialSchedule.java
+++ b/core/src/main/java/org/pollenrock/core/quarantine/TrialSchedule.java
@@ -10,7 +10,9 @@
  * <p>The pause before a trial counts from the last strike or trial, and grows fivefold with each
  * episode of strikes, so that a part that does crash servers ends few of them. It is short while
  * nothing else completes, since then the quarantine may refuse all requests there are, and shortest
- * if another part has the same strikes, or for a request.
+ * if another part has the same strikes, or for a request. It is short too for a request that has
+ * run for long before a server ended: one that crashes servers does so when it begins to run, and a
+ * long run is cut off by crashes with another cause which shorter ones escape.
  */
 final class TrialSchedule {
   /** Time between the trials of one instance and the next, in which the news of a trial arrives. */
@@ -28,6 +30,11 @@
   private static final long PAUSE_NANOS = 10_000_000_000L;
   private static final long PAUSE_WITH_RIVAL_NANOS = 2_000_000_000L;
   private static final long PAUSE_WHILE_OTHERS_COMPLETE_NANOS = 20_000_000_000L;
+  private static final long PAUSE_AFTER_LONG_RUN_NANOS = 5_000_000_000L;
+
+  /** Time from the send to the end of the server from which a run counts as long. */
+  static final long LONG_RUN_NANOS = 1_000_000_000L;
+
   private static final int GROWTH = 5;
 
   private TrialSchedule() {}
@@ -38,12 +45,14 @@
    * @param furtherEpisodes number of episodes of strikes beyond those that began the quarantine
    * @param announced whether it is a part, and no other part has the same strikes
    * @param othersCompleted whether other prompts have completed since the last strike
+   * @param ranLong whether it is a request that has run for long before a server ended
    * @return the time in nanoseconds; empty if the quarantine ends before
    */
-  static OptionalLong pauseNanos(int furtherEpisodes, boolean announced, boolean othersCompleted) {
+  static OptionalLong pauseNanos(
+      int furtherEpisodes, boolean announced, boolean othersCompleted, boolean ranLong) {
     long pauseNanos = announced ? PAUSE_NANOS : PAUSE_WITH_RIVAL_NANOS;
     if (othersCompleted) {
-      pauseNanos = PAUSE_WHILE_OTHERS_COMPLETE_NANOS;
+      pauseNanos = ranLong ? PAUSE_AFTER_LONG_RUN_NANOS : PAUSE_WHILE_OTHERS_COMPLETE_NANOS;
     }
     for (int i = 0; i < furtherEpisodes; i++) {
       pauseNanos *= GROWTH;
--- a/core/src/test/java/org/pollenrock/core/quarantine/RequestCrashTest.java
+++ b/core/src/test/java/org/pollenrock/core/quarantine/RequestCrashTest.java
@@ -132,4 +132,44 @@
     assertThat(quarantine.trackedEntries())
         .isLessThanOrEqualTo(CrashQuarantine.MAX_ENTRIES + 1 + CrashQuarantine.MAX_SERVERS);
   }
+
+  private long firstTrialNanos(long ranNanos) {
+    for (int i = 1; i <= 3; i++) {
+      crash("s" + i, 3 * i * SECOND, ranNanos, BAD);
+      quarantine.recordCompletion(SOUND, 3 * i * SECOND + 2_500 * MILLI);
+    }
+    long nanos = 12 * SECOND;
+    while (quarantine.isQuarantined(BAD, nanos)) {
+      nanos += 100 * MILLI;
+    }
+    return nanos - 9 * SECOND - ranNanos;
+  }
+
+  /** Crashes with another cause cut long runs off, while short ones complete in between. */
+  @Test
+  void requestThatHasRunForLongIsTriedSoon() {
+    assertThat(firstTrialNanos(2 * SECOND)).isLessThan(6 * SECOND);
+  }
+
+  @Test
+  void requestThatEndsServersAtOnceIsTriedLate() {
+    assertThat(firstTrialNanos(100 * MILLI)).isGreaterThanOrEqualTo(20 * SECOND);
+  }
+
+  /** A request that ends servers late must not reach more of them than one that does so at once. */
+  @Test
+  void lateCrashesEndFewServers() {
+    int sends = 0;
+    int lateSends = 0;
+    for (long nanos = SECOND; nanos < CrashQuarantine.QUARANTINE_NANOS; nanos += SECOND) {
+      quarantine.recordCompletion(SOUND, nanos);
+      if (!quarantine.isQuarantined(BAD, nanos)) {
+        quarantine.recordSend(BAD, nanos);
+        crash("s" + sends, nanos, 2 * SECOND, BAD);
+        lateSends += ++sends > 3 ? 1 : 0;
+        nanos += 2 * SECOND;
+      }
+    }
+    assertThat(lateSends).isBetween(1, MAX_LATE_SENDS);
+  }
 }
