Use another address of the store when the settings name one

Cause: settings were read again for a log line only. Change: a new address comes into force with the signal. Until the list of servers was read at the new address the instance is not ready.

--- a/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
+++ b/core/src/main/java/org/pollenrock/core/fleet/Fleet.java
@@ -119,14 +119,20 @@
   }
 
   /**
-   * Returns whether the complete list was read at least once.
+   * Returns whether the complete list was read from the store that is in use.
    *
-   * @return false until the first call of {@link #applyFullList}
+   * @return false until the first call of {@link #applyFullList}, and from one of {@link
+   *     #expectFullList} until the next
    */
   public boolean hasReadList() {
     return listRead;
   }
 
+  /** Records that the list is kept elsewhere from now on. The known servers stay in use. */
+  public void expectFullList() {
+    listRead = false;
+  }
+
   /** Records that the list cannot be read, which defers removals. */
   public void markListUnavailable() {
     listUnavailable = true;
