Bound request lines by the limit on heads alone

Cause: the decoder had a bound of its own for the line. Change: the line may be as long as the header section. Result: RequestLineTest.requestLineMayBeAsLongAsTheHead failed before.

--- a/gateway/src/main/java/org/pollenrock/gateway/RequestDecoder.java
+++ b/gateway/src/main/java/org/pollenrock/gateway/RequestDecoder.java
@@ -10,15 +10,12 @@
  * smuggle another request.
  */
 final class RequestDecoder extends HttpRequestDecoder {
-  /** Maximum length of a request line. */
-  private static final int MAX_LINE_BYTES = 8192;
-
   private static final int MAX_CHUNK_BYTES = 65_536;
 
   RequestDecoder(int maxHeaderBytes) {
     super(
         new HttpDecoderConfig()
-            .setMaxInitialLineLength(MAX_LINE_BYTES)
+            .setMaxInitialLineLength(maxHeaderBytes)
             .setMaxHeaderSize(maxHeaderBytes)
             .setMaxChunkSize(MAX_CHUNK_BYTES));
   }
--- a/gateway/src/test/java/org/pollenrock/gateway/RequestLineTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/RequestLineTest.java
@@ -39,4 +39,17 @@
       assertThat(forward(line + "\r\n")).isEqualTo(line);
     }
   }
+
+  /** The limit that the operator sets must not have another one beside it. */
+  @Test
+  void requestLineMayBeAsLongAsTheHead() {
+    String target = "/" + "a".repeat(MAX_HEADER_BYTES - 100);
+    assertThat(forward("GET " + target + " HTTP/1.1\r\n\r\n")).contains(target);
+    EmbeddedChannel caller = new EmbeddedChannel(new RequestDecoder(MAX_HEADER_BYTES));
+    String tooLong = "GET /" + "a".repeat(MAX_HEADER_BYTES) + " HTTP/1.1\r\n\r\n";
+    caller.writeInbound(Unpooled.copiedBuffer(tooLong, StandardCharsets.ISO_8859_1));
+    HttpRequest head = caller.readInbound();
+    assertThat(head.decoderResult().isFailure()).isTrue();
+    caller.finishAndReleaseAll();
+  }
 }
