--- a/gateway/src/test/java/org/pollenrock/gateway/RequestLineTest.java
+++ b/gateway/src/test/java/org/pollenrock/gateway/RequestLineTest.java
@@ -45,6 +45,7 @@
   void requestLineMayBeAsLongAsTheHead() {
     String target = "/" + "a".repeat(MAX_HEADER_BYTES - 100);
     assertThat(forward("GET " + target + " HTTP/1.1\r\n\r\n")).contains(target);
+    assertThat(new EmbeddedChannel(new RequestDecoder(Integer.MAX_VALUE)).finish()).isFalse();
     EmbeddedChannel caller = new EmbeddedChannel(new RequestDecoder(MAX_HEADER_BYTES));
     String tooLong = "GET /" + "a".repeat(MAX_HEADER_BYTES) + " HTTP/1.1\r\n\r\n";
     caller.writeInbound(Unpooled.copiedBuffer(tooLong, StandardCharsets.ISO_8859_1));
